Set down the design, the modules and the core types

The layout is ports and adapters: core holds decisions and ports, adapters their implementations, host and operator the thin daemons, standins the test doubles.

The first whole path runs end to end in separate processes: platform stand-in, target emulator, two entry hosts.

--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
@@ -0,0 +1,98 @@
+package org.plantainspur.adapters.http;
+
+import java.util.List;
+
+import jakarta.inject.Inject;
+import jakarta.ws.rs.GET;
+import jakarta.ws.rs.HeaderParam;
+import jakarta.ws.rs.Path;
+import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.core.MediaType;
+import jakarta.ws.rs.core.Response;
+import org.jspecify.annotations.Nullable;
+
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.once.OnceGate;
+import org.plantainspur.core.request.Headers;
+import org.plantainspur.core.request.KeyHash;
+import org.plantainspur.core.request.Problem;
+import org.plantainspur.core.request.StandardRequestPipeline;
+
+/**
+ * Tells callers which hosts to use.
+ */
+@Path("/.plantainspur/locate")
+public final class LocateResource {
+
+	/** How long callers may keep the answer, in milliseconds. */
+	static final long LIFETIME_MILLIS = 5000;
+
+	private final ConfigurationView view;
+
+	private final HomeHosts homeHosts;
+
+	private final OnceGate onceGate;
+
+	/**
+	 * Creates the resource.
+	 * @param view the configuration in force
+	 * @param homeHosts assigns accounts to hosts
+	 * @param onceGate mints dispatch tokens
+	 */
+	@Inject
+	public LocateResource(ConfigurationView view, HomeHosts homeHosts, OnceGate onceGate) {
+		this.view = view;
+		this.homeHosts = homeHosts;
+		this.onceGate = onceGate;
+	}
+
+	@GET
+	@Produces(MediaType.APPLICATION_JSON)
+	public Response locate(@HeaderParam(Headers.API_KEY) @Nullable String key) {
+		Configuration configuration = this.view.current();
+		ClientAccount account = (key != null) ? configuration.accountOfKey(KeyHash.of(key))
+				: StandardRequestPipeline.OPEN_ACCOUNT;
+		if (account == null) {
+			return Response.status(Problem.Code.KEY_NOT_VALID.status())
+				.type(ProblemDocument.MEDIA_TYPE)
+				.entity(ProblemDocument.encode(Problem.notRun(Problem.Code.KEY_NOT_VALID,
+						"the key in " + Headers.API_KEY + " is unknown or withdrawn")))
+				.build();
+		}
+		List<Located> hosts = this.homeHosts.homes(account, configuration.membership())
+			.stream()
+			.map(Located::of)
+			.toList();
+		return Response.ok(new LocateAnswer(hosts, LIFETIME_MILLIS, this.onceGate.mint(account.id()))).build();
+	}
+
+	/**
+	 * The answer.
+	 *
+	 * @param hosts the hosts to use, the most preferred first
+	 * @param lifetimeMillis how long the answer may be kept, in milliseconds
+	 * @param dispatchToken the prefix of the caller's idempotency keys
+	 */
+	public record LocateAnswer(List<Located> hosts, long lifetimeMillis, String dispatchToken) {
+	}
+
+	/**
+	 * A host to use.
+	 *
+	 * @param host the host's name
+	 * @param address {@code ip:port}
+	 * @param region the region
+	 */
+	public record Located(String host, String address, String region) {
+
+		static Located of(Member member) {
+			return new Located(member.hostId(), member.callerAddress(), member.region());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The platform's table, objects and host list over HTTP with JSON.
+ */
+@NullMarked
+package org.plantainspur.adapters.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/settings/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Settings read from flags and environment variables.
+ */
+@NullMarked
+package org.plantainspur.adapters.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/configuration/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The configuration in force and the sequence of changes that leads to it.
+ */
+@NullMarked
+package org.plantainspur.core.configuration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/finding/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Findings on bad input, collected with their place and reported together.
+ */
+@NullMarked
+package org.plantainspur.core.finding;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -0,0 +1,157 @@
+package org.plantainspur.core.peer;
+
+import java.util.List;
+
+import org.plantainspur.core.request.CallerAnswer;
+import org.plantainspur.core.request.CallerRequest;
+
+/**
+ * A message between two members.
+ */
+public sealed interface PeerMessage {
+
+	/**
+	 * Tells the sender's state. It is both the request and the answer.
+	 *
+	 * @param hostId the sender's host
+	 * @param processId the sender's process
+	 * @param sequence the sender's sequence number in force
+	 * @param platformReadAgeMillis the age of the sender's newest read of the platform in
+	 * milliseconds, -1 if it has none
+	 * @param leaving whether the sender is about to stop
+	 */
+	record Heartbeat(String hostId, String processId, long sequence, long platformReadAgeMillis,
+			boolean leaving) implements PeerMessage {
+	}
+
+	/**
+	 * Tells that a newer sequence number exists.
+	 *
+	 * @param sequence the sequence number
+	 */
+	record Nudge(long sequence) implements PeerMessage {
+	}
+
+	/**
+	 * Asks a home host for tokens of an account.
+	 *
+	 * @param hostId the borrower's host
+	 * @param accountId the account
+	 * @param milliTokens the wanted amount in thousandths of a token
+	 */
+	record Borrow(String hostId, String accountId, long milliTokens) implements PeerMessage {
+	}
+
+	/**
+	 * Lends tokens.
+	 *
+	 * @param milliTokens the lent amount in thousandths of a token, 0 if there are none
+	 */
+	record Lent(long milliTokens) implements PeerMessage {
+	}
+
+	/**
+	 * Reports the outcomes that one host saw since its last report.
+	 *
+	 * @param hostId the reporter's host
+	 * @param service the service
+	 * @param targets the outcomes by target
+	 * @param ejectedHeld the targets that the reporter holds ejected now
+	 */
+	record Report(String hostId, String service, List<TargetEvidence> targets,
+			List<String> ejectedHeld) implements PeerMessage {
+	}
+
+	/**
+	 * The outcomes of one target at one host.
+	 *
+	 * @param targetId the target
+	 * @param accounts the outcomes by account, at most a few accounts
+	 * @param latencyCounts the number of answers in each latency bucket; bucket {@code i}
+	 * ends at 2^i milliseconds
+	 * @param inFlight requests in flight from this host
+	 * @param leaving whether this host saw a sign that the target is leaving
+	 */
+	record TargetEvidence(String targetId, List<AccountEvidence> accounts, List<Integer> latencyCounts, int inFlight,
+			boolean leaving) {
+	}
+
+	/**
+	 * The outcomes of one account on one target at one host.
+	 *
+	 * @param accountId the account
+	 * @param successes whole answers below status 500
+	 * @param failures other answers, timeouts and resets
+	 * @param connectFailures attempts without a connection
+	 * @param sheds refusals by the target
+	 */
+	record AccountEvidence(String accountId, int successes, int failures, int connectFailures, int sheds) {
+	}
+
+	/**
+	 * Answers a report.
+	 *
+	 * @param service the service
+	 * @param verdicts the verdicts in force on targets that are not fully in use
+	 * @param lifetimeMillis how long the verdicts hold, counted from before the report
+	 * was sent
+	 * @param leaving the targets that are leaving
+	 */
+	record Verdicts(String service, List<Verdict> verdicts, long lifetimeMillis,
+			List<String> leaving) implements PeerMessage {
+	}
+
+	/**
+	 * The verdict on one target.
+	 *
+	 * @param targetId the target
+	 * @param ejected whether it gets no work
+	 * @param weight its weight from 0 to 1 if it is not ejected
+	 * @param sickness how sick it is; larger is worse
+	 * @param reason the evidence, for operators
+	 */
+	record Verdict(String targetId, boolean ejected, double weight, double sickness, String reason) {
+	}
+
+	/**
+	 * Passes a non-idempotent request to the process that may dispatch it.
+	 *
+	 * @param processId the process that may dispatch it
+	 * @param request the whole request; its instant of receipt has no meaning
+	 * @param deadlineMillis the time left in milliseconds
+	 */
+	record Relay(String processId, CallerRequest request, long deadlineMillis) implements PeerMessage {
+	}
+
+	/**
+	 * Returns the answer of a relayed request.
+	 *
+	 * @param answer the answer
+	 */
+	record Relayed(CallerAnswer answer) implements PeerMessage {
+	}
+
+	/**
+	 * Tells that a request may have crashed a target.
+	 *
+	 * @param fingerprint the request's identity
+	 * @param targetId the target
+	 */
+	record Suspect(String fingerprint, String targetId) implements PeerMessage {
+	}
+
+	/**
+	 * Confirms a message that needs no other answer.
+	 */
+	record Acknowledged() implements PeerMessage {
+	}
+
+	/**
+	 * Answers a message that the receiver does not know.
+	 *
+	 * @param type the type of the message
+	 */
+	record Unsupported(String type) implements PeerMessage {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/request/KeyHash.java
@@ -0,0 +1,35 @@
+package org.plantainspur.core.request;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Hashes keys. Accounts are looked up by the hash, so the time of the look-up tells
+ * nothing about a stored key.
+ */
+public final class KeyHash {
+
+	private KeyHash() {
+	}
+
+	/**
+	 * Returns the hash of a text.
+	 * @param text the key
+	 * @return the SHA-256 of its UTF-8 form in lower-case hexadecimal
+	 */
+	public static String of(String text) {
+		return HexFormat.of().formatHex(digest().digest(text.getBytes(StandardCharsets.UTF_8)));
+	}
+
+	static MessageDigest digest() {
+		try {
+			return MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is required of every Java platform", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/EntryHostMain.java
@@ -0,0 +1,36 @@
+package org.plantainspur.host;
+
+import org.plantainspur.adapters.settings.SettingsReader;
+import org.plantainspur.core.finding.Findings;
+
+/**
+ * Starts an entry host.
+ */
+public final class EntryHostMain {
+
+	private static final int EXIT_BAD_INPUT = 2;
+
+	private EntryHostMain() {
+	}
+
+	/**
+	 * Runs the daemon.
+	 * @param args the flags, see {@code --help}
+	 * @throws Exception if the server cannot start
+	 */
+	public static void main(String[] args) throws Exception {
+		try {
+			HostSettings settings = SettingsReader.of("plantainspur-host", HostSettings::new)
+				.read(args, System.getenv());
+			new EntryHostApplication(settings).run("server");
+		}
+		catch (SettingsReader.HelpShownException ex) {
+			System.exit(0);
+		}
+		catch (Findings.InvalidInputException ex) {
+			System.err.println(ex.getMessage());
+			System.exit(EXIT_BAD_INPUT);
+		}
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The entry host daemon.
+ */
+@NullMarked
+package org.plantainspur.host;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/platform/Table.java
@@ -0,0 +1,59 @@
+package org.plantainspur.standins.platform;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A transactional table in memory.
+ */
+final class Table {
+
+	private final TreeMap<String, Row> rows = new TreeMap<>();
+
+	synchronized @Nullable Row row(String key) {
+		return this.rows.get(key);
+	}
+
+	synchronized List<Row> rows(String prefix, String after, int limit) {
+		List<Row> found = new ArrayList<>();
+		for (Row row : this.rows.tailMap(prefix, true).values()) {
+			if (!row.key().startsWith(prefix) || found.size() >= limit) {
+				break;
+			}
+			if (row.key().compareTo(after) > 0) {
+				found.add(row);
+			}
+		}
+		return found;
+	}
+
+	/**
+	 * Writes all rows if every condition holds.
+	 * @param expectedVersions the version that each key must have
+	 * @param writes the new values
+	 * @return whether the rows were written
+	 */
+	synchronized boolean transact(Map<String, Long> expectedVersions, Map<String, JsonNode> writes) {
+		boolean holds = expectedVersions.entrySet()
+			.stream()
+			.allMatch((condition) -> version(condition.getKey()) == condition.getValue());
+		if (holds) {
+			writes.forEach((key, value) -> this.rows.put(key, new Row(key, version(key) + 1, value)));
+		}
+		return holds;
+	}
+
+	private long version(String key) {
+		Row row = this.rows.get(key);
+		return (row != null) ? row.version() : 0;
+	}
+
+	record Row(String key, long version, JsonNode value) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/Processes.java
@@ -0,0 +1,68 @@
+package org.plantainspur.standins;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Starts the programs under test as processes of their own and ends them all on close.
+ */
+final class Processes implements AutoCloseable {
+
+	private final List<Process> processes = new ArrayList<>();
+
+	/**
+	 * Starts a program and waits for the line that says what it listens on.
+	 * @param main the main class
+	 * @param args the arguments
+	 * @return the process
+	 * @throws Exception if the program ends or stays silent for 30 seconds
+	 */
+	Process start(String main, String... args) throws Exception {
+		List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx96m",
+				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), main));
+		command.addAll(List.of(args));
+		Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+		this.processes.add(process);
+		CompletableFuture<String> listening = new CompletableFuture<>();
+		Thread reader = new Thread(() -> read(process, main, listening), "output of " + main);
+		reader.setDaemon(true);
+		reader.start();
+		listening.get(30, TimeUnit.SECONDS);
+		return process;
+	}
+
+	private static void read(Process process, String main, CompletableFuture<String> listening) {
+		try (BufferedReader output = new BufferedReader(
+				new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+			for (String line = output.readLine(); line != null; line = output.readLine()) {
+				System.out.println(main.substring(main.lastIndexOf('.') + 1) + ": " + line);
+				if (line.contains(" listens on ")) {
+					listening.complete(line);
+				}
+			}
+			listening.completeExceptionally(new IOException(main + " ended without listening"));
+		}
+		catch (IOException ex) {
+			listening.completeExceptionally(ex);
+		}
+	}
+
+	static int freePort() throws IOException {
+		try (ServerSocket socket = new ServerSocket(0)) {
+			return socket.getLocalPort();
+		}
+	}
+
+	@Override
+	public void close() {
+		this.processes.forEach(Process::destroyForcibly);
+	}
+
+}
