--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/time/HandClock.java
@@ -0,0 +1,27 @@
+package org.plantainspur.core.time;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A clock that a test advances.
+ */
+public final class HandClock implements Clock {
+
+	private final AtomicLong now = new AtomicLong();
+
+	@Override
+	public long millis() {
+		return this.now.get();
+	}
+
+	/**
+	 * Advances the clock.
+	 * @param millis the milliseconds to add
+	 * @return this clock
+	 */
+	public HandClock advance(long millis) {
+		this.now.addAndGet(millis);
+		return this;
+	}
+
+}
