Give dispatch tokens an issue time and a code, and bound the records

Change: a token is host id, process id, issue time and a truncated HMAC-SHA256 over these and the account. Tokens are accepted for 10 minutes, records are kept for 12, in slices by the minute of issue that are dropped as a whole. The number of records and the bytes of answers are bounded. A key that comes again with another request is refused (unknown). Relaying and the owner's side of it are core classes; the owner never relays again.

Checked by: mvn -pl core -am verify.

--- a/core/src/main/java/org/plantainspur/core/once/OnceGate.java
+++ b/core/src/main/java/org/plantainspur/core/once/OnceGate.java
@@ -21,9 +21,24 @@
 	 * Decides what to do with a request.
 	 * @param accountId the account that sent the request
 	 * @param idempotencyKey the key, {@code <dispatch token>.<own part>}
+	 * @param fingerprint the identity of what is asked: method, path, query and body
 	 * @return the decision
 	 */
-	OnceDecision enter(String accountId, String idempotencyKey);
+	OnceDecision enter(String accountId, String idempotencyKey, String fingerprint);
+
+	/**
+	 * Returns the number of requests that this process dispatches at the moment.
+	 * @return the number of tickets that are not complete
+	 */
+	int running();
+
+	/**
+	 * Tells whether the records are no longer in use, so that the process may stop.
+	 * @param quietMillis for how long no request may have come for a record, in
+	 * milliseconds
+	 * @return whether nothing runs and no key of this process has come for that time
+	 */
+	boolean idle(long quietMillis);
 
 	/**
 	 * What to do with a non-idempotent request.
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/request/PeerRequestRelay.java
@@ -0,0 +1,74 @@
+package org.plantainspur.core.request;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.peer.PeerLink;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Relays over the peer protocol. Whatever keeps the owner's answer away, the owner may
+ * have run the request, now or earlier, so every failure is {@link Problem.Run#UNKNOWN}.
+ */
+public final class PeerRequestRelay implements RequestRelay {
+
+	private final ConfigurationView view;
+
+	private final PeerLink link;
+
+	private final Clock clock;
+
+	/**
+	 * Creates a relay.
+	 * @param view the configuration in force, which lists the members
+	 * @param link sends to members
+	 * @param clock the process clock
+	 */
+	public PeerRequestRelay(ConfigurationView view, PeerLink link, Clock clock) {
+		this.view = view;
+		this.link = link;
+		this.clock = clock;
+	}
+
+	@Override
+	public CallerAnswer relay(String hostId, String processId, CallerRequest request, long deadlineMillis) {
+		Member owner = this.view.current().membership().member(hostId);
+		if (owner == null || !owner.processId().equals(processId)) {
+			return unknown(Problem.Code.DISPATCH_TOKEN_EXPIRED,
+					"the process that issued the dispatch token is no longer a member");
+		}
+		long left = deadlineMillis - this.clock.millis();
+		if (left <= 0) {
+			return unknown(Problem.Code.OWNER_NOT_REACHABLE, "the deadline passed before the request was relayed");
+		}
+		return ask(owner, new PeerMessage.Relay(processId, request, left), left);
+	}
+
+	private CallerAnswer ask(Member owner, PeerMessage.Relay relay, long left) {
+		try {
+			PeerMessage answer = this.link.ask(owner, relay, left).get(left, TimeUnit.MILLISECONDS);
+			return (answer instanceof PeerMessage.Relayed relayed) ? relayed.answer() : noAnswer(owner);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return noAnswer(owner);
+		}
+		catch (ExecutionException | TimeoutException | RuntimeException ex) {
+			return noAnswer(owner);
+		}
+	}
+
+	private static CallerAnswer noAnswer(Member owner) {
+		return unknown(Problem.Code.OWNER_NOT_REACHABLE,
+				"host " + owner.hostId() + ", which may run the request, gave no answer in time");
+	}
+
+	private static CallerAnswer unknown(Problem.Code code, String detail) {
+		return Problem.unknown(code, detail).refuse();
+	}
+
+}
--- a/core/src/main/java/org/plantainspur/core/request/Problem.java
+++ b/core/src/main/java/org/plantainspur/core/request/Problem.java
@@ -93,6 +93,12 @@
 		/** The idempotency key is missing or holds no dispatch token. */
 		IDEMPOTENCY_KEY_NOT_VALID(400),
 
+		/** The idempotency key was sent with another request before. */
+		IDEMPOTENCY_KEY_REUSED(422),
+
+		/** The request was answered, but the answer is no longer kept. */
+		ANSWER_NOT_KEPT(409),
+
 		/** The dispatch token is too old, or its process is gone. */
 		DISPATCH_TOKEN_EXPIRED(409),
 
--- a/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
+++ b/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
@@ -183,7 +183,8 @@
 								+ ": <dispatch token>.<a value of your own>")
 				.refuse();
 		}
-		OnceGate.OnceDecision decision = this.onceGate.enter(passage.account.id(), key);
+		OnceGate.OnceDecision decision = this.onceGate.enter(passage.account.id(), key,
+				RequestFingerprint.of(passage.request));
 		if (decision instanceof OnceGate.OnceDecision.Dispatch dispatch) {
 			return runWithTicket(passage, dispatch.ticket());
 		}
--- a/host/src/main/java/org/plantainspur/host/HostModule.java
+++ b/host/src/main/java/org/plantainspur/host/HostModule.java
@@ -104,8 +104,8 @@
 
 	@Provides
 	@Singleton
-	OnceGate onceGate(Member member) {
-		return new ProcessOnceGate(member.hostId(), member.processId());
+	OnceGate onceGate(Member member, Clock clock) {
+		return ProcessOnceGate.builder(member.hostId(), member.processId()).clock(clock).build();
 	}
 
 	@Provides
