Say 'not run' of a repeat only if its key can have no dispatch

Cause: a repeat of a non-idempotent request was refused as not-run for a withdrawn key, a removed route or a stale configuration, although an earlier request with the same idempotency key had run.

Change: the once gate tells whether a key can have been dispatched; the pipeline answers unknown if in doubt.

--- a/core/src/main/java/org/plantainspur/core/once/OnceGate.java
+++ b/core/src/main/java/org/plantainspur/core/once/OnceGate.java
@@ -26,6 +26,14 @@
 	 */
 	OnceDecision enter(String accountId, String idempotencyKey, String fingerprint);
 
+	/**
+	 * Tells whether no request with a key can have been dispatched by any process yet.
+	 * @param idempotencyKey the key as the caller sent it
+	 * @return {@code true} if the key holds no well-formed token, so that no process
+	 * accepts it, or names this process and has no record here; {@code false} if in doubt
+	 */
+	boolean certainlyNotRun(String idempotencyKey);
+
 	/**
 	 * Returns the number of requests that this process dispatches at the moment.
 	 * @return the number of tickets that are not complete
--- a/core/src/main/java/org/plantainspur/core/once/ProcessOnceGate.java
+++ b/core/src/main/java/org/plantainspur/core/once/ProcessOnceGate.java
@@ -79,6 +79,19 @@
 		return enterRecord(token, idempotencyKey, fingerprint);
 	}
 
+	@Override
+	public boolean certainlyNotRun(String idempotencyKey) {
+		try {
+			DispatchToken token = DispatchToken.ofKey(idempotencyKey);
+			// The record is looked up before the age is checked: records outlive tokens,
+			// so a token that is not expired afterwards had its record at the look-up.
+			return this.mint.names(token) && !this.table.holds(token.issuedMillis(), idempotencyKey) && !expired(token);
+		}
+		catch (DispatchToken.MalformedException ex) {
+			return true;
+		}
+	}
+
 	private OnceDecision enterRecord(DispatchToken token, String key, String fingerprint) {
 		RecordTable.Slice slice = this.table.slice(token.issuedMillis());
 		OnceRecord record = new OnceRecord(fingerprint);
--- a/core/src/main/java/org/plantainspur/core/request/Problem.java
+++ b/core/src/main/java/org/plantainspur/core/request/Problem.java
@@ -41,6 +41,14 @@
 		return new Problem(this.code, this.run, this.detail, millis);
 	}
 
+	/**
+	 * Returns this problem for a request that may have run.
+	 * @return a copy
+	 */
+	public Problem mayHaveRun() {
+		return new Problem(this.code, Run.UNKNOWN, this.detail, this.retryAfterMillis);
+	}
+
 	/**
 	 * Returns this problem as a refusal.
 	 * @return the refusal
--- a/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
+++ b/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
@@ -112,24 +112,31 @@
 		this.retryPolicy.requestArrived();
 		Route route = routing().table().match(request.method(), request.path());
 		if (route == null) {
-			return Problem.notRun(Problem.Code.NO_ROUTE, "no route matches " + request.method() + " " + request.path())
-				.refuse();
+			return refuse(request, Problem.notRun(Problem.Code.NO_ROUTE,
+					"no route matches " + request.method() + " " + request.path()));
 		}
 		Long timeout = timeoutMillis(request, route);
 		if (timeout == null) {
-			return Problem
-				.notRun(Problem.Code.BAD_REQUEST,
-						Headers.DEADLINE + " is not a positive number of milliseconds; send a value such as 2000")
-				.refuse();
+			return refuse(request, Problem.notRun(Problem.Code.BAD_REQUEST,
+					Headers.DEADLINE + " is not a positive number of milliseconds; send a value such as 2000"));
 		}
 		Passage passage = new Passage(request, route, request.receivedMillis() + timeout);
 		Problem refusal = checkRight(passage);
 		if (refusal != null) {
-			return refusal.refuse();
+			return refuse(request, refusal);
 		}
 		return route.idempotent() ? run(passage) : runOnce(passage);
 	}
 
+	// A repeat of a non-idempotent request may be refused although an earlier one with
+	// the
+	// same key ran, perhaps when the route or the key was still valid.
+	private CallerAnswer refuse(CallerRequest request, Problem problem) {
+		String key = request.headers().first(Headers.IDEMPOTENCY_KEY);
+		boolean notRun = key == null || this.onceGate.certainlyNotRun(key);
+		return (notRun ? problem : problem.mayHaveRun()).refuse();
+	}
+
 	private Routing routing() {
 		Configuration configuration = this.view.current();
 		Routing compiled = this.routing.get();
