Cause platform faults in the stand-in, and track the target emulator

The platform stand-in could not cause any fault of the failure model.

The stand-ins get a small HTTP server that can reset connections, leave requests without an answer, truncate answers and notice that a client has gone; the JDK's server can do none of these. The platform stand-in gets the object store, a host list that lags, faults (outage by reset or by silence, delay, lost replies to writes, requests dropped by caller address or path), counters with peaks, and 400 with the findings for bad input.

Conclusion: `mvn -pl standins -am verify` passes, with a test for each fault.

--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/http/StandInServer.java
@@ -0,0 +1,144 @@
+package org.plantainspur.standins.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Listens on an address of the loopback network and serves each connection on a thread of
+ * its own.
+ */
+public final class StandInServer implements AutoCloseable {
+
+	private static final int BACKLOG = 1024;
+
+	private final Handler handler;
+
+	private final InetAddress address;
+
+	private final int port;
+
+	private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+	private @Nullable ServerSocket listener;
+
+	/**
+	 * Starts a server.
+	 * @param address the IP address, such as {@code 127.0.0.1}
+	 * @param port the port, 0 for any free one
+	 * @param handler serves the requests
+	 * @throws IOException if the address cannot be used
+	 */
+	public StandInServer(String address, int port, Handler handler) throws IOException {
+		this.handler = handler;
+		this.address = InetAddress.getByName(address);
+		this.port = listen(port);
+	}
+
+	private synchronized int listen(int requestedPort) throws IOException {
+		ServerSocket socket = new ServerSocket();
+		socket.setReuseAddress(true);
+		socket.bind(new InetSocketAddress(this.address, requestedPort), BACKLOG);
+		this.listener = socket;
+		daemon(() -> accept(socket), "accept " + socket.getLocalPort());
+		return socket.getLocalPort();
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port
+	 */
+	public int port() {
+		return this.port;
+	}
+
+	/**
+	 * Listens again after {@link #close()}.
+	 * @throws IOException if the port was taken meanwhile
+	 */
+	public void listenAgain() throws IOException {
+		listen(this.port);
+	}
+
+	/**
+	 * Stops listening and resets every connection.
+	 */
+	@Override
+	public synchronized void close() {
+		try {
+			if (this.listener != null) {
+				this.listener.close();
+			}
+		}
+		catch (IOException ex) {
+			// Nothing is left to close.
+		}
+		this.connections.forEach(Connection::reset);
+	}
+
+	private void accept(ServerSocket socket) {
+		try {
+			while (!socket.isClosed()) {
+				Socket client = socket.accept();
+				daemon(() -> serve(socket, client), "connection " + client.getPort());
+			}
+		}
+		catch (IOException ex) {
+			if (!socket.isClosed()) {
+				System.err.println("port " + this.port + " can accept no more connections: " + ex.getMessage());
+			}
+		}
+	}
+
+	private void serve(ServerSocket socket, Socket client) {
+		try {
+			Connection connection = new Connection(client);
+			this.connections.add(connection);
+			try {
+				// A connection accepted while the server closes is not in the set yet
+				// when the others are reset.
+				if (socket.isClosed()) {
+					connection.reset();
+				}
+				else {
+					serve(connection);
+				}
+			}
+			finally {
+				this.connections.remove(connection);
+				connection.close();
+			}
+		}
+		catch (IOException ex) {
+			// The client or a fault has ended the connection.
+		}
+	}
+
+	private void serve(Connection connection) throws IOException {
+		try {
+			for (Request request = connection.read(); request != null; request = connection.read()) {
+				new Exchange(request, connection).handleWith(this.handler);
+				if ("close".equalsIgnoreCase(request.header("Connection"))) {
+					return;
+				}
+			}
+		}
+		catch (BadRequestException ex) {
+			Response response = Response.error(Response.BAD_REQUEST, String.valueOf(ex.getMessage()));
+			connection.write(response, response.body().length);
+		}
+	}
+
+	private static void daemon(Runnable task, String name) {
+		Thread thread = new Thread(task, name);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+}
--- a/standins/src/main/java/org/plantainspur/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/plantainspur/standins/platform/PlatformStandIn.java
@@ -1,45 +1,20 @@
 package org.plantainspur.standins.platform;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.URLDecoder;
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicReference;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
+import org.plantainspur.adapters.settings.Setting;
+import org.plantainspur.standins.http.Listen;
+import org.plantainspur.standins.http.StandInServer;
+import org.plantainspur.standins.program.Programs;
 
 /**
- * Serves the platform's interface from memory. The host list is replaced by
- * {@code PUT /hosts}.
+ * Serves the platform's interface from memory and causes faults on demand. The host list
+ * is replaced by {@code PUT /hosts}, the faults by {@code PUT /.control/faults};
+ * {@code GET /.control/counters} gives the reads and writes per second with their peaks.
  */
 public final class PlatformStandIn implements AutoCloseable {
 
-	private static final int OK = 200;
-
-	private static final int NOT_FOUND = 404;
-
-	private static final int CONFLICT = 409;
-
-	private static final int THREADS = 16;
-
-	private final ObjectMapper mapper = new ObjectMapper();
-
-	private final Table table = new Table();
-
-	private final AtomicReference<JsonNode> hosts;
-
-	private final ExecutorService executor = Executors.newFixedThreadPool(THREADS);
-
-	private final HttpServer server;
+	private final StandInServer server;
 
 	/**
 	 * Starts the stand-in.
@@ -47,117 +22,49 @@
 	 * @throws IOException if the port cannot be used
 	 */
 	public PlatformStandIn(int port) throws IOException {
-		ObjectNode empty = this.mapper.createObjectNode();
-		empty.putArray("hosts");
-		this.hosts = new AtomicReference<>(empty);
-		this.server = HttpServer.create(new InetSocketAddress("127.0.0.1", port), 0);
-		this.server.setExecutor(this.executor);
-		this.server.createContext("/table/row", this::row);
-		this.server.createContext("/table/rows", this::rows);
-		this.server.createContext("/table/transact", this::transact);
-		this.server.createContext("/hosts", this::hosts);
-		this.server.start();
+		this("127.0.0.1", port);
+	}
+
+	private PlatformStandIn(String address, int port) throws IOException {
+		this.server = new StandInServer(address, port, new PlatformRoutes());
 	}
 
 	/**
 	 * Returns the port.
-	 * @return the port on 127.0.0.1
+	 * @return the port
 	 */
 	public int port() {
-		return this.server.getAddress().getPort();
+		return this.server.port();
 	}
 
 	@Override
 	public void close() {
-		this.server.stop(0);
-		this.executor.shutdownNow();
+		this.server.close();
 	}
 
 	/**
 	 * Runs the stand-in as a process.
-	 * @param args the port
-	 * @throws IOException if the port cannot be used
+	 * @param args the flags, see {@code --help}
+	 * @throws Exception if the port cannot be used
 	 */
-	public static void main(String[] args) throws IOException {
-		PlatformStandIn platform = new PlatformStandIn((args.length > 0) ? Integer.parseInt(args[0]) : 0);
-		System.out.println("platform stand-in listens on 127.0.0.1:" + platform.port());
-	}
-
-	private void row(HttpExchange exchange) throws IOException {
-		if (!exchange.getRequestURI().getPath().equals("/table/row")) {
-			rows(exchange);
-			return;
-		}
-		Table.Row row = this.table.row(query(exchange).getOrDefault("key", ""));
-		if (row == null) {
-			answer(exchange, NOT_FOUND, this.mapper.createObjectNode());
-		}
-		else {
-			answer(exchange, OK, toJson(row));
-		}
+	public static void main(String[] args) throws Exception {
+		Programs.run("platform-stand-in", args, Settings::new, (settings) -> {
+			Listen listen = Listen.parse(settings.address);
+			PlatformStandIn platform = new PlatformStandIn(listen.host(), listen.port());
+			System.out.println("platform stand-in listens on " + listen.host() + ":" + platform.port());
+			Thread.currentThread().join();
+		});
 	}
 
-	private void rows(HttpExchange exchange) throws IOException {
-		Map<String, String> query = query(exchange);
-		ObjectNode body = this.mapper.createObjectNode();
-		var rows = body.putArray("rows");
-		this.table
-			.rows(query.getOrDefault("prefix", ""), query.getOrDefault("after", ""),
-					Integer.parseInt(query.getOrDefault("limit", "1000")))
-			.forEach((row) -> rows.add(toJson(row)));
-		answer(exchange, OK, body);
-	}
-
-	private void transact(HttpExchange exchange) throws IOException {
-		JsonNode request = read(exchange);
-		Map<String, Long> conditions = new LinkedHashMap<>();
-		request.path("conditions")
-			.forEach((node) -> conditions.put(node.path("key").asText(), node.path("version").asLong()));
-		Map<String, JsonNode> writes = new LinkedHashMap<>();
-		request.path("writes").forEach((node) -> writes.put(node.path("key").asText(), node.path("value")));
-		boolean written = this.table.transact(conditions, writes);
-		answer(exchange, written ? OK : CONFLICT, this.mapper.createObjectNode());
-	}
-
-	private void hosts(HttpExchange exchange) throws IOException {
-		if (exchange.getRequestMethod().equals("PUT")) {
-			this.hosts.set(read(exchange));
-		}
-		answer(exchange, OK, this.hosts.get());
-	}
-
-	private ObjectNode toJson(Table.Row row) {
-		ObjectNode node = this.mapper.createObjectNode();
-		node.put("key", row.key()).put("version", row.version()).set("value", row.value());
-		return node;
-	}
-
-	private JsonNode read(HttpExchange exchange) throws IOException {
-		try (InputStream body = exchange.getRequestBody()) {
-			return this.mapper.readTree(body);
-		}
-	}
+	/**
+	 * The settings.
+	 */
+	static final class Settings {
 
-	private void answer(HttpExchange exchange, int status, JsonNode body) throws IOException {
-		byte[] bytes = this.mapper.writeValueAsBytes(body);
-		exchange.getResponseHeaders().set("Content-Type", "application/json");
-		exchange.sendResponseHeaders(status, bytes.length);
-		exchange.getResponseBody().write(bytes);
-		exchange.close();
-	}
+		@Setting(flag = "--address", variable = "STANDIN_PLATFORM_ADDRESS", defaultValue = "127.0.0.1:7000",
+				pattern = Listen.PATTERN, help = "ip:port of the stand-in")
+		private String address = "";
 
-	private static Map<String, String> query(HttpExchange exchange) {
-		Map<String, String> values = new LinkedHashMap<>();
-		String query = exchange.getRequestURI().getRawQuery();
-		if (query == null) {
-			return values;
-		}
-		for (String pair : query.split("&")) {
-			int equals = pair.indexOf('=');
-			values.put(pair.substring(0, equals),
-					URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
-		}
-		return values;
 	}
 
 }
--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/program/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * What the stand-ins' main classes share.
+ */
+@NullMarked
+package org.plantainspur.standins.program;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/target/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * An emulator of targets.
+ */
+@NullMarked
+package org.plantainspur.standins.target;
+
+import org.jspecify.annotations.NullMarked;
--- a/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
@@ -48,7 +48,7 @@
 	void startEverything() throws Exception {
 		String platform = "127.0.0.1:" + Processes.freePort();
 		this.targetAddress = "127.0.0.1:" + Processes.freePort();
-		this.processes.start("org.plantainspur.standins.platform.PlatformStandIn", port(platform));
+		this.processes.start("org.plantainspur.standins.platform.PlatformStandIn", "--address", platform);
 		this.processes.start("org.plantainspur.standins.target.TargetEmulator", "booking-1", port(this.targetAddress),
 				"4");
 		putHosts(platform);
