Emulate gray, leaving, cold, shedding and crashing targets

Change: PUT /.control/behaviour sets the service time's distribution, the wait for a slot, shedding, gray modes (fail, stall, slow, truncate, reset), flapping, cold start, drain, checks that lag or mislead, and a crash on one request. The settings are now flags.

--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/target/Crasher.java
@@ -0,0 +1,54 @@
+package org.plantainspur.standins.target;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.plantainspur.standins.http.Request;
+import org.plantainspur.standins.http.StandInServer;
+
+/**
+ * Crashes the target: resets every connection and accepts none for a while, or ends the
+ * process.
+ */
+final class Crasher {
+
+	private static final int EXIT_CRASHED = 70;
+
+	private final TargetState state;
+
+	private final CompletableFuture<StandInServer> server = new CompletableFuture<>();
+
+	Crasher(TargetState state) {
+		this.state = state;
+	}
+
+	void serves(StandInServer started) {
+		this.server.complete(started);
+	}
+
+	boolean crashes(Behaviour.Crash crash, Request request) {
+		return WorkHandler.searchable(request).contains(crash.onText());
+	}
+
+	void crash(Behaviour.Crash crash) {
+		if (crash.exit()) {
+			Runtime.getRuntime().halt(EXIT_CRASHED);
+		}
+		StandInServer crashed = this.server.join();
+		crashed.close();
+		CompletableFuture.delayedExecutor(crash.downMillis(), TimeUnit.MILLISECONDS).execute(() -> restart(crashed));
+	}
+
+	private void restart(StandInServer crashed) {
+		try {
+			this.state.restarted();
+			crashed.listenAgain();
+		}
+		catch (IOException ex) {
+			System.err.println("target " + this.state.id() + " cannot listen on port " + crashed.port() + " again: "
+					+ ex.getMessage());
+		}
+	}
+
+}
--- a/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
@@ -49,8 +49,8 @@
 		String platform = "127.0.0.1:" + Processes.freePort();
 		this.targetAddress = "127.0.0.1:" + Processes.freePort();
 		this.processes.start("org.plantainspur.standins.platform.PlatformStandIn", "--address", platform);
-		this.processes.start("org.plantainspur.standins.target.TargetEmulator", "booking-1", port(this.targetAddress),
-				"4");
+		this.processes.start("org.plantainspur.standins.target.TargetEmulator", "--id", "booking-1", "--address",
+				this.targetAddress, "--slots", "4");
 		putHosts(platform);
 		configure(platform);
 		startHost("entry-1", "pdx", platform);
@@ -63,10 +63,6 @@
 		this.processes.close();
 	}
 
-	private static String port(String address) {
-		return address.substring(address.indexOf(':') + 1);
-	}
-
 	private void putHosts(String platform) throws Exception {
 		ArrayNode hosts = mapper.createArrayNode();
 		hosts.addObject()
