Add the peer transport over TCP with MessagePack

Cause: members had no way to exchange messages; heartbeats, borrowing, reports and relayed requests need a transport that bounds memory and threads.

Each payload ends with a CRC-32C, since a mutated frame would otherwise decode to a valid message with other values. The structure of a payload is checked before parsing, since the parser allocates declared lengths.

--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
@@ -0,0 +1,109 @@
+package org.plantainspur.adapters.peer;
+
+import java.io.IOException;
+import java.util.Iterator;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.request.CallerAnswer;
+import org.plantainspur.core.request.Headers;
+
+/**
+ * Creates the mapper of messages. It refuses every conversion between kinds of values.
+ */
+final class PeerMapper {
+
+	private PeerMapper() {
+	}
+
+	static ObjectMapper create() {
+		SimpleModule module = new SimpleModule().addSerializer(Headers.class, new HeadersWriter())
+			.addDeserializer(Headers.class, new HeadersReader());
+		return JsonMapper.builder(new MessagePackFactory())
+			.disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+			.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+			.enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES,
+					DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES,
+					DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES,
+					DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY,
+					DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+			.addMixIn(CallerAnswer.class, AnswerKinds.class)
+			.addMixIn(PeerMessage.Unsupported.class, UnsupportedName.class)
+			.addModule(module)
+			.build();
+	}
+
+	@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+	@JsonSubTypes({ @JsonSubTypes.Type(value = CallerAnswer.Answered.class, name = "answered"),
+			@JsonSubTypes.Type(value = CallerAnswer.Refused.class, name = "refused") })
+	private interface AnswerKinds {
+
+	}
+
+	/**
+	 * Keeps the field apart from the type of the message itself.
+	 */
+	private interface UnsupportedName {
+
+		@JsonProperty("unsupportedType")
+		String type();
+
+	}
+
+	/**
+	 * Writes header fields as a flat list of names and values.
+	 */
+	private static final class HeadersWriter extends JsonSerializer<Headers> {
+
+		@Override
+		public void serialize(Headers headers, JsonGenerator generator, SerializerProvider provider)
+				throws IOException {
+			generator.writeStartArray();
+			for (Headers.Field field : headers.fields()) {
+				generator.writeString(field.name());
+				generator.writeString(field.value());
+			}
+			generator.writeEndArray();
+		}
+
+	}
+
+	private static final class HeadersReader extends JsonDeserializer<Headers> {
+
+		@Override
+		public Headers deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+			JsonNode texts = context.readTree(parser);
+			if (!texts.isArray() || texts.size() % 2 != 0) {
+				return context.reportInputMismatch(Headers.class, "header fields are not pairs of texts");
+			}
+			Headers headers = Headers.empty();
+			for (Iterator<JsonNode> iterator = texts.elements(); iterator.hasNext();) {
+				headers = headers.with(text(iterator.next(), context), text(iterator.next(), context));
+			}
+			return headers;
+		}
+
+		private static String text(JsonNode node, DeserializationContext context) throws IOException {
+			return node.isTextual() ? node.textValue()
+					: context.reportInputMismatch(Headers.class, "a header field is not a text");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerThreads.java
@@ -0,0 +1,44 @@
+package org.plantainspur.adapters.peer;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Creates named daemon threads.
+ */
+final class PeerThreads {
+
+	private static final long IDLE_SECONDS = 30;
+
+	private PeerThreads() {
+	}
+
+	static ThreadFactory named(String name) {
+		AtomicInteger count = new AtomicInteger();
+		return (task) -> {
+			Thread thread = new Thread(task, name + "-" + count.incrementAndGet());
+			thread.setDaemon(true);
+			return thread;
+		};
+	}
+
+	static ScheduledExecutorService watchdog(String name) {
+		ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(1, named(name));
+		executor.setRemoveOnCancelPolicy(true);
+		return executor;
+	}
+
+	static ExecutorService bounded(String name, int threads, int queued) {
+		ThreadPoolExecutor executor = new ThreadPoolExecutor(threads, threads, IDLE_SECONDS, TimeUnit.SECONDS,
+				new ArrayBlockingQueue<>(queued), named(name));
+		executor.allowCoreThreadTimeOut(true);
+		return executor;
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Messages between members over TCP, encoded as MessagePack.
+ */
+@NullMarked
+package org.plantainspur.adapters.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerCodecTests.java
@@ -0,0 +1,208 @@
+package org.plantainspur.adapters.peer;
+
+import java.io.ByteArrayInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import org.plantainspur.core.peer.PeerMessage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+/**
+ * Guards against messages that change or crash the receiver on their way between hosts.
+ */
+class PeerCodecTests {
+
+	private final PeerCodec codec = new PeerCodec();
+
+	@Provide
+	Arbitrary<PeerMessage> messages() {
+		return PeerMessages.any();
+	}
+
+	private void neverMisread(byte[] payload, long id, PeerMessage original) {
+		try {
+			PeerCodec.Decoded decoded = this.codec.decode(payload);
+			assertThat(decoded.id()).isEqualTo(id);
+			assertThat(((PeerCodec.Decoded.Message) decoded).message()).usingRecursiveComparison().isEqualTo(original);
+		}
+		catch (PeerProtocolException ex) {
+			assertThat(ex).hasMessageContaining(" ");
+		}
+	}
+
+	@Group
+	class WholeMessage {
+
+		@Property(seed = "20261204", tries = 1000)
+		void isTheSameAfterItsRoundTrip(@ForAll("messages") PeerMessage message, @ForAll long id) throws IOException {
+			byte[] frame = PeerFrames.encode(PeerCodecTests.this.codec.encode(id, message));
+			byte[] payload = PeerFrames.read(new DataInputStream(new ByteArrayInputStream(frame)), frame.length);
+			PeerCodec.Decoded.Message decoded = (PeerCodec.Decoded.Message) PeerCodecTests.this.codec.decode(payload);
+			assertThat(decoded.id()).isEqualTo(id);
+			assertThat(decoded.message()).usingRecursiveComparison().isEqualTo(message);
+		}
+
+		@Provide
+		Arbitrary<PeerMessage> messages() {
+			return PeerMessages.any();
+		}
+
+		@Example
+		void ofEveryClassIsRegistered() {
+			assertThat(PeerCodec.registered()).containsExactlyInAnyOrderElementsOf(permitted());
+		}
+
+		@SuppressWarnings("unchecked")
+		private List<Class<? extends PeerMessage>> permitted() {
+			List<Class<? extends PeerMessage>> classes = new ArrayList<>();
+			for (Class<?> type : PeerMessage.class.getPermittedSubclasses()) {
+				classes.add((Class<? extends PeerMessage>) type);
+			}
+			return classes;
+		}
+
+	}
+
+	@Group
+	class MessageOfAnotherVersion {
+
+		@Example
+		void withAnUnknownFieldIsReadWithoutIt() throws IOException {
+			byte[] payload = PeerCodecTests.this.codec.payloads()
+				.encode(PeerCodecTests.this.codec.emptyFields()
+					.put("type", "nudge")
+					.put("id", 3)
+					.put("sequence", 12)
+					.put("added", "later"));
+			assertThat(PeerCodecTests.this.codec.decode(payload))
+				.isEqualTo(new PeerCodec.Decoded.Message(3, new PeerMessage.Nudge(12)));
+		}
+
+		@Example
+		void withAnUnknownTypeKeepsItsId() throws IOException {
+			byte[] payload = PeerCodecTests.this.codec.payloads()
+				.encode(PeerCodecTests.this.codec.emptyFields().put("type", "later").put("id", 3));
+			assertThat(PeerCodecTests.this.codec.decode(payload))
+				.isEqualTo(new PeerCodec.Decoded.UnknownType(3, "later"));
+		}
+
+		@Example
+		void withoutAFieldIsNotGivenADefault() {
+			byte[] payload = PeerCodecTests.this.codec.payloads()
+				.encode(PeerCodecTests.this.codec.emptyFields().put("type", "lent").put("id", 3));
+			assertThatExceptionOfType(PeerProtocolException.class)
+				.isThrownBy(() -> PeerCodecTests.this.codec.decode(payload));
+		}
+
+		@Example
+		void withATextForANumberIsNotConverted() {
+			byte[] payload = PeerCodecTests.this.codec.payloads()
+				.encode(PeerCodecTests.this.codec.emptyFields()
+					.put("type", "lent")
+					.put("id", 3)
+					.put("milliTokens", "7"));
+			assertThatExceptionOfType(PeerProtocolException.class)
+				.isThrownBy(() -> PeerCodecTests.this.codec.decode(payload));
+		}
+
+	}
+
+	@Group
+	class DamagedMessage {
+
+		@Provide
+		Arbitrary<PeerMessage> messages() {
+			return PeerMessages.any();
+		}
+
+		@Property(seed = "20261204", tries = 2000)
+		void isRefusedOrUnchangedAfterMutations(@ForAll("messages") PeerMessage message,
+				@ForAll @Size(min = 1, max = 6) List<Integer> places, @ForAll @Size(6) List<Byte> values) {
+			byte[] payload = PeerCodecTests.this.codec.encode(5, message);
+			neverMisread(PeerMessages.mutate(payload, places, values), 5, message);
+		}
+
+		@Property(seed = "20261204", tries = 1000)
+		void isRefusedWhenTruncated(@ForAll("messages") PeerMessage message, @ForAll @IntRange(max = 5000) int length) {
+			byte[] payload = PeerCodecTests.this.codec.encode(5, message);
+			byte[] truncated = Arrays.copyOf(payload, length % payload.length);
+			assertThatExceptionOfType(PeerProtocolException.class)
+				.isThrownBy(() -> PeerCodecTests.this.codec.decode(truncated));
+		}
+
+		@Property(seed = "20261204", tries = 2000)
+		void ofRandomBytesIsRefused(@ForAll @Size(max = 200) byte[] bytes) {
+			assertThatExceptionOfType(PeerProtocolException.class)
+				.isThrownBy(() -> PeerCodecTests.this.codec.decode(bytes));
+		}
+
+		@Property(seed = "20261204", tries = 2000)
+		void withAValidChecksumIsRefusedOrReadWithoutACrash(@ForAll("messages") PeerMessage message,
+				@ForAll @Size(min = 1, max = 6) List<Integer> places, @ForAll @Size(6) List<Byte> values) {
+			byte[] payload = PeerMessages.mutate(PeerCodecTests.this.codec.encode(5, message), places, values);
+			try {
+				PeerCodecTests.this.codec.decode(seal(payload));
+			}
+			catch (PeerProtocolException ex) {
+				assertThat(ex).hasMessageContaining(" ");
+			}
+		}
+
+		private byte[] seal(byte[] payload) {
+			java.util.zip.CRC32C crc = new java.util.zip.CRC32C();
+			crc.update(payload, 0, payload.length - 4);
+			return ByteBuffer.wrap(payload).putInt(payload.length - 4, (int) crc.getValue()).array();
+		}
+
+	}
+
+	@Group
+	class DeclaredLength {
+
+		@Provide
+		Arbitrary<byte[]> hugeLengths() {
+			return Arbitraries.of((byte) 0xc6, (byte) 0xdb, (byte) 0xdd, (byte) 0xdf, (byte) 0xc9)
+				.map((head) -> new byte[] { (byte) 0x81, (byte) 0xa1, 'a', head, 0x7f, (byte) 0xff, 0, 0, 1, 1 });
+		}
+
+		@Property(seed = "20261204", tries = 20)
+		void beyondThePayloadIsRefusedBeforeAnythingIsAllocated(@ForAll("hugeLengths") byte[] payload) {
+			assertThatExceptionOfType(PeerProtocolException.class).isThrownBy(() -> PayloadStructure.check(payload));
+		}
+
+		@Property(seed = "20261204", tries = 200)
+		void ofAFrameBeyondTheLimitIsRefusedBeforeAnythingIsAllocated(@ForAll int length) {
+			byte[] frame = ByteBuffer.allocate(5).putInt(length).put(PeerFrames.VERSION).array();
+			assertThatExceptionOfType(IOException.class).isThrownBy(() -> PeerFrames
+				.read(new DataInputStream(new ByteArrayInputStream(frame)), PeerFrames.MAXIMUM_BYTES));
+		}
+
+		@Example
+		void ofNestingBeyondTheLimitIsRefused() {
+			byte[] payload = new byte[100];
+			Arrays.fill(payload, (byte) 0x91);
+			payload[0] = (byte) 0x81;
+			payload[1] = 0;
+			assertThatExceptionOfType(PeerProtocolException.class).isThrownBy(() -> PayloadStructure.check(payload))
+				.withMessageContaining("nested");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -0,0 +1,104 @@
+package org.plantainspur.adapters.peer;
+
+import java.util.Arrays;
+import java.util.List;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.arbitraries.ListArbitrary;
+
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.request.CallerAnswer;
+import org.plantainspur.core.request.CallerRequest;
+import org.plantainspur.core.request.Headers;
+import org.plantainspur.core.request.Problem;
+
+/**
+ * Generates messages of every kind.
+ */
+final class PeerMessages {
+
+	private static final Arbitrary<String> TEXT = Arbitraries.strings().ofMaxLength(40);
+
+	private static final ListArbitrary<String> TEXTS = TEXT.list().ofMaxSize(4);
+
+	private static final Arbitrary<Long> LONG = Arbitraries.longs();
+
+	private static final Arbitrary<Integer> INT = Arbitraries.integers();
+
+	private static final Arbitrary<Double> DOUBLE = Arbitraries.doubles();
+
+	private static final Arbitrary<Boolean> FLAG = Arbitraries.of(true, false);
+
+	private static final Arbitrary<byte[]> BODY = Arbitraries.bytes().array(byte[].class).ofMaxSize(300);
+
+	private PeerMessages() {
+	}
+
+	static Arbitrary<PeerMessage> any() {
+		return Arbitraries.oneOf(List.of(heartbeats(), borrows(), LONG.map(PeerMessage.Nudge::new),
+				LONG.map(PeerMessage.Lent::new), reports(), verdicts(), relays(),
+				Arbitraries.oneOf(answered(), refused()).map(PeerMessage.Relayed::new),
+				Combinators.combine(TEXT, TEXT).as(PeerMessage.Suspect::new),
+				Arbitraries.of(new PeerMessage.Acknowledged()), TEXT.map(PeerMessage.Unsupported::new)));
+	}
+
+	private static Arbitrary<PeerMessage> heartbeats() {
+		return Combinators.combine(TEXT, TEXT, LONG, LONG, FLAG).as(PeerMessage.Heartbeat::new);
+	}
+
+	private static Arbitrary<PeerMessage> borrows() {
+		return Combinators.combine(TEXT, TEXT, LONG).as(PeerMessage.Borrow::new);
+	}
+
+	private static Arbitrary<PeerMessage> reports() {
+		Arbitrary<PeerMessage.AccountEvidence> account = Combinators.combine(TEXT, INT, INT, INT, INT)
+			.as(PeerMessage.AccountEvidence::new);
+		Arbitrary<PeerMessage.TargetEvidence> target = Combinators
+			.combine(TEXT, account.list().ofMaxSize(3), INT.list().ofMaxSize(16), INT, FLAG)
+			.as(PeerMessage.TargetEvidence::new);
+		return Combinators.combine(TEXT, TEXT, target.list().ofMaxSize(3), TEXTS).as(PeerMessage.Report::new);
+	}
+
+	private static Arbitrary<PeerMessage> verdicts() {
+		Arbitrary<PeerMessage.Verdict> verdict = Combinators.combine(TEXT, FLAG, DOUBLE, DOUBLE, TEXT)
+			.as(PeerMessage.Verdict::new);
+		return Combinators.combine(TEXT, verdict.list().ofMaxSize(3), LONG, TEXTS).as(PeerMessage.Verdicts::new);
+	}
+
+	private static Arbitrary<PeerMessage> relays() {
+		Arbitrary<CallerRequest> request = Combinators.combine(TEXT, TEXT, TEXT, headers(), BODY, LONG)
+			.as(CallerRequest::new);
+		return Combinators.combine(TEXT, request, LONG).as(PeerMessage.Relay::new);
+	}
+
+	private static Arbitrary<CallerAnswer> answered() {
+		return Combinators.combine(INT, headers(), BODY).as(CallerAnswer.Answered::new);
+	}
+
+	private static Arbitrary<CallerAnswer> refused() {
+		return Combinators
+			.combine(Arbitraries.of(Problem.Code.values()), Arbitraries.of(Problem.Run.values()), TEXT, LONG)
+			.as((code, run, detail, retry) -> new CallerAnswer.Refused(new Problem(code, run, detail, retry)));
+	}
+
+	private static Arbitrary<Headers> headers() {
+		return Combinators.combine(TEXT, TEXT).as(Headers.Field::new).list().ofMaxSize(4).map((fields) -> {
+			Headers headers = Headers.empty();
+			for (Headers.Field field : fields) {
+				headers = headers.with(field.name(), field.value());
+			}
+			return headers;
+		});
+	}
+
+	static byte[] mutate(byte[] bytes, List<Integer> places, List<Byte> values) {
+		byte[] mutated = Arrays.copyOf(bytes, bytes.length);
+		for (int i = 0; i < places.size(); i++) {
+			mutated[Math.floorMod(places.get(i), bytes.length)] ^= values.get(i);
+		}
+		return mutated;
+	}
+
+}
