Split the request pipeline by job

Change: Passage holds a request's state, AccessCheck the key and currency check, TargetAttempts the dispatch loop. An answer that is too large is no longer tried on a second target, which would give the same answer. A key that moves to another account while its request waits stops the request.

--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
@@ -0,0 +1,49 @@
+package org.plantainspur.core.request;
+
+import org.jspecify.annotations.Nullable;
+
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.currency.CurrencyRule;
+
+/**
+ * Checks the key and the currency of the configuration. Called on arrival and again
+ * before each dispatch, since a key may be withdrawn while its request waits.
+ */
+final class AccessCheck {
+
+	private static final long STALE_RETRY_MILLIS = 1000;
+
+	private final ConfigurationView view;
+
+	private final CurrencyRule currency;
+
+	AccessCheck(ConfigurationView view, CurrencyRule currency) {
+		this.view = view;
+		this.currency = currency;
+	}
+
+	/**
+	 * Checks a request and notes the account that it runs for.
+	 * @param passage the request
+	 * @return the reason for a refusal, or {@code null} if the request may run
+	 */
+	@Nullable Problem check(Passage passage) {
+		if (passage.route().open()) {
+			return null;
+		}
+		if (this.currency.check() instanceof CurrencyRule.Currency.Stale stale) {
+			return Problem.notRun(Problem.Code.CONFIGURATION_NOT_CURRENT, stale.reason())
+				.retryAfter(STALE_RETRY_MILLIS);
+		}
+		String keyHash = passage.keyHash();
+		ClientAccount account = (keyHash != null) ? this.view.current().accountOfKey(keyHash) : null;
+		if (account == null) {
+			return Problem.notRun(Problem.Code.KEY_NOT_VALID,
+					"the key in " + Headers.API_KEY + " is missing, unknown or withdrawn");
+		}
+		return passage.runFor(account) ? null
+				: Problem.notRun(Problem.Code.KEY_NOT_VALID, "the key now belongs to another client account");
+	}
+
+}
--- a/core/src/main/java/org/plantainspur/core/request/BudgetedRetryPolicy.java
+++ b/core/src/main/java/org/plantainspur/core/request/BudgetedRetryPolicy.java
@@ -48,7 +48,8 @@
 	}
 
 	private static boolean failed(DispatchOutcome outcome) {
-		return outcome instanceof DispatchOutcome.Unknown
+		return (outcome instanceof DispatchOutcome.Unknown unknown
+				&& unknown.cause() != DispatchOutcome.Unknown.Cause.TOO_LARGE)
 				|| (outcome instanceof DispatchOutcome.Answered answered && answered.status() >= SERVER_ERROR);
 	}
 
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
@@ -0,0 +1,131 @@
+package org.plantainspur.core.request;
+
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+
+import org.plantainspur.core.health.OutcomeRecorder;
+import org.plantainspur.core.routing.TargetChooser;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Tries an admitted request on one target after the other until it has an answer or may
+ * not be tried again.
+ */
+final class TargetAttempts {
+
+	private static final int SERVER_ERROR = 500;
+
+	private static final long FULL_RETRY_MILLIS = 1000;
+
+	/**
+	 * Fields that hold for one connection (RFC 9110, section 7.6.1), and those that only
+	 * the system may set.
+	 */
+	private static final Set<String> NOT_PASSED_ON = Set.of("connection", "keep-alive", "proxy-connection",
+			"proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "host", "content-length", "expect",
+			Headers.API_KEY.toLowerCase(Locale.ROOT), Headers.CLIENT_ACCOUNT.toLowerCase(Locale.ROOT),
+			Headers.REQUEST_ID.toLowerCase(Locale.ROOT), Headers.DEADLINE.toLowerCase(Locale.ROOT));
+
+	private final Clock clock;
+
+	private final AccessCheck accessCheck;
+
+	private final TargetChooser chooser;
+
+	private final TargetDispatcher dispatcher;
+
+	private final RetryPolicy retryPolicy;
+
+	private final OutcomeRecorder recorder;
+
+	TargetAttempts(Clock clock, AccessCheck accessCheck, TargetChooser chooser, TargetDispatcher dispatcher,
+			RetryPolicy retryPolicy, OutcomeRecorder recorder) {
+		this.clock = clock;
+		this.accessCheck = accessCheck;
+		this.chooser = chooser;
+		this.dispatcher = dispatcher;
+		this.retryPolicy = retryPolicy;
+		this.recorder = recorder;
+	}
+
+	CallerAnswer run(Passage passage) {
+		Set<String> tried = new HashSet<>();
+		while (true) {
+			Problem refusal = this.accessCheck.check(passage);
+			if (refusal != null) {
+				return passage.refuse(refusal);
+			}
+			TargetChooser.TargetLease lease = this.chooser.choose(passage.route().service(), tried);
+			if (lease == null) {
+				return passage.lastAnswer(passage.noCapacity(FULL_RETRY_MILLIS));
+			}
+			DispatchOutcome outcome = dispatch(passage, lease);
+			tried.add(lease.target().id());
+			passage.note(outcome);
+			if (!this.retryPolicy.retry(passage.route(), outcome, passage.attempts())
+					|| this.clock.millis() >= passage.deadlineMillis()) {
+				return passage.lastAnswer(passage.noCapacity(FULL_RETRY_MILLIS));
+			}
+		}
+	}
+
+	private DispatchOutcome dispatch(Passage passage, TargetChooser.TargetLease lease) {
+		try (lease) {
+			long started = this.clock.millis();
+			long left = passage.deadlineMillis() - started;
+			if (left <= 0) {
+				return new DispatchOutcome.NotSent("the deadline has passed");
+			}
+			DispatchOutcome outcome = this.dispatcher.dispatch(lease.target(), targetRequest(passage, left),
+					passage.route().idempotent(), left);
+			record(passage, lease, outcome, this.clock.millis() - started);
+			return outcome;
+		}
+	}
+
+	private CallerRequest targetRequest(Passage passage, long left) {
+		CallerRequest request = passage.request();
+		Headers headers = request.headers()
+			.without(NOT_PASSED_ON)
+			.with(Headers.CLIENT_ACCOUNT, passage.account().id())
+			.with(Headers.REQUEST_ID, passage.requestId())
+			.with(Headers.DEADLINE, Long.toString(left));
+		return new CallerRequest(request.method(), request.path(), request.query(), headers, request.body(),
+				request.receivedMillis());
+	}
+
+	private void record(Passage passage, TargetChooser.TargetLease lease, DispatchOutcome outcome, long latency) {
+		OutcomeRecorder.Kind kind = kind(outcome);
+		this.recorder.record(new OutcomeRecorder.Outcome(lease.target(), passage.account().id(), passage.fingerprint(),
+				kind, latency));
+		if (saysLeaving(outcome)) {
+			this.recorder.leaving(lease.target());
+		}
+	}
+
+	private static boolean saysLeaving(DispatchOutcome outcome) {
+		if (outcome instanceof DispatchOutcome.Answered answered) {
+			return "draining".equals(answered.headers().first(Headers.TARGET_STATE));
+		}
+		return outcome instanceof DispatchOutcome.RefusedByTarget refused && refused.draining();
+	}
+
+	private static OutcomeRecorder.Kind kind(DispatchOutcome outcome) {
+		if (outcome instanceof DispatchOutcome.Answered answered) {
+			return (answered.status() < SERVER_ERROR) ? OutcomeRecorder.Kind.SUCCESS : OutcomeRecorder.Kind.FAILURE;
+		}
+		if (outcome instanceof DispatchOutcome.NotSent) {
+			return OutcomeRecorder.Kind.CONNECT_FAILURE;
+		}
+		if (outcome instanceof DispatchOutcome.RefusedByTarget) {
+			return OutcomeRecorder.Kind.SHED;
+		}
+		return switch (((DispatchOutcome.Unknown) outcome).cause()) {
+			case TIMEOUT -> OutcomeRecorder.Kind.TIMEOUT;
+			case RESET -> OutcomeRecorder.Kind.RESET;
+			case TOO_LARGE -> OutcomeRecorder.Kind.SUCCESS;
+		};
+	}
+
+}
