--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -1,5 +1,6 @@
 package org.plantainspur.core.membership;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -14,15 +15,24 @@
  */
 public final class Membership {
 
-	private static final Membership EMPTY = new Membership(new TreeMap<>(), 0);
+	/**
+	 * A host that reads more changes at once than this treats the earlier holders of
+	 * shares as unknown.
+	 */
+	private static final int MAXIMUM_EARLIER = 16;
+
+	private static final Membership EMPTY = new Membership(new TreeMap<>(), 0, List.of());
 
 	private final TreeMap<String, Member> members;
 
 	private final long sequence;
 
-	private Membership(TreeMap<String, Member> members, long sequence) {
+	private final List<Membership> earlier;
+
+	private Membership(TreeMap<String, Member> members, long sequence, List<Membership> earlier) {
 		this.members = members;
 		this.sequence = sequence;
+		this.earlier = earlier;
 	}
 
 	/**
@@ -41,6 +51,15 @@
 		return this.sequence;
 	}
 
+	/**
+	 * Returns the memberships before this one, so that a host that puts several changes
+	 * in force at once learns of every earlier holder of a share.
+	 * @return the last few, the newest last; they have no earlier ones themselves
+	 */
+	public List<Membership> earlier() {
+		return this.earlier;
+	}
+
 	/**
 	 * Returns the member at a host.
 	 * @param hostId the host's name
@@ -94,7 +113,13 @@
 		else if (change instanceof Change.MembersRemoved removed) {
 			removed.members().forEach((gone) -> remove(next, gone));
 		}
-		return new Membership(next, sequence);
+		return new Membership(next, sequence, withThis());
+	}
+
+	private List<Membership> withThis() {
+		List<Membership> all = new ArrayList<>(this.earlier);
+		all.add(new Membership(this.members, this.sequence, List.of()));
+		return List.copyOf(all.subList(Math.max(0, all.size() - MAXIMUM_EARLIER), all.size()));
 	}
 
 	private static void remove(Map<String, Member> members, Member gone) {
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
@@ -0,0 +1,106 @@
+package org.plantainspur.core.rate;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Supplier;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.membership.Member;
+
+/**
+ * A handful of simulated hosts with one sequence of changes.
+ */
+final class SimulatedFleet {
+
+	final SimulatedNetwork network;
+
+	final Map<String, SimulatedHost> hosts = new TreeMap<>();
+
+	private final Supplier<Double> clockRates;
+
+	private final BiFunction<SimulatedHost, SimulatedHost.Directory, RateLimiter> limiters;
+
+	private Configuration log = Configuration.empty();
+
+	private int processes;
+
+	SimulatedFleet(SimulatedNetwork network, Supplier<Double> clockRates,
+			BiFunction<SimulatedHost, SimulatedHost.Directory, RateLimiter> limiters) {
+		this.network = network;
+		this.clockRates = clockRates;
+		this.limiters = limiters;
+	}
+
+	void append(Change change) {
+		this.log = this.log.apply(new ChangeEntry(this.log.sequence() + 1, "c" + this.log.sequence(), change));
+	}
+
+	void put(ClientAccount account) {
+		append(new Change.PutAccount(account));
+	}
+
+	/**
+	 * Starts a process at a host in place of the one there.
+	 * @param hostId the host
+	 * @return the process
+	 */
+	SimulatedHost start(String hostId) {
+		SimulatedHost old = this.hosts.get(hostId);
+		if (old != null) {
+			old.alive = false;
+		}
+		Member member = Member.builder(hostId, "p" + this.processes++)
+			.region((hostId.hashCode() % 2 == 0) ? "pdx" : "sea")
+			.build();
+		SimulatedHost host = new SimulatedHost(member, this.network, this.clockRates.get(),
+				(self) -> this.limiters.apply(self, this.hosts::get));
+		this.hosts.put(hostId, host);
+		host.view.advance(this.log);
+		append(new Change.MemberJoined(member));
+		return host;
+	}
+
+	void remove(String hostId) {
+		append(new Change.MembersRemoved(List.of(this.hosts.get(hostId).member)));
+	}
+
+	void rejoin(String hostId) {
+		append(new Change.MemberJoined(this.hosts.get(hostId).member));
+	}
+
+	boolean isMember(String hostId) {
+		return this.log.membership().member(hostId) != null;
+	}
+
+	void tick() {
+		this.network.tick();
+		long now = this.network.now();
+		for (SimulatedHost host : this.hosts.values()) {
+			host.tick();
+			int phase = Math.floorMod(host.member.hostId().hashCode(), 200);
+			if ((now + phase) % 200 == 0) {
+				host.poll(() -> this.log);
+			}
+			if ((now + phase) % 500 == 0 && !host.frozen()) {
+				host.heartbeat(this.hosts::get, this.hosts.keySet());
+			}
+		}
+	}
+
+	void run(long millis) {
+		for (long i = 0; i < millis; i++) {
+			tick();
+		}
+	}
+
+	SimulatedHost any(Random random) {
+		return List.copyOf(this.hosts.values()).get(random.nextInt(this.hosts.size()));
+	}
+
+}
