Bound callers, refuse with problem documents and stop gracefully

Cause: refusals of Jetty and Jersey were HTML or empty, a response timeout counted as a reset (evidence of a crash), an answer above the limit was read to its end, the connection limit of a target did not depend on the members, and SIGTERM cut requests.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
@@ -1,7 +1,7 @@
 package org.plantainspur.adapters.http;
 
 import java.io.IOException;
-import java.io.InputStream;
+import java.net.URI;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -16,10 +16,10 @@
 import jakarta.ws.rs.POST;
 import jakarta.ws.rs.PUT;
 import jakarta.ws.rs.Path;
+import jakarta.ws.rs.container.ContainerRequestContext;
 import jakarta.ws.rs.core.Context;
-import jakarta.ws.rs.core.HttpHeaders;
+import jakarta.ws.rs.core.MultivaluedMap;
 import jakarta.ws.rs.core.Response;
-import jakarta.ws.rs.core.UriInfo;
 
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.CallerRequest;
@@ -58,59 +58,73 @@
 	}
 
 	@GET
-	public Response get(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("GET", uri, headers, body);
+	public Response get(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
 	@HEAD
-	public Response head(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("HEAD", uri, headers, body);
+	public Response head(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
 	@POST
-	public Response post(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("POST", uri, headers, body);
+	public Response post(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
 	@PUT
-	public Response put(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("PUT", uri, headers, body);
+	public Response put(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
 	@PATCH
-	public Response patch(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("PATCH", uri, headers, body);
+	public Response patch(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
 	@DELETE
-	public Response delete(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("DELETE", uri, headers, body);
+	public Response delete(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
 	@OPTIONS
-	public Response options(@Context UriInfo uri, @Context HttpHeaders headers, InputStream body) throws IOException {
-		return serve("OPTIONS", uri, headers, body);
+	public Response options(@Context ContainerRequestContext request) {
+		return serve(request);
 	}
 
-	private Response serve(String method, UriInfo uri, HttpHeaders headers, InputStream body) throws IOException {
+	private Response serve(ContainerRequestContext request) {
 		long received = this.clock.millis();
-		byte[] content = body.readNBytes(MAXIMUM_BODY_BYTES + 1);
+		byte[] content = body(request);
 		if (content.length > MAXIMUM_BODY_BYTES) {
 			return response(
 					Problem.notRun(Problem.Code.TOO_LARGE, "the body is larger than " + MAXIMUM_BODY_BYTES + " bytes")
 						.refuse());
 		}
-		String query = uri.getRequestUri().getRawQuery();
-		CallerRequest request = new CallerRequest(method, uri.getRequestUri().getRawPath(),
-				(query != null) ? query : "", fields(headers), content, received);
-		return response(this.pipeline.serve(request));
+		URI uri = request.getUriInfo().getRequestUri();
+		String query = uri.getRawQuery();
+		return response(this.pipeline.serve(new CallerRequest(request.getMethod(), uri.getRawPath(),
+				(query != null) ? query : "", fields(request.getHeaders()), content, received)));
 	}
 
-	private static Headers fields(HttpHeaders headers) {
+	private static byte[] body(ContainerRequestContext request) {
+		try {
+			return request.getEntityStream().readNBytes(MAXIMUM_BODY_BYTES + 1);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw new ProblemExceptionMapper.CallerReadException(ex);
+		}
+	}
+
+	// A field that repeats the key under another name would carry the key to the target.
+	private static Headers fields(MultivaluedMap<String, String> received) {
 		Headers fields = Headers.empty();
-		for (Map.Entry<String, List<String>> entry : headers.getRequestHeaders().entrySet()) {
+		String key = received.getFirst(Headers.API_KEY);
+		for (Map.Entry<String, List<String>> entry : received.entrySet()) {
+			boolean isKey = entry.getKey().equalsIgnoreCase(Headers.API_KEY);
 			for (String value : entry.getValue()) {
-				fields = fields.with(entry.getKey(), value);
+				if (isKey || key == null || key.isEmpty() || !value.contains(key)) {
+					fields = fields.with(entry.getKey(), value);
+				}
 			}
 		}
 		return fields;
--- a/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
@@ -3,26 +3,23 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.ConnectException;
-import java.net.NoRouteToHostException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
-import java.net.UnknownHostException;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
-import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.ChainElement;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.protocol.HttpClientContext;
 import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -36,9 +33,8 @@
 
 /**
  * Sends requests to targets with Apache HttpClient. Its automatic retries and redirects
- * are off, since they would run a request twice. Idle connections are checked before use,
- * since a request on a connection that the target has just closed would have an unknown
- * outcome.
+ * are off, since they would run a request twice. A failure before the request reaches the
+ * connection is {@code NotSent}; each later one is {@code Unknown}.
  */
 public final class HttpClientTargetDispatcher implements TargetDispatcher, AutoCloseable {
 
@@ -49,11 +45,19 @@
 
 	private static final int BUFFER_BYTES = 8192;
 
-	private static final Timeout CONNECT_TIMEOUT = Timeout.ofMilliseconds(1000);
+	/**
+	 * A connection idle for longer is not used again. It is shorter than the keep-alive
+	 * time of common servers, so that a target seldom closes a connection in use.
+	 */
+	private static final TimeValue KEEP_ALIVE = TimeValue.ofSeconds(4);
+
+	private static final String SENT = "plantainspur.sent";
+
+	private final TargetConnections connections;
 
 	private final CloseableHttpClient client;
 
-	private final ScheduledExecutorService deadlines = Executors.newSingleThreadScheduledExecutor((task) -> {
+	private final ScheduledThreadPoolExecutor deadlines = new ScheduledThreadPoolExecutor(1, (task) -> {
 		Thread thread = new Thread(task, "target-deadlines");
 		thread.setDaemon(true);
 		return thread;
@@ -61,55 +65,77 @@
 
 	/**
 	 * Creates a dispatcher.
-	 * @param connectionsPerTarget the most connections to one target from this host
+	 * @param members gives the number of members, among which the connection limit of
+	 * each target is divided
 	 */
-	public HttpClientTargetDispatcher(int connectionsPerTarget) {
+	public HttpClientTargetDispatcher(IntSupplier members) {
+		this.deadlines.setRemoveOnCancelPolicy(true);
+		this.connections = new TargetConnections(members);
 		this.client = HttpClients.custom()
 			.disableAutomaticRetries()
 			.disableRedirectHandling()
 			.disableCookieManagement()
 			.disableAuthCaching()
 			.disableContentCompression()
-			.setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
-				.setMaxConnPerRoute(connectionsPerTarget)
-				.setMaxConnTotal(Integer.MAX_VALUE)
-				.setDefaultConnectionConfig(ConnectionConfig.custom()
-					.setConnectTimeout(CONNECT_TIMEOUT)
-					.setValidateAfterInactivity(TimeValue.ZERO_MILLISECONDS)
-					.build())
-				.build())
+			.disableDefaultUserAgent()
+			.setKeepAliveStrategy((response, context) -> KEEP_ALIVE)
+			.addExecInterceptorBefore(ChainElement.MAIN_TRANSPORT.name(), SENT, (request, scope, chain) -> {
+				scope.clientContext.setAttribute(SENT, Boolean.TRUE);
+				return chain.proceed(request, scope);
+			})
+			.setConnectionManager(this.connections.manager())
 			.build();
 	}
 
 	@Override
 	public DispatchOutcome dispatch(Target target, CallerRequest request, boolean idempotent, long timeoutMillis) {
+		HttpHost host = host(target);
 		HttpUriRequestBase message = message(target, request, timeoutMillis);
+		HttpClientContext context = HttpClientContext.create();
+		this.connections.prepare(target, host, idempotent);
 		ScheduledFuture<?> deadline = this.deadlines.schedule(message::cancel, timeoutMillis, TimeUnit.MILLISECONDS);
 		try {
-			return this.client.execute(message, HttpClientTargetDispatcher::outcome);
-		}
-		catch (ConnectException | ConnectTimeoutException | ConnectionRequestTimeoutException | NoRouteToHostException
-				| UnknownHostException ex) {
-			return new DispatchOutcome.NotSent("no connection to target " + target.id() + ": " + ex.getMessage());
+			return this.client.execute(host, message, context, HttpClientTargetDispatcher::outcome);
 		}
 		catch (IOException ex) {
-			DispatchOutcome.Unknown.Cause cause = message.isCancelled() ? DispatchOutcome.Unknown.Cause.TIMEOUT
-					: DispatchOutcome.Unknown.Cause.RESET;
-			return new DispatchOutcome.Unknown(cause,
-					"target " + target.id() + " gave no whole answer: " + ex.getMessage());
+			return failure(target, message, context, ex);
 		}
 		finally {
 			deadline.cancel(false);
 		}
 	}
 
+	private static HttpHost host(Target target) {
+		int colon = target.address().lastIndexOf(':');
+		return new HttpHost("http", target.address().substring(0, colon),
+				Integer.parseInt(target.address().substring(colon + 1)));
+	}
+
+	private static DispatchOutcome failure(Target target, HttpUriRequestBase message, HttpClientContext context,
+			IOException failure) {
+		if (context.getAttribute(SENT) == null) {
+			return new DispatchOutcome.NotSent("no connection to target " + target.id() + ": " + failure.getMessage());
+		}
+		if (failure instanceof AnswerTooLargeException) {
+			return new DispatchOutcome.Unknown(DispatchOutcome.Unknown.Cause.TOO_LARGE,
+					"target " + target.id() + " gave an answer larger than " + MAXIMUM_ANSWER_BYTES + " bytes");
+		}
+		boolean timeout = message.isCancelled() || failure instanceof SocketTimeoutException;
+		return new DispatchOutcome.Unknown(
+				timeout ? DispatchOutcome.Unknown.Cause.TIMEOUT : DispatchOutcome.Unknown.Cause.RESET,
+				"target " + target.id() + " gave no whole answer: " + failure.getMessage());
+	}
+
 	private static HttpUriRequestBase message(Target target, CallerRequest request, long timeoutMillis) {
-		String query = request.query().isEmpty() ? "" : "?" + request.query();
 		HttpUriRequestBase message = new HttpUriRequestBase(request.method(),
-				URI.create("http://" + target.address() + request.path() + query));
+				URI.create("http://" + target.address() + "/"));
+		// The path and the query go out as they came in; a URI object would refuse or
+		// change some that servers accept.
+		message.setPath(request.path() + (request.query().isEmpty() ? "" : "?" + request.query()));
 		message.setConfig(RequestConfig.custom()
 			.setConnectionRequestTimeout(Timeout.ofMilliseconds(timeoutMillis))
 			.setResponseTimeout(Timeout.ofMilliseconds(timeoutMillis))
+			.setExpectContinueEnabled(false)
 			.build());
 		for (Headers.Field field : request.headers().fields()) {
 			message.addHeader(field.name(), field.value());
@@ -126,31 +152,29 @@
 			headers = headers.with(header.getName(), header.getValue());
 		}
 		byte[] body = body(response.getEntity());
-		if (body == null) {
-			return new DispatchOutcome.Unknown(DispatchOutcome.Unknown.Cause.TOO_LARGE,
-					"the target's answer is larger than " + MAXIMUM_ANSWER_BYTES + " bytes");
-		}
 		if (response.getCode() == SERVICE_UNAVAILABLE && "true".equals(headers.first(Headers.NOT_RUN))) {
 			return new DispatchOutcome.RefusedByTarget("draining".equals(headers.first(Headers.TARGET_STATE)));
 		}
 		return new DispatchOutcome.Answered(response.getCode(), headers, body);
 	}
 
-	private static byte @Nullable [] body(@Nullable HttpEntity entity) throws IOException {
+	private static byte[] body(@Nullable HttpEntity entity) throws IOException {
 		if (entity == null) {
 			return new byte[0];
 		}
+		if (entity.getContentLength() < 0 && !entity.isChunked()) {
+			throw new IOException("the answer has neither a length nor chunks, so its end cannot be told from a cut");
+		}
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		byte[] buffer = new byte[BUFFER_BYTES];
-		try (InputStream content = entity.getContent()) {
-			int count = content.read(buffer);
-			while (count >= 0) {
-				bytes.write(buffer, 0, count);
-				if (bytes.size() > MAXIMUM_ANSWER_BYTES) {
-					return null;
-				}
-				count = content.read(buffer);
+		InputStream content = entity.getContent();
+		int count = content.read(buffer);
+		while (count >= 0) {
+			bytes.write(buffer, 0, count);
+			if (bytes.size() > MAXIMUM_ANSWER_BYTES) {
+				throw new AnswerTooLargeException();
 			}
+			count = content.read(buffer);
 		}
 		return bytes.toByteArray();
 	}
@@ -161,4 +185,13 @@
 		this.client.close();
 	}
 
+	/**
+	 * Makes the client close the connection instead of reading the rest.
+	 */
+	private static final class AnswerTooLargeException extends IOException {
+
+		private static final long serialVersionUID = 1L;
+
+	}
+
 }
--- a/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
@@ -1,5 +1,6 @@
 package org.plantainspur.adapters.http;
 
+import java.util.Comparator;
 import java.util.List;
 
 import jakarta.inject.Inject;
@@ -7,6 +8,7 @@
 import jakarta.ws.rs.HeaderParam;
 import jakarta.ws.rs.Path;
 import jakarta.ws.rs.Produces;
+import jakarta.ws.rs.QueryParam;
 import jakarta.ws.rs.core.MediaType;
 import jakarta.ws.rs.core.Response;
 import org.jspecify.annotations.Nullable;
@@ -16,6 +18,7 @@
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.membership.HomeHosts;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.once.OnceGate;
 import org.plantainspur.core.request.Headers;
 import org.plantainspur.core.request.KeyHash;
@@ -29,7 +32,7 @@
 public final class LocateResource {
 
 	/** How long callers may keep the answer, in milliseconds. */
-	static final long LIFETIME_MILLIS = 5000;
+	public static final long LIFETIME_MILLIS = 5000;
 
 	private final ConfigurationView view;
 
@@ -37,22 +40,32 @@
 
 	private final OnceGate onceGate;
 
+	private final Member self;
+
+	private final StopSignal stopSignal;
+
 	/**
 	 * Creates the resource.
 	 * @param view the configuration in force
 	 * @param homeHosts assigns accounts to hosts
 	 * @param onceGate mints dispatch tokens
+	 * @param self this host
+	 * @param stopSignal whether this host is about to stop
 	 */
 	@Inject
-	public LocateResource(ConfigurationView view, HomeHosts homeHosts, OnceGate onceGate) {
+	public LocateResource(ConfigurationView view, HomeHosts homeHosts, OnceGate onceGate, Member self,
+			StopSignal stopSignal) {
 		this.view = view;
 		this.homeHosts = homeHosts;
 		this.onceGate = onceGate;
+		this.self = self;
+		this.stopSignal = stopSignal;
 	}
 
 	@GET
 	@Produces(MediaType.APPLICATION_JSON)
-	public Response locate(@HeaderParam(Headers.API_KEY) @Nullable String key) {
+	public Response locate(@HeaderParam(Headers.API_KEY) @Nullable String key,
+			@QueryParam("region") @Nullable String region) {
 		Configuration configuration = this.view.current();
 		ClientAccount account = (key != null) ? configuration.accountOfKey(KeyHash.of(key))
 				: StandardRequestPipeline.OPEN_ACCOUNT;
@@ -63,11 +76,25 @@
 						"the key in " + Headers.API_KEY + " is unknown or withdrawn")))
 				.build();
 		}
-		List<Located> hosts = this.homeHosts.homes(account, configuration.membership())
-			.stream()
+		List<Located> hosts = usable(account, configuration.membership()).stream()
+			.sorted(Comparator.comparing((member) -> !member.region().equals(region)))
 			.map(Located::of)
 			.toList();
-		return Response.ok(new LocateAnswer(hosts, LIFETIME_MILLIS, this.onceGate.mint(account.id()))).build();
+		String token = this.stopSignal.stopping() ? "" : this.onceGate.mint(account.id());
+		return Response.ok(new LocateAnswer(hosts, LIFETIME_MILLIS, token)).build();
+	}
+
+	// A host knows of its own stop before its resignation is in force everywhere.
+	private List<Member> usable(ClientAccount account, Membership membership) {
+		List<Member> homes = withoutStopping(this.homeHosts.homes(account, membership));
+		return homes.isEmpty() ? withoutStopping(membership.active()) : homes;
+	}
+
+	private List<Member> withoutStopping(List<Member> members) {
+		return members.stream()
+			.filter((member) -> !member.resigned())
+			.filter((member) -> !(this.stopSignal.stopping() && member.hostId().equals(this.self.hostId())))
+			.toList();
 	}
 
 	/**
@@ -75,7 +102,8 @@
 	 *
 	 * @param hosts the hosts to use, the most preferred first
 	 * @param lifetimeMillis how long the answer may be kept, in milliseconds
-	 * @param dispatchToken the prefix of the caller's idempotency keys
+	 * @param dispatchToken the prefix of the caller's idempotency keys, empty if this
+	 * host is about to stop; the hosts named give one
 	 */
 	public record LocateAnswer(List<Located> hosts, long lifetimeMillis, String dispatchToken) {
 	}
--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/log/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Log events.
+ */
+@NullMarked
+package org.plantainspur.adapters.log;
+
+import org.jspecify.annotations.NullMarked;
--- a/adapters/src/main/java/org/plantainspur/adapters/settings/Setting.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/settings/Setting.java
@@ -72,4 +72,10 @@
 	 */
 	String example() default "";
 
+	/**
+	 * Returns whether the value is left out of findings.
+	 * @return {@code true} for a secret
+	 */
+	boolean secret() default false;
+
 }
--- a/adapters/src/main/java/org/plantainspur/adapters/settings/SettingsReader.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/settings/SettingsReader.java
@@ -85,12 +85,22 @@
 			throw new HelpShownException();
 		}
 		catch (ArgumentParserException ex) {
-			findings.add("command line", String.join(" ", arguments), String.valueOf(ex.getMessage()),
-					"see --help for the flags");
+			// The command line may hold a secret, so it is not repeated.
+			findings.add("command line", "", hideValues(String.valueOf(ex.getMessage())), "see --help for the flags");
 			return null;
 		}
 	}
 
+	// The parser quotes the rest of the command line after an unknown flag.
+	private static String hideValues(String message) {
+		int quoted = message.indexOf("unrecognized arguments:");
+		if (quoted < 0) {
+			return message;
+		}
+		String first = message.substring(quoted).replaceFirst("^unrecognized arguments: *", "").split(" ")[0];
+		return "has an unknown flag " + ((first.startsWith("-") || first.startsWith("'-")) ? first : "");
+	}
+
 	private static String help(Setting setting) {
 		String defaultText = setting.defaultValue().equals(Setting.REQUIRED) ? "required"
 				: "default: " + setting.defaultValue();
@@ -138,7 +148,7 @@
 			Findings findings) {
 		if (type == String.class) {
 			if (!setting.pattern().isEmpty() && !text.matches(setting.pattern())) {
-				findings.add(place, text, "is malformed", suggestion(setting));
+				findings.add(place, setting.secret() ? "(hidden)" : text, "is malformed", suggestion(setting));
 				return null;
 			}
 			return text;
--- a/core/src/main/java/org/plantainspur/core/request/Problem.java
+++ b/core/src/main/java/org/plantainspur/core/request/Problem.java
@@ -99,9 +99,24 @@
 		/** The account is over its rate. */
 		RATE_LIMITED(429),
 
-		/** The body or the headers are too large. */
+		/** The body is too large. */
 		TOO_LARGE(413),
 
+		/** The header fields are too large. */
+		HEADERS_TOO_LARGE(431),
+
+		/** The method is not known. */
+		METHOD_NOT_ALLOWED(405),
+
+		/** The caller sent its request too slowly. */
+		REQUEST_TIMEOUT(408),
+
+		/** The account has too many connections or running requests at this host. */
+		TOO_MANY_CONCURRENT(429),
+
+		/** An internal error. */
+		INTERNAL_ERROR(500),
+
 		/** This host cannot show that its configuration is current. */
 		CONFIGURATION_NOT_CURRENT(503),
 
--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -10,7 +10,8 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-import org.plantainspur.adapters.platform.TargetListReader;
+import org.plantainspur.adapters.http.StopSignal;
+import org.plantainspur.adapters.log.Event;
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.configuration.ConfigurationFollower;
@@ -31,24 +32,27 @@
 
 	private final ConfigurationView view;
 
-	private final TargetListReader targets;
+	private final TargetSource targets;
 
 	private final AtomicReference<TargetDirectory> directory;
 
 	private final Member member;
 
+	private final StopSignal stopSignal;
+
 	private final long pollIntervalMillis;
 
 	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
 
-	BackgroundTasks(ConfigurationFollower follower, ChangeLog log, ConfigurationView view, TargetListReader targets,
-			AtomicReference<TargetDirectory> directory, Member member, long pollIntervalMillis) {
+	BackgroundTasks(ConfigurationFollower follower, ChangeLog log, ConfigurationView view, TargetSource targets,
+			AtomicReference<TargetDirectory> directory, Member member, StopSignal stopSignal, long pollIntervalMillis) {
 		this.follower = follower;
 		this.log = log;
 		this.view = view;
 		this.targets = targets;
 		this.directory = directory;
 		this.member = member;
+		this.stopSignal = stopSignal;
 		this.pollIntervalMillis = pollIntervalMillis;
 	}
 
@@ -66,15 +70,16 @@
 		try {
 			this.follower.poll();
 			this.directory.set(this.targets.read());
-			if (!this.member.equals(this.view.current().membership().member(this.member.hostId()))) {
+			if (!this.stopSignal.stopping()
+					&& !this.member.equals(this.view.current().membership().member(this.member.hostId()))) {
 				join();
 			}
 		}
 		catch (ChangeLog.UnavailableException | IOException ex) {
-			logger.warn("the platform is unavailable: {}", ex.getMessage());
+			logger.warn(Event.named("platform-unavailable").with("reason", String.valueOf(ex.getMessage())));
 		}
 		catch (RuntimeException ex) {
-			logger.error("a poll of the platform failed", ex);
+			logger.error(Event.named("poll-failed"), ex);
 		}
 	}
 
@@ -82,7 +87,7 @@
 		long head = this.view.current().sequence();
 		String changeId = "join-" + this.member.processId() + "-" + head;
 		ChangeLog.AppendResult result = this.log.append(head, changeId, new Change.MemberJoined(this.member));
-		logger.info("host {} joins the fleet: {}", this.member.hostId(), result);
+		logger.info(Event.named("join").with("hostId", this.member.hostId()).with("result", result.toString()));
 	}
 
 }
--- a/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
+++ b/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
@@ -1,25 +1,21 @@
 package org.plantainspur.host;
 
-import java.util.List;
-
-import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.health.HealthCheck;
 import com.google.inject.Guice;
 import com.google.inject.Injector;
-import io.dropwizard.configuration.ConfigurationFactory;
-import io.dropwizard.configuration.ConfigurationSourceProvider;
+import com.google.inject.Module;
+import com.google.inject.util.Modules;
 import io.dropwizard.core.Application;
 import io.dropwizard.core.Configuration;
-import io.dropwizard.core.server.DefaultServerFactory;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
-import io.dropwizard.jetty.ConnectorFactory;
-import io.dropwizard.jetty.HttpConnectorFactory;
-import io.dropwizard.logging.common.LoggingFactory;
-import io.dropwizard.request.logging.RequestLogFactory;
-import org.eclipse.jetty.server.RequestLog;
+import org.eclipse.jetty.server.Server;
 
+import org.plantainspur.adapters.http.CallerLimits;
 import org.plantainspur.adapters.http.CallerResource;
 import org.plantainspur.adapters.http.LocateResource;
+import org.plantainspur.adapters.http.ProblemErrorHandler;
+import org.plantainspur.adapters.http.ProblemExceptionMapper;
 
 /**
  * The Dropwizard application of an entry host. Its configuration object is built from
@@ -30,12 +26,16 @@
 
 	private final HostSettings settings;
 
+	private final Module[] overrides;
+
 	/**
 	 * Creates the application.
 	 * @param settings the settings
+	 * @param overrides modules whose bindings replace the product's own
 	 */
-	public EntryHostApplication(HostSettings settings) {
+	public EntryHostApplication(HostSettings settings, Module... overrides) {
 		this.settings = settings;
+		this.overrides = overrides.clone();
 	}
 
 	@Override
@@ -44,88 +44,60 @@
 
 	@Override
 	public void initialize(Bootstrap<Configuration> bootstrap) {
-		bootstrap.setConfigurationFactoryFactory((type, validator, mapper, prefix) -> new FixedConfigurationFactory());
+		bootstrap
+			.setConfigurationFactoryFactory((type, validator, mapper, prefix) -> new ServerSettings(this.settings));
 	}
 
 	@Override
 	public void run(Configuration configuration, Environment environment) {
-		Injector injector = Guice.createInjector(new HostModule(this.settings));
-		environment.jersey().register(injector.getInstance(LocateResource.class));
-		environment.jersey().register(injector.getInstance(CallerResource.class));
+		Injector injector = Guice.createInjector(Modules.override(new HostModule(this.settings)).with(this.overrides));
+		registerCallers(environment, injector);
+		registerAdmin(environment, injector);
+		environment.lifecycle().manage(injector.getInstance(PeerTransport.class));
 		environment.lifecycle().manage(injector.getInstance(BackgroundTasks.class));
-		environment.lifecycle()
-			.addServerLifecycleListener((server) -> System.out
-				.println("plantainspur-host " + this.settings.hostId() + " listens on " + this.settings.callerAddress()
-						+ " for callers, " + this.settings.adminAddress() + " for operators"));
+		environment.lifecycle().addServerLifecycleListener((server) -> started(server, injector));
 	}
 
-	private Configuration configuration() {
-		DefaultServerFactory server = new DefaultServerFactory();
-		server.setApplicationConnectors(List.of(connector(this.settings.callerAddress())));
-		server.setAdminConnectors(List.of(connector(this.settings.adminAddress())));
-		server.setRequestLogFactory(new NoRequestLog());
-		server.setRegisterDefaultExceptionMappers(true);
-		Configuration configuration = new Configuration();
-		configuration.setServerFactory(server);
-		configuration.setLoggingFactory(new NoLogging());
-		return configuration;
+	private static void registerCallers(Environment environment, Injector injector) {
+		environment.jersey().register(injector.getInstance(LocateResource.class));
+		environment.jersey().register(injector.getInstance(CallerResource.class));
+		environment.jersey().register(new ProblemExceptionMapper());
+		environment.getApplicationContext().setErrorHandler(new ProblemErrorHandler());
+		environment.getApplicationContext().insertHandler(injector.getInstance(CallerLimits.class));
 	}
 
-	private static ConnectorFactory connector(String address) {
-		int colon = address.lastIndexOf(':');
-		HttpConnectorFactory connector = new HttpConnectorFactory();
-		connector.setBindHost(address.substring(0, colon));
-		connector.setPort(Integer.parseInt(address.substring(colon + 1)));
-		return connector;
+	private static void registerAdmin(Environment environment, Injector injector) {
+		StatusReport report = injector.getInstance(StatusReport.class);
+		environment.admin()
+			.addServlet("status", new StatusServlet(report))
+			.addMapping("/status", "/explain/target/*", "/explain/account/*");
+		environment.healthChecks().register("configuration", new ConfigurationCheck(report));
 	}
 
-	private final class FixedConfigurationFactory implements ConfigurationFactory<Configuration> {
-
-		@Override
-		public Configuration build(ConfigurationSourceProvider provider, String path) {
-			return configuration();
-		}
-
-		@Override
-		public Configuration build() {
-			return configuration();
-		}
-
+	private void started(Server server, Injector injector) {
+		server.setErrorHandler(new ProblemErrorHandler());
+		// Jetty's own shutdown hook would close the connections at once.
+		server.setStopAtShutdown(false);
+		injector.getInstance(ShutdownHook.class).register(server);
+		System.out.println("plantainspur-host " + this.settings.hostId() + " listens on "
+				+ this.settings.callerAddress() + " for callers, " + this.settings.adminAddress() + " for operators");
 	}
 
 	/**
-	 * Leaves the set-up of logging to Log4j 2.
+	 * Healthy while this host may serve keyed routes.
 	 */
-	private static final class NoLogging implements LoggingFactory {
+	private static final class ConfigurationCheck extends HealthCheck {
 
-		@Override
-		public void configure(MetricRegistry metrics, String name) {
-		}
-
-		@Override
-		public void stop() {
-		}
-
-		@Override
-		public void reset() {
-		}
+		private final StatusReport report;
 
-	}
-
-	/**
-	 * Turns Dropwizard's request log off.
-	 */
-	private static final class NoRequestLog implements RequestLogFactory<RequestLog> {
-
-		@Override
-		public boolean isEnabled() {
-			return false;
+		ConfigurationCheck(StatusReport report) {
+			this.report = report;
 		}
 
 		@Override
-		public RequestLog build(String name) {
-			return (request, response) -> {
-			};
+		protected Result check() {
+			String reason = this.report.staleReason();
+			return reason.isEmpty() ? Result.healthy() : Result.unhealthy(reason);
 		}
 
 	}
--- a/host/src/main/java/org/plantainspur/host/EntryHostMain.java
+++ b/host/src/main/java/org/plantainspur/host/EntryHostMain.java
@@ -22,6 +22,8 @@
 		try {
 			HostSettings settings = SettingsReader.of("plantainspur-host", HostSettings::new)
 				.read(args, System.getenv());
+			// Read by log4j2.xml, before the first logger is made.
+			System.setProperty("plantainspur.log.level", settings.logLevel());
 			new EntryHostApplication(settings).run("server");
 		}
 		catch (SettingsReader.HelpShownException ex) {
--- a/host/src/main/java/org/plantainspur/host/HostSettings.java
+++ b/host/src/main/java/org/plantainspur/host/HostSettings.java
@@ -39,6 +39,20 @@
 			example = "http://127.0.0.1:7000", help = "the platform's address")
 	private String platformUrl = "";
 
+	@Setting(flag = "--platform-region", variable = "PLANTAINSPUR_PLATFORM_REGION", pattern = NAME, example = "pdx",
+			help = "the region that the platform is in")
+	private String platformRegion = "";
+
+	@Setting(flag = "--fleet-secret", variable = "PLANTAINSPUR_FLEET_SECRET", pattern = ".{16,256}", secret = true,
+			example = "the output of 'openssl rand -hex 32'",
+			help = "secret shared by all members, 16 to 256 characters; prefer the variable, since flags are visible to others")
+	private String fleetSecret = "";
+
+	@Setting(flag = "--log-level", variable = "PLANTAINSPUR_LOG_LEVEL", defaultValue = "info",
+			pattern = "error|warn|info|debug|trace",
+			help = "least level of log lines: error, warn, info, debug or trace")
+	private String logLevel = "";
+
 	@Setting(flag = "--platform-timeout", variable = "PLANTAINSPUR_PLATFORM_TIMEOUT", defaultValue = "1000",
 			minimum = 10, maximum = 60_000, help = "time for one answer of the platform, in milliseconds")
 	private long platformTimeoutMillis;
@@ -47,6 +61,48 @@
 			maximum = 60_000, help = "time between reads of the platform, in milliseconds")
 	private long pollIntervalMillis;
 
+	@Setting(flag = "--caller-threads", variable = "PLANTAINSPUR_CALLER_THREADS", defaultValue = "256", minimum = 8,
+			maximum = 4096, help = "threads that serve callers; each request holds one")
+	private int callerThreads;
+
+	@Setting(flag = "--peer-connections", variable = "PLANTAINSPUR_PEER_CONNECTIONS", defaultValue = "128", minimum = 4,
+			maximum = 2000, help = "connections from other members, each with a thread")
+	private int peerConnections;
+
+	@Setting(flag = "--relay-threads", variable = "PLANTAINSPUR_RELAY_THREADS", defaultValue = "64", minimum = 1,
+			maximum = 1024, help = "relayed requests that run at a time")
+	private int relayThreads;
+
+	@Setting(flag = "--header-bytes", variable = "PLANTAINSPUR_HEADER_BYTES", defaultValue = "16384", minimum = 1024,
+			maximum = 262_144, help = "size of a caller's header fields, in bytes")
+	private int headerBytes;
+
+	@Setting(flag = "--account-connections", variable = "PLANTAINSPUR_ACCOUNT_CONNECTIONS", defaultValue = "1000",
+			minimum = 1, maximum = 100_000, help = "connections of one client account at this host")
+	private int accountConnections;
+
+	@Setting(flag = "--account-requests", variable = "PLANTAINSPUR_ACCOUNT_REQUESTS", defaultValue = "192", minimum = 1,
+			maximum = 4096, help = "requests of one client account that run at a time at this host")
+	private int accountRequests;
+
+	@Setting(flag = "--caller-idle-timeout", variable = "PLANTAINSPUR_CALLER_IDLE_TIMEOUT", defaultValue = "60000",
+			minimum = 1000, maximum = 600_000,
+			help = "time that a caller's connection may stay idle, in milliseconds; longer than the longest deadline")
+	private long callerIdleTimeoutMillis;
+
+	@Setting(flag = "--caller-data-rate", variable = "PLANTAINSPUR_CALLER_DATA_RATE", defaultValue = "256", minimum = 1,
+			maximum = 1_000_000,
+			help = "slowest rate at which a caller may send a body or read an answer, in bytes per second")
+	private int callerDataRate;
+
+	@Setting(flag = "--longest-deadline", variable = "PLANTAINSPUR_LONGEST_DEADLINE", defaultValue = "30000",
+			minimum = 1000, maximum = 300_000, help = "longest time that one request may take, in milliseconds")
+	private long longestDeadlineMillis;
+
+	@Setting(flag = "--stop-idle-time", variable = "PLANTAINSPUR_STOP_IDLE_TIME", defaultValue = "1000", minimum = 0,
+			maximum = 60_000, help = "time without requests after which a stopping host ends early, in milliseconds")
+	private long stopIdleMillis;
+
 	public String hostId() {
 		return this.hostId;
 	}
@@ -83,4 +139,56 @@
 		return this.pollIntervalMillis;
 	}
 
+	public int callerThreads() {
+		return this.callerThreads;
+	}
+
+	public int peerConnections() {
+		return this.peerConnections;
+	}
+
+	public int relayThreads() {
+		return this.relayThreads;
+	}
+
+	public int headerBytes() {
+		return this.headerBytes;
+	}
+
+	public int accountConnections() {
+		return this.accountConnections;
+	}
+
+	public int accountRequests() {
+		return this.accountRequests;
+	}
+
+	public long callerIdleTimeoutMillis() {
+		return this.callerIdleTimeoutMillis;
+	}
+
+	public int callerDataRate() {
+		return this.callerDataRate;
+	}
+
+	public long longestDeadlineMillis() {
+		return this.longestDeadlineMillis;
+	}
+
+	public long stopIdleMillis() {
+		return this.stopIdleMillis;
+	}
+
+	public String platformRegion() {
+		return this.platformRegion;
+	}
+
+	public String fleetSecret() {
+		return this.fleetSecret;
+	}
+
+	public String logLevel() {
+		return this.logLevel;
+	}
+
 }
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/ListedStatusSources.java
@@ -0,0 +1,87 @@
+package org.plantainspur.host;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.plantainspur.adapters.http.CallerLimits;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.routing.TargetDirectory;
+
+/**
+ * Tells what the configuration and the platform's list hold, without verdicts on health.
+ */
+final class ListedStatusSources implements StatusSources {
+
+	private final AtomicReference<TargetDirectory> directory;
+
+	private final ConfigurationView view;
+
+	private final HomeHosts homeHosts;
+
+	private final CallerLimits limits;
+
+	ListedStatusSources(AtomicReference<TargetDirectory> directory, ConfigurationView view, HomeHosts homeHosts,
+			CallerLimits limits) {
+		this.directory = directory;
+		this.view = view;
+		this.homeHosts = homeHosts;
+		this.limits = limits;
+	}
+
+	@Override
+	public List<TargetState> targets() {
+		TargetDirectory present = this.directory.get();
+		return present.services()
+			.stream()
+			.flatMap((service) -> present.targets(service).stream())
+			.map((target) -> new TargetState(target.id(), target.service(), false, 1, "", target.leaving()))
+			.sorted(Comparator.comparing(TargetState::id))
+			.toList();
+	}
+
+	@Override
+	public Collection<String> accountsInUse() {
+		return this.limits.accountsConnected();
+	}
+
+	@Override
+	public Map<String, Object> explainTarget(String targetId) {
+		Map<String, Object> facts = new LinkedHashMap<>();
+		for (TargetState state : targets()) {
+			if (state.id().equals(targetId)) {
+				facts.put("id", state.id());
+				facts.put("service", state.service());
+				facts.put("ejected", state.ejected());
+				facts.put("weight", state.weight());
+				facts.put("reason", state.reason());
+				facts.put("leaving", state.leaving());
+			}
+		}
+		return facts;
+	}
+
+	@Override
+	public Map<String, Object> explainAccount(String accountId) {
+		Map<String, Object> facts = new LinkedHashMap<>();
+		Configuration configuration = this.view.current();
+		ClientAccount account = configuration.account(accountId);
+		if (account != null) {
+			facts.put("id", account.id());
+			facts.put("ratePerSecond", account.ratePerSecond());
+			facts.put("burst", account.burst());
+			facts.put("keys", configuration.keyHashes(accountId).size());
+			facts.put("homes",
+					this.homeHosts.homes(account, configuration.membership()).stream().map(Member::hostId).toList());
+		}
+		return facts;
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/PlatformModule.java
@@ -0,0 +1,77 @@
+package org.plantainspur.host;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import com.google.inject.TypeLiteral;
+
+import org.plantainspur.adapters.http.StopSignal;
+import org.plantainspur.adapters.platform.PlatformClient;
+import org.plantainspur.adapters.platform.TableChangeLog;
+import org.plantainspur.adapters.platform.TargetListReader;
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.configuration.ConfigurationFollower;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.currency.FencingByAge;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.RendezvousHomeHosts;
+import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Wires what comes from the platform: configuration, membership and the list of targets.
+ */
+final class PlatformModule extends AbstractModule {
+
+	@Override
+	protected void configure() {
+		bind(ConfigurationView.class).toInstance(new ConfigurationView());
+		bind(HomeHosts.class).toInstance(new RendezvousHomeHosts());
+		bind(new TypeLiteral<AtomicReference<TargetDirectory>>() {
+		}).toInstance(new AtomicReference<>(TargetDirectory.empty()));
+	}
+
+	@Provides
+	@Singleton
+	PlatformClient platformClient(HostSettings settings) {
+		return new PlatformClient(settings.platformUrl(), settings.platformTimeoutMillis());
+	}
+
+	@Provides
+	@Singleton
+	ChangeLog changeLog(PlatformClient client) {
+		return new TableChangeLog(client);
+	}
+
+	@Provides
+	@Singleton
+	TargetSource targetSource(PlatformClient client) {
+		return new TargetListReader(client)::read;
+	}
+
+	@Provides
+	@Singleton
+	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, Clock clock) {
+		return new ConfigurationFollower(log, view, clock);
+	}
+
+	@Provides
+	@Singleton
+	CurrencyRule currencyRule(ConfigurationFollower follower) {
+		return new FencingByAge(follower::readAgeMillis);
+	}
+
+	@Provides
+	@Singleton
+	BackgroundTasks backgroundTasks(ConfigurationFollower follower, ChangeLog log, ConfigurationView view,
+			TargetSource targets, AtomicReference<TargetDirectory> directory, Member member, StopSignal stopSignal,
+			HostSettings settings) {
+		return new BackgroundTasks(follower, log, view, targets, directory, member, stopSignal,
+				settings.pollIntervalMillis());
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/PlatformResignation.java
@@ -0,0 +1,49 @@
+package org.plantainspur.host;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.membership.Member;
+
+/**
+ * Writes the resignation to the sequence of changes.
+ */
+final class PlatformResignation implements Resignation {
+
+	private static final int ATTEMPTS = 20;
+
+	private final ChangeLog log;
+
+	private final Member member;
+
+	PlatformResignation(ChangeLog log, Member member) {
+		this.log = log;
+		this.member = member;
+	}
+
+	@Override
+	public void stopUsingShares() {
+	}
+
+	@Override
+	public boolean resign() {
+		Change change = new Change.MemberResigned(this.member.hostId(), this.member.processId());
+		String changeId = "resign-" + this.member.processId();
+		try {
+			long head = this.log.head();
+			for (int i = 0; i < ATTEMPTS; i++) {
+				ChangeLog.AppendResult result = this.log.append(head, changeId, change);
+				if (result instanceof ChangeLog.AppendResult.HeadMoved moved) {
+					head = moved.head();
+				}
+				else {
+					return result instanceof ChangeLog.AppendResult.Appended || this.log.find(changeId).isPresent();
+				}
+			}
+			return false;
+		}
+		catch (ChangeLog.UnavailableException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -0,0 +1,123 @@
+package org.plantainspur.host;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+
+import org.plantainspur.adapters.http.CallerActivity;
+import org.plantainspur.adapters.http.CallerLimits;
+import org.plantainspur.adapters.http.HttpClientTargetDispatcher;
+import org.plantainspur.adapters.http.StopSignal;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.health.OutcomeRecorder;
+import org.plantainspur.core.health.Quarantine;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.once.OnceGate;
+import org.plantainspur.core.once.ProcessOnceGate;
+import org.plantainspur.core.rate.LocalRateLimiter;
+import org.plantainspur.core.rate.RateLimiter;
+import org.plantainspur.core.request.BudgetedRetryPolicy;
+import org.plantainspur.core.request.RequestPipeline;
+import org.plantainspur.core.request.RequestRelay;
+import org.plantainspur.core.request.RetryPolicy;
+import org.plantainspur.core.request.StandardRequestPipeline;
+import org.plantainspur.core.request.TargetDispatcher;
+import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.LeastInFlightChooser;
+import org.plantainspur.core.routing.OpenAdmissionQueue;
+import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.routing.TargetChooser;
+import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Wires the path of a request.
+ */
+final class RequestModule extends AbstractModule {
+
+	@Override
+	protected void configure() {
+		bind(AdmissionQueue.class).toInstance(new OpenAdmissionQueue());
+		bind(Quarantine.class).toInstance((fingerprint) -> false);
+		bind(RetryPolicy.class).toInstance(new BudgetedRetryPolicy());
+		bind(OutcomeRecorder.class).toInstance(new NoRecorder());
+	}
+
+	@Provides
+	@Singleton
+	OnceGate onceGate(Member member) {
+		return new ProcessOnceGate(member.hostId(), member.processId());
+	}
+
+	@Provides
+	@Singleton
+	RateLimiter rateLimiter(Clock clock) {
+		return new LocalRateLimiter(clock);
+	}
+
+	@Provides
+	@Singleton
+	TargetChooser targetChooser(AtomicReference<TargetDirectory> directory) {
+		return new LeastInFlightChooser(directory);
+	}
+
+	@Provides
+	@Singleton
+	TargetDispatcher targetDispatcher(ConfigurationView view) {
+		return new HttpClientTargetDispatcher(() -> view.current().membership().size());
+	}
+
+	@Provides
+	@Singleton
+	CallerActivity callerActivity(Clock clock) {
+		return new CallerActivity(clock);
+	}
+
+	@Provides
+	@Singleton
+	CallerLimits callerLimits(ConfigurationView view, CallerActivity activity, StopSignal stopSignal,
+			HostSettings settings) {
+		return new CallerLimits(view, activity, stopSignal,
+				new CallerLimits.Limits(settings.accountConnections(), settings.accountRequests()));
+	}
+
+	@Provides
+	@Singleton
+	RequestPipeline requestPipeline(Clock clock, ConfigurationView view, CurrencyRule currency, OnceGate onceGate,
+			RequestRelay relay, RateLimiter rateLimiter, AdmissionQueue admissionQueue, TargetChooser chooser,
+			TargetDispatcher dispatcher, RetryPolicy retryPolicy, OutcomeRecorder recorder, Quarantine quarantine) {
+		return StandardRequestPipeline.builder()
+			.clock(clock)
+			.view(view)
+			.currency(currency)
+			.onceGate(onceGate)
+			.relay(relay)
+			.rateLimiter(rateLimiter)
+			.admissionQueue(admissionQueue)
+			.chooser(chooser)
+			.dispatcher(dispatcher)
+			.retryPolicy(retryPolicy)
+			.recorder(recorder)
+			.quarantine(quarantine)
+			.build();
+	}
+
+	/**
+	 * Keeps no evidence.
+	 */
+	private static final class NoRecorder implements OutcomeRecorder {
+
+		@Override
+		public void record(Outcome outcome) {
+		}
+
+		@Override
+		public void leaving(Target target) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/StatusModule.java
@@ -0,0 +1,26 @@
+package org.plantainspur.host;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+
+import org.plantainspur.adapters.http.CallerLimits;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.routing.TargetDirectory;
+
+/**
+ * Wires what operators may ask.
+ */
+final class StatusModule extends AbstractModule {
+
+	@Provides
+	@Singleton
+	StatusSources statusSources(AtomicReference<TargetDirectory> directory, ConfigurationView view, HomeHosts homeHosts,
+			CallerLimits limits) {
+		return new ListedStatusSources(directory, view, homeHosts, limits);
+	}
+
+}
--- a/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
@@ -107,7 +107,8 @@
 		this.processes.start("org.plantainspur.host.EntryHostMain", "--host-id", hostId, "--region", region,
 				"--failure-domain", region + "-a", "--caller-address", caller, "--peer-address",
 				"127.0.0.1:" + Processes.freePort(), "--admin-address", "127.0.0.1:" + Processes.freePort(),
-				"--platform-url", "http://" + platform);
+				"--platform-url", "http://" + platform, "--platform-region", "pdx", "--fleet-secret",
+				"the-fleet-secret-of-these-tests");
 	}
 
 	private void waitForTwoHosts() throws Exception {
