Add an open-loop load tool

Cause: nothing could show what callers get from the hosts at a given rate.

Change: LoadMain sends at the intended times whether or not earlier requests have been answered, for several accounts with shares, through located hosts within the lifetime of the locate answer, or direct to targets. A non-idempotent request with an unknown outcome is sent again with the same key. The report gives, by account and class, the counts by status, problem code and kind of error, and latencies from the intended time; it also says how late the tool itself was.

--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/load/HttpSender.java
@@ -0,0 +1,150 @@
+package org.plantainspur.standins.load;
+
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.util.Map;
+import java.util.function.Consumer;
+
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.async.methods.SimpleHttpRequest;
+import org.apache.hc.client5.http.async.methods.SimpleHttpResponse;
+import org.apache.hc.client5.http.async.methods.SimpleRequestBuilder;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
+import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
+import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManagerBuilder;
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.RequestNotExecutedException;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * Sends requests without waiting for earlier ones. Nothing is sent again here.
+ */
+final class HttpSender implements AutoCloseable {
+
+	private final CloseableHttpAsyncClient client;
+
+	HttpSender(int connectionsPerHost, long timeoutMillis) {
+		Timeout timeout = Timeout.ofMilliseconds(timeoutMillis);
+		this.client = HttpAsyncClients.custom()
+			.disableAutomaticRetries()
+			.disableRedirectHandling()
+			.disableCookieManagement()
+			.disableAuthCaching()
+			.setConnectionManager(PoolingAsyncClientConnectionManagerBuilder.create()
+				.setMaxConnPerRoute(connectionsPerHost)
+				.setMaxConnTotal(Integer.MAX_VALUE)
+				.setDefaultConnectionConfig(ConnectionConfig.custom()
+					.setConnectTimeout(timeout)
+					.setValidateAfterInactivity(TimeValue.ofMilliseconds(500))
+					.build())
+				.build())
+			.setDefaultRequestConfig(
+					RequestConfig.custom().setResponseTimeout(timeout).setConnectionRequestTimeout(timeout).build())
+			.build();
+		this.client.start();
+	}
+
+	void send(Message message, Consumer<Reply> receiver) {
+		SimpleRequestBuilder builder = SimpleRequestBuilder.create(message.method())
+			.setUri(URI.create("http://" + message.address() + message.path()));
+		message.headers().forEach(builder::addHeader);
+		if (!message.body().isEmpty()) {
+			builder.setBody(message.body(), ContentType.APPLICATION_JSON);
+		}
+		SimpleHttpRequest request = builder.build();
+		this.client.execute(request, new Callback(receiver));
+	}
+
+	@Override
+	public void close() {
+		this.client.close(CloseMode.GRACEFUL);
+	}
+
+	/**
+	 * A request.
+	 *
+	 * @param method the method
+	 * @param address {@code ip:port}
+	 * @param path the path
+	 * @param headers the header fields
+	 * @param body the body, empty for none
+	 */
+	record Message(String method, String address, String path, Map<String, String> headers, String body) {
+
+		static Message get(String address, String path, Map<String, String> headers) {
+			return new Message("GET", address, path, headers, "");
+		}
+
+	}
+
+	/**
+	 * What came of a request.
+	 */
+	sealed interface Reply {
+
+		/**
+		 * A whole answer.
+		 *
+		 * @param status the status
+		 * @param contentType the media type, empty if unknown
+		 * @param notRun whether the header says that the request did not run
+		 * @param body the body
+		 */
+		record Received(int status, String contentType, boolean notRun, byte[] body) implements Reply {
+		}
+
+		/**
+		 * No whole answer.
+		 *
+		 * @param kind the kind of failure, used in the report
+		 * @param sent whether the request may have been sent
+		 */
+		record Failed(String kind, boolean sent) implements Reply {
+		}
+
+	}
+
+	private record Callback(Consumer<Reply> receiver) implements FutureCallback<SimpleHttpResponse> {
+
+		@Override
+		public void completed(SimpleHttpResponse response) {
+			byte[] body = response.getBodyBytes();
+			this.receiver.accept(new Reply.Received(response.getCode(), header(response, "Content-Type"),
+					header(response, "X-Not-Run").equals("true"), (body != null) ? body : new byte[0]));
+		}
+
+		private static String header(SimpleHttpResponse response, String name) {
+			Header header = response.getFirstHeader(name);
+			return (header != null && header.getValue() != null) ? header.getValue() : "";
+		}
+
+		@Override
+		public void failed(Exception ex) {
+			if (ex instanceof ConnectException || ex instanceof ConnectTimeoutException
+					|| ex instanceof NoRouteToHostException || ex instanceof ConnectionRequestTimeoutException
+					|| ex instanceof RequestNotExecutedException) {
+				this.receiver.accept(new Reply.Failed("not-connected", false));
+			}
+			else {
+				this.receiver.accept(
+						new Reply.Failed((ex instanceof SocketTimeoutException) ? "timeout" : "connection-lost", true));
+			}
+		}
+
+		@Override
+		public void cancelled() {
+			this.receiver.accept(new Reply.Failed("cancelled", true));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadMain.java
@@ -0,0 +1,43 @@
+package org.plantainspur.standins.load;
+
+import java.util.List;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.plantainspur.standins.program.Programs;
+
+/**
+ * Sends load and prints a report.
+ */
+public final class LoadMain {
+
+	private LoadMain() {
+	}
+
+	/**
+	 * Runs the load tool.
+	 * @param args the flags, see {@code --help}
+	 * @throws Exception if the tool fails
+	 */
+	public static void main(String[] args) throws Exception {
+		Programs.run("load", args, LoadSettings::new, (settings) -> {
+			LoadReport report = run(settings);
+			System.out.println(settings.isJson() ? new ObjectMapper().writeValueAsString(report) : report.text());
+		});
+	}
+
+	static LoadReport run(LoadSettings settings) throws InterruptedException {
+		LoadPlan plan = new LoadPlan(settings);
+		try (HttpSender sender = new HttpSender(settings.connections(), settings.timeoutMillis());
+				Destinations destinations = destinations(settings, plan, sender)) {
+			return new LoadRun(settings, plan, sender, destinations).run();
+		}
+	}
+
+	private static Destinations destinations(LoadSettings settings, LoadPlan plan, HttpSender sender) {
+		return settings.direct().isEmpty()
+				? new LocatedHosts(List.of(settings.entries().split(",")), plan.accounts(), sender)
+				: new DirectTargets(List.of(settings.direct().split(",")));
+	}
+
+}
--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
@@ -0,0 +1,203 @@
+package org.plantainspur.standins.load;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.adapters.settings.SettingsReader;
+import org.plantainspur.core.finding.Findings;
+import org.plantainspur.standins.Calls;
+import org.plantainspur.standins.http.Response;
+import org.plantainspur.standins.http.StandInServer;
+import org.plantainspur.standins.target.TargetEmulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+
+class LoadToolTests {
+
+	private TargetEmulator target;
+
+	private String address;
+
+	private Calls calls;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.target = new TargetEmulator("booking-1", 0, 64);
+		this.address = "127.0.0.1:" + this.target.port();
+		this.calls = new Calls(this.address);
+	}
+
+	@AfterEach
+	void stop() {
+		this.target.close();
+	}
+
+	private static LoadSettings settings(String... flags) {
+		return SettingsReader.of("load", LoadSettings::new).read(flags, Map.of());
+	}
+
+	private LoadReport direct(String rate, String seconds, String nonIdempotent, String... more) throws Exception {
+		String[] flags = { "--direct", this.address, "--accounts", "large:k1:3,small:k2:1", "--rate", rate, "--seconds",
+				seconds, "--non-idempotent", nonIdempotent };
+		String[] all = java.util.Arrays.copyOf(flags, flags.length + more.length);
+		System.arraycopy(more, 0, all, flags.length, more.length);
+		return LoadMain.run(settings(all));
+	}
+
+	@Nested
+	class OpenLoop {
+
+		@Test
+		void sendsAtItsRateWithTheSharesOfTheAccounts() throws Exception {
+			LoadReport report = direct("200", "2", "25");
+			assertThat(report.total().sent()).isEqualTo(400);
+			assertThat(report.total().answeredByStatus()).containsExactly(Map.entry("200", 400L));
+			long large = report.rows()
+				.stream()
+				.filter((row) -> row.account().equals("large"))
+				.mapToLong(LoadReport.Row::sent)
+				.sum();
+			assertThat(large).isBetween(260L, 340L);
+			assertThat(report.seconds()).isBetween(1.9, 4.0);
+		}
+
+		@Test
+		void showsAStallInTheLatencyOfEveryRequestIntendedDuringIt() throws Exception {
+			// One slot and a queue: a closed loop would send few requests during the
+			// stall and so hide it.
+			try (TargetEmulator narrow = new TargetEmulator("narrow", 0, 1)) {
+				Calls narrowCalls = new Calls("127.0.0.1:" + narrow.port());
+				narrowCalls.control("/.control/behaviour",
+						"{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 100}, \"queueMillis\": 60000}");
+				LoadReport report = LoadMain.run(settings("--direct", "127.0.0.1:" + narrow.port(), "--accounts",
+						"a:k:1", "--rate", "20", "--seconds", "1", "--non-idempotent", "0"));
+				assertThat(report.total().answered()).isEqualTo(20);
+				assertThat(report.total().latencyMillis().p50()).isGreaterThan(400);
+				assertThat(report.total().latencyMillis().max()).isGreaterThan(900);
+			}
+		}
+
+	}
+
+	@Nested
+	class NonIdempotentRequest {
+
+		@Test
+		void isSentAgainWithTheSameKeyWhenItsOutcomeIsUnknown() throws Exception {
+			LoadToolTests.this.calls.control("/.control/behaviour",
+					"{\"gray\": [{\"kind\": \"reset\", \"fraction\": 1}]}");
+			LoadReport report = direct("20", "1", "100", "--resend", "2");
+			assertThat(report.total().sent()).isEqualTo(20);
+			assertThat(report.total().resent()).isEqualTo(40);
+			assertThat(report.total().errors()).containsExactly(Map.entry("connection-lost", 20L));
+			assertThat(LoadToolTests.this.calls.json("/.control/runs?minimumCount=3").path("runs")).hasSize(20);
+		}
+
+		@Test
+		void isNotSentAgainWhenTheTargetDidNotRunIt() throws Exception {
+			LoadToolTests.this.calls.control("/.control/behaviour", "{\"shedFraction\": 1}");
+			LoadReport report = direct("20", "1", "100", "--resend", "2");
+			assertThat(report.total().resent()).isZero();
+			assertThat(report.total().refused()).containsExactly(Map.entry("target-refused/not-run", 20L));
+		}
+
+	}
+
+	@Nested
+	class Errors {
+
+		@Test
+		void areCountedByKind() throws Exception {
+			LoadToolTests.this.calls.control("/.control/behaviour",
+					"{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 60000}}");
+			LoadReport report = direct("20", "1", "0", "--timeout", "200");
+			assertThat(report.total().errors()).containsExactly(Map.entry("timeout", 20L));
+			LoadToolTests.this.target.close();
+			assertThat(direct("20", "1", "0").total().errors()).containsExactly(Map.entry("not-connected", 20L));
+		}
+
+		@Test
+		void ofTruncatedAnswersAreNotCountedAsAnswers() throws Exception {
+			LoadToolTests.this.calls.control("/.control/behaviour",
+					"{\"gray\": [{\"kind\": \"truncate\", \"fraction\": 1}]}");
+			LoadReport report = direct("20", "1", "0");
+			assertThat(report.total().answered()).isZero();
+			assertThat(report.total().errors()).containsExactly(Map.entry("connection-lost", 20L));
+		}
+
+	}
+
+	@Nested
+	class Locating {
+
+		@Test
+		void isRepeatedWithinTheLifetimeAndGivesKeysTheirDispatchToken() throws Exception {
+			try (StandInServer entry = new StandInServer("127.0.0.1", 0,
+					(exchange) -> exchange.answer(Response.json(200,
+							Map.of("hosts", new Object[] { Map.of("address", LoadToolTests.this.address) },
+									"lifetimeMillis", 200, "dispatchToken", "token"))))) {
+				LoadReport report = LoadMain.run(settings("--entries", "127.0.0.1:" + entry.port(), "--accounts",
+						"a:k:1", "--rate", "20", "--seconds", "1", "--non-idempotent", "100"));
+				assertThat(report.total().answered()).isEqualTo(20);
+				assertThat(report.locates()).isGreaterThanOrEqualTo(4);
+				assertThat(LoadToolTests.this.calls.json("/.control/runs").path("runs").findValuesAsText("identity"))
+					.hasSize(20)
+					.allMatch((identity) -> identity.startsWith("token."));
+			}
+		}
+
+		@Test
+		void thatFailsStopsTheUseOfAnOldAnswer() throws Exception {
+			java.util.concurrent.atomic.AtomicInteger asked = new java.util.concurrent.atomic.AtomicInteger();
+			try (StandInServer entry = new StandInServer("127.0.0.1", 0, (exchange) -> {
+				if (asked.getAndIncrement() == 0) {
+					exchange.answer(Response.json(200,
+							Map.of("hosts", new Object[] { Map.of("address", LoadToolTests.this.address) },
+									"lifetimeMillis", 500, "dispatchToken", "token")));
+				}
+				else {
+					exchange.reset();
+				}
+			})) {
+				LoadReport report = LoadMain.run(settings("--entries", "127.0.0.1:" + entry.port(), "--accounts",
+						"a:k:1", "--rate", "20", "--seconds", "2", "--non-idempotent", "0"));
+				assertThat(report.total().answered()).isBetween(1L, 12L);
+				assertThat(report.total().errors()).containsKey("no-located-host");
+				assertThat(report.failedLocates()).isPositive();
+			}
+		}
+
+	}
+
+	@Nested
+	class Refusals {
+
+		@Test
+		void areCountedByCodeAndRun() {
+			byte[] problem = "{\"code\": \"rate-limited\", \"run\": \"not-run\"}".getBytes();
+			assertThat(Outcome.of(new HttpSender.Reply.Received(429, "application/problem+json", false, problem)))
+				.isEqualTo(new Outcome.Refused("rate-limited", "not-run"));
+		}
+
+	}
+
+	@Nested
+	class BadInput {
+
+		@Test
+		void namesEveryFinding() {
+			assertThatExceptionOfType(Findings.InvalidInputException.class)
+				.isThrownBy(() -> new LoadPlan(settings("--accounts", "a:secret:0")))
+				.withMessageContaining("--entries")
+				.withMessageContaining("--accounts")
+				.withMessageNotContaining("secret");
+		}
+
+	}
+
+}
