--- a/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.net.URI;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -95,9 +96,11 @@
 		this.connections.prepare(target, host, idempotent);
 		ScheduledFuture<?> deadline = this.deadlines.schedule(message::cancel, timeoutMillis, TimeUnit.MILLISECONDS);
 		try {
-			return this.client.execute(host, message, context, HttpClientTargetDispatcher::outcome);
+			return this.client.execute(host, message, context, (response) -> outcome(message, response));
 		}
-		catch (IOException ex) {
+		catch (IOException | CancellationException ex) {
+			// The second is thrown if the deadline passes while the request waits for a
+			// connection.
 			return failure(target, message, context, ex);
 		}
 		finally {
@@ -112,7 +115,7 @@
 	}
 
 	private static DispatchOutcome failure(Target target, HttpUriRequestBase message, HttpClientContext context,
-			IOException failure) {
+			Exception failure) {
 		if (context.getAttribute(SENT) == null) {
 			return new DispatchOutcome.NotSent("no connection to target " + target.id() + ": " + failure.getMessage());
 		}
@@ -146,19 +149,20 @@
 		return message;
 	}
 
-	private static DispatchOutcome outcome(ClassicHttpResponse response) throws IOException {
+	private static DispatchOutcome outcome(HttpUriRequestBase message, ClassicHttpResponse response)
+			throws IOException {
 		Headers headers = Headers.empty();
 		for (Header header : response.getHeaders()) {
 			headers = headers.with(header.getName(), header.getValue());
 		}
-		byte[] body = body(response.getEntity());
+		byte[] body = body(message, response.getEntity());
 		if (response.getCode() == SERVICE_UNAVAILABLE && "true".equals(headers.first(Headers.NOT_RUN))) {
 			return new DispatchOutcome.RefusedByTarget("draining".equals(headers.first(Headers.TARGET_STATE)));
 		}
 		return new DispatchOutcome.Answered(response.getCode(), headers, body);
 	}
 
-	private static byte[] body(@Nullable HttpEntity entity) throws IOException {
+	private static byte[] body(HttpUriRequestBase message, @Nullable HttpEntity entity) throws IOException {
 		if (entity == null) {
 			return new byte[0];
 		}
@@ -172,6 +176,8 @@
 		while (count >= 0) {
 			bytes.write(buffer, 0, count);
 			if (bytes.size() > MAXIMUM_ANSWER_BYTES) {
+				// Without this the client reads the rest before it closes the connection.
+				message.cancel();
 				throw new AnswerTooLargeException();
 			}
 			count = content.read(buffer);
@@ -186,7 +192,7 @@
 	}
 
 	/**
-	 * Makes the client close the connection instead of reading the rest.
+	 * Tells a large answer from a failed one.
 	 */
 	private static final class AnswerTooLargeException extends IOException {
 
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -226,6 +226,7 @@
 
 		@Test
 		void beyondTheLimitIsUnknownAndNotReadOn() throws Exception {
+			long started = System.nanoTime();
 			assertUnknown(dispatch((exchange) -> {
 				exchange.readHead();
 				exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
@@ -234,6 +235,7 @@
 					exchange.write(block);
 				}
 			}, 10_000), DispatchOutcome.Unknown.Cause.TOO_LARGE);
+			assertThat(System.nanoTime() - started).isLessThan(TimeUnit.SECONDS.toNanos(5));
 		}
 
 		@Test
--- a/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
+++ b/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
@@ -78,7 +78,7 @@
 		server.setErrorHandler(new ProblemErrorHandler());
 		// Jetty's own shutdown hook would close the connections at once.
 		server.setStopAtShutdown(false);
-		injector.getInstance(ShutdownHook.class).register(server);
+		injector.getInstance(StopTrigger.class).register(server);
 		System.out.println("plantainspur-host " + this.settings.hostId() + " listens on "
 				+ this.settings.callerAddress() + " for callers, " + this.settings.adminAddress() + " for operators");
 	}
--- a/host/src/main/java/org/plantainspur/host/ShutdownHook.java
+++ b/host/src/main/java/org/plantainspur/host/ShutdownHook.java
@@ -10,7 +10,7 @@
 /**
  * Runs the graceful shutdown on {@code SIGTERM}.
  */
-final class ShutdownHook {
+final class ShutdownHook implements StopTrigger {
 
 	private static final Logger logger = LogManager.getLogger(ShutdownHook.class);
 
@@ -21,7 +21,8 @@
 		this.gracefulStop = gracefulStop;
 	}
 
-	void register(Server server) {
+	@Override
+	public void register(Server server) {
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> run(server), "graceful-stop"));
 	}
 
--- a/host/src/main/java/org/plantainspur/host/StopModule.java
+++ b/host/src/main/java/org/plantainspur/host/StopModule.java
@@ -16,6 +16,11 @@
  */
 final class StopModule extends AbstractModule {
 
+	@Override
+	protected void configure() {
+		bind(StopTrigger.class).to(ShutdownHook.class);
+	}
+
 	@Provides
 	@Singleton
 	Resignation resignation(ChangeLog log, Member member) {
@@ -24,9 +29,14 @@
 
 	@Provides
 	@Singleton
-	GracefulStop gracefulStop(Clock clock, Resignation resignation, CallerActivity activity, HostSettings settings) {
-		return new GracefulStop(clock, resignation, activity, new GracefulStop.Times(LocateResource.LIFETIME_MILLIS,
-				settings.longestDeadlineMillis(), settings.stopIdleMillis()));
+	GracefulStop gracefulStop(Clock clock, Resignation resignation, CallerActivity activity, GracefulStop.Times times) {
+		return new GracefulStop(clock, resignation, activity, times);
+	}
+
+	@Provides
+	GracefulStop.Times stopTimes(HostSettings settings) {
+		return new GracefulStop.Times(LocateResource.LIFETIME_MILLIS, settings.longestDeadlineMillis(),
+				settings.stopIdleMillis());
 	}
 
 	@Provides
