Judge targets on pooled evidence and eject within a budget

Cause: every host saw only its own requests, and nothing kept a failing target from getting work.

Change: hosts count outcomes by target and account (EvidenceCollector) and report them to the service's coordinator (HealthCoordinator). A PooledHealthJudge keeps cumulative log-likelihood ratios of failures and of slow answers against the siblings in the same half second; baselines without ejection, with consecutive failures, and with one host's evidence only are behind the same interface. An ejection is charged to the budget until its last verdict has expired everywhere. A new coordinator ejects only after every member has reported to it at the sequence number of the change, or after F plus the verdict lifetime. FloorGuard applies the floor again at the point of use. CrashQuarantine stops a request after two targets; resets are held back for one second so that its crashes are not reported.

PeerMessage: Report carries the reporter's process and sequence number, Verdicts says whether the coordinator is settling, Verdict carries pooled load, and unanswered requests are counted apart from failed answers, since only the latter prove that the path works.

Restarts of a coordinator process and changes of the target list are not part of these schedules.

--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/ConsecutiveFailureJudge.java
@@ -0,0 +1,67 @@
+package org.plantainspur.core.health;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.plantainspur.core.peer.PeerMessage;
+
+/**
+ * Finds a target sick after a number of failures in a row at any one host; the usual
+ * outlier detection, as a baseline.
+ */
+public final class ConsecutiveFailureJudge implements HealthJudge {
+
+	private final int limit;
+
+	private final Map<String, Map<String, Integer>> runs = new HashMap<>();
+
+	/**
+	 * Creates a judge.
+	 * @param limit the failures in a row that make a target sick
+	 */
+	public ConsecutiveFailureJudge(int limit) {
+		this.limit = limit;
+	}
+
+	@Override
+	public void observe(Observation observation) {
+		int failures = 0;
+		int successes = 0;
+		for (PeerMessage.AccountEvidence account : observation.evidence().accounts()) {
+			failures += account.failures() + account.unanswered() + account.connectFailures();
+			successes += account.successes();
+		}
+		Map<String, Integer> byHost = this.runs.computeIfAbsent(observation.target().id(), (id) -> new HashMap<>());
+		// The order inside one report is unknown, so any success ends the run.
+		if (successes > 0) {
+			byHost.remove(observation.reporter());
+		}
+		else if (failures > 0) {
+			byHost.merge(observation.reporter(), failures, Integer::sum);
+		}
+	}
+
+	@Override
+	public Assessment assess(String targetId) {
+		int longest = this.runs.getOrDefault(targetId, Map.of())
+			.values()
+			.stream()
+			.mapToInt(Integer::intValue)
+			.max()
+			.orElse(0);
+		return new Assessment(longest >= this.limit, longest, Set.of(), longest + " failures in a row");
+	}
+
+	@Override
+	public void readmitted(String targetId) {
+		this.runs.remove(targetId);
+	}
+
+	@Override
+	public void retain(Collection<String> targetIds) {
+		this.runs.keySet().retainAll(targetIds);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -0,0 +1,240 @@
+package org.plantainspur.core.health;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+
+import org.jspecify.annotations.Nullable;
+
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * The coordinator of one service: pools the reports of all hosts and answers with
+ * verdicts. Every host may run one; it ejects only while {@link #follow} says that this
+ * process is responsible and only within the ejection budget. Calls come from the peer
+ * handler and are serialized by a lock; none is on the path of a request.
+ */
+public final class HealthCoordinator {
+
+	private final String service;
+
+	private final Clock clock;
+
+	private final HealthJudge judge;
+
+	private final Supplier<List<Target>> targets;
+
+	private final DoubleSupplier floor;
+
+	private final BooleanSupplier current;
+
+	private final Settlement settlement = new Settlement();
+
+	private final EjectionLedger ledger = new EjectionLedger();
+
+	private final PooledLoad load = new PooledLoad();
+
+	private final Map<String, EjectionState> states = new HashMap<>();
+
+	private final Map<String, Long> leavingUntil = new HashMap<>();
+
+	private Membership membership = Membership.empty();
+
+	private boolean wasSettled;
+
+	/**
+	 * Creates a coordinator that is not responsible yet.
+	 * @param service the service's name
+	 * @param clock the process clock
+	 * @param judge who decides which targets are sick
+	 * @param targets the service's targets as the platform last gave them
+	 * @param floor the floor in force, a fraction of the slots from 0 to 1
+	 * @param current whether this process's configuration is current; while it is not, it
+	 * ejects nothing
+	 */
+	public HealthCoordinator(String service, Clock clock, HealthJudge judge, Supplier<List<Target>> targets,
+			DoubleSupplier floor, BooleanSupplier current) {
+		this.service = service;
+		this.clock = clock;
+		this.judge = judge;
+		this.targets = targets;
+		this.floor = floor;
+		this.current = current;
+	}
+
+	/**
+	 * Takes a change of the configuration sequence. To be called for every number in
+	 * order: after a gap the coordinator waits as a new one does.
+	 * @param sequence the number
+	 * @param members the members in force
+	 * @param responsible whether this process is the service's coordinator
+	 */
+	public synchronized void follow(long sequence, Membership members, boolean responsible) {
+		this.membership = members;
+		this.settlement.follow(sequence, members, responsible, this.clock.millis());
+	}
+
+	/**
+	 * Answers a report.
+	 * @param report the report; its evidence counts only if a member sent it
+	 * @return the verdicts for the reporter
+	 */
+	public synchronized PeerMessage.Verdicts report(PeerMessage.Report report) {
+		long now = this.clock.millis();
+		List<Target> listed = this.targets.get();
+		List<Target> staying = staying(listed, now);
+		String group = group(report);
+		boolean settled = this.settlement.settled(now) && this.current.getAsBoolean();
+		watch(listed, settled, now);
+		if (group != null) {
+			this.ledger.charge(known(report.ejectedHeld(), listed), now);
+			this.settlement.reported(report.processId(), report.sequence());
+			take(report, group, listed, now);
+			settled = this.settlement.settled(now) && this.current.getAsBoolean();
+		}
+		decide(staying, settled, now);
+		return verdicts(staying, (group != null) ? group : "", settled, now);
+	}
+
+	private @Nullable String group(PeerMessage.Report report) {
+		Member member = this.membership.member(report.hostId());
+		return (member != null && member.processId().equals(report.processId())) ? member.failureDomain() : null;
+	}
+
+	private static List<String> known(List<String> ids, List<Target> listed) {
+		Set<String> known = new HashSet<>();
+		listed.forEach((target) -> known.add(target.id()));
+		return ids.stream().filter(known::contains).toList();
+	}
+
+	private List<Target> staying(List<Target> listed, long now) {
+		this.leavingUntil.values().removeIf((until) -> until <= now);
+		return listed.stream()
+			.filter((target) -> !target.leaving() && !this.leavingUntil.containsKey(target.id()))
+			.toList();
+	}
+
+	// Targets that were there before this process could know are taken as warm.
+	private void watch(List<Target> listed, boolean settled, long now) {
+		boolean first = this.states.isEmpty() || !settled;
+		Set<String> ids = new HashSet<>();
+		for (Target target : listed) {
+			ids.add(target.id());
+			this.states.computeIfAbsent(target.id(),
+					(id) -> first ? EjectionState.warm(now) : EjectionState.fresh(now));
+		}
+		if (this.states.size() > ids.size()) {
+			this.states.keySet().retainAll(ids);
+			this.judge.retain(ids);
+		}
+	}
+
+	private void take(PeerMessage.Report report, String group, List<Target> listed, long now) {
+		Map<String, Target> byId = new HashMap<>();
+		listed.forEach((target) -> byId.put(target.id(), target));
+		List<PeerMessage.TargetEvidence> evidence = report.targets()
+			.stream()
+			.filter((target) -> byId.containsKey(target.targetId()))
+			.toList();
+		this.load.report(report.processId(), evidence, now);
+		for (PeerMessage.TargetEvidence target : evidence) {
+			if (target.leaving()) {
+				this.leavingUntil.put(target.targetId(), now + HealthView.LEAVING_MARK_MILLIS);
+			}
+			Target observed = byId.get(target.targetId());
+			if (observed == null) {
+				continue;
+			}
+			this.judge.observe(new HealthJudge.Observation(observed, report.processId(), group, target,
+					state(target.targetId()).cold(now), now));
+		}
+	}
+
+	private EjectionState state(String targetId) {
+		return this.states.computeIfAbsent(targetId, (id) -> EjectionState.warm(this.clock.millis()));
+	}
+
+	private void decide(List<Target> staying, boolean settled, long now) {
+		if (!settled) {
+			// Without the right to eject, nothing is known to be in force.
+			this.states.values().stream().filter(EjectionState::ejected).forEach((state) -> state.readmit(now));
+			this.wasSettled = false;
+			return;
+		}
+		if (!this.wasSettled) {
+			adopt(now);
+		}
+		this.wasSettled = true;
+		readmit(staying, now);
+		List<Target> sickest = new ArrayList<>(staying);
+		Map<String, HealthJudge.Assessment> assessments = new HashMap<>();
+		staying.forEach((target) -> assessments.put(target.id(), this.judge.assess(target.id())));
+		sickest.sort(Comparator.comparingDouble(
+				(Target target) -> -assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY).sickness())
+			.thenComparing(Target::id));
+		for (Target target : sickest) {
+			HealthJudge.Assessment assessment = assessments.get(target.id());
+			if (assessment != null && assessment.sick() && !state(target.id()).ejected()
+					&& this.ledger.permits(target, staying, this.floor.getAsDouble(), now)) {
+				state(target.id()).eject(now, assessment.reason());
+				this.ledger.charge(List.of(target.id()), now);
+			}
+		}
+	}
+
+	// Takes over the ejections that an earlier coordinator issued and that hosts hold.
+	private void adopt(long now) {
+		for (String id : this.ledger.charged(now)) {
+			if (!state(id).ejected()) {
+				state(id).eject(now, "ejected by an earlier coordinator");
+			}
+		}
+	}
+
+	private void readmit(List<Target> staying, long now) {
+		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
+		int used = 0;
+		for (Target target : staying) {
+			EjectionState state = state(target.id());
+			if (state.ejected()) {
+				used += target.slots();
+				if (used > budget || state.holdEnded(now)) {
+					used -= target.slots();
+					state.readmit(now);
+					this.judge.readmitted(target.id());
+				}
+			}
+		}
+	}
+
+	private PeerMessage.Verdicts verdicts(List<Target> staying, String group, boolean settled, long now) {
+		List<PeerMessage.Verdict> verdicts = new ArrayList<>();
+		List<String> ejected = new ArrayList<>();
+		for (Target target : staying) {
+			EjectionState state = state(target.id());
+			HealthJudge.Assessment assessment = this.judge.assess(target.id());
+			boolean avoided = assessment.sick() || assessment.avoidedBy().contains(group);
+			if (state.ejected()) {
+				ejected.add(target.id());
+			}
+			verdicts.add(new PeerMessage.Verdict(target.id(), state.ejected(),
+					avoided ? FloorGuard.LEAST_WEIGHT : state.weight(now), this.load.load(target.id()),
+					assessment.sickness(), state.ejected() ? state.reason() : assessment.reason()));
+		}
+		this.ledger.charge(ejected, now);
+		return new PeerMessage.Verdicts(this.service, verdicts, EjectionLedger.LIFETIME_MILLIS, !settled,
+				List.copyOf(this.leavingUntil.keySet()));
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/LocalEvidenceJudge.java
@@ -0,0 +1,59 @@
+package org.plantainspur.core.health;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.plantainspur.core.peer.PeerMessage;
+
+/**
+ * Keeps a log-likelihood ratio for each host's own evidence and finds a target sick when
+ * one host alone is convinced; the baseline without pooling.
+ */
+public final class LocalEvidenceJudge implements HealthJudge {
+
+	private static final double HEALTHY_RATE = 0.01;
+
+	private static final double SICK_RATE = 0.3;
+
+	private final Map<String, Map<String, Double>> sums = new HashMap<>();
+
+	@Override
+	public void observe(Observation observation) {
+		double ratio = 0;
+		for (PeerMessage.AccountEvidence account : observation.evidence().accounts()) {
+			int failures = account.failures() + account.unanswered() + account.connectFailures();
+			ratio += LogLikelihood.ratio(failures, account.successes(), HEALTHY_RATE, SICK_RATE);
+		}
+		double added = ratio;
+		this.sums.computeIfAbsent(observation.target().id(), (id) -> new HashMap<>())
+			.compute(observation.reporter(), (host, old) -> {
+				double sum = Math.max(0, ((old != null) ? old : 0) + added);
+				return (sum > 0) ? sum : null;
+			});
+	}
+
+	@Override
+	public Assessment assess(String targetId) {
+		double largest = this.sums.getOrDefault(targetId, Map.of())
+			.values()
+			.stream()
+			.mapToDouble(Double::doubleValue)
+			.max()
+			.orElse(0);
+		return new Assessment(largest >= PooledHealthJudge.THRESHOLD, largest, Set.of(),
+				"log-likelihood ratio at one host " + Math.round(largest));
+	}
+
+	@Override
+	public void readmitted(String targetId) {
+		this.sums.remove(targetId);
+	}
+
+	@Override
+	public void retain(Collection<String> targetIds) {
+		this.sums.keySet().retainAll(targetIds);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/NoEjectionJudge.java
@@ -0,0 +1,27 @@
+package org.plantainspur.core.health;
+
+import java.util.Collection;
+
+/**
+ * Finds no target sick; the baseline without outlier detection.
+ */
+public final class NoEjectionJudge implements HealthJudge {
+
+	@Override
+	public void observe(Observation observation) {
+	}
+
+	@Override
+	public Assessment assess(String targetId) {
+		return Assessment.HEALTHY;
+	}
+
+	@Override
+	public void readmitted(String targetId) {
+	}
+
+	@Override
+	public void retain(Collection<String> targetIds) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
@@ -0,0 +1,208 @@
+package org.plantainspur.core.health;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.plantainspur.core.peer.PeerMessage;
+
+/**
+ * Pools the evidence of all hosts and keeps, for each target, cumulative log-likelihood
+ * ratios of failures and of slow answers against its siblings in the same interval. So a
+ * fault of the whole service, of an account's requests or of one path is not held against
+ * a target.
+ */
+public final class PooledHealthJudge implements HealthJudge {
+
+	/**
+	 * At 1% assumed failures, about six failures in close succession. With 0.2% random
+	 * failures and 3 * 10^8 outcomes in ten days, the chance of such a group is below 1%
+	 * (a union bound over all failures).
+	 */
+	public static final double THRESHOLD = 20;
+
+	/** Siblings are compared within the same interval. */
+	static final long INTERVAL_MILLIS = 500;
+
+	/** How fast the memory of an account's outcomes and of latencies fades. */
+	private static final double MEMORY_MILLIS = 10_000;
+
+	private final Map<String, TargetCase> cases = new HashMap<>();
+
+	private final Tally<String> interval = new Tally<>();
+
+	private final Tally<String> memory = new Tally<>();
+
+	private final LatencyComparison latencies = new LatencyComparison();
+
+	private long intervalStart = Long.MIN_VALUE;
+
+	@Override
+	public void observe(Observation observation) {
+		roll(observation.nowMillis());
+		TargetCase target = this.cases.computeIfAbsent(observation.target().id(), (id) -> new TargetCase());
+		for (PeerMessage.AccountEvidence account : observation.evidence().accounts()) {
+			int unanswered = count(account.unanswered()) + count(account.connectFailures());
+			int failures = count(account.failures());
+			int successes = count(account.successes());
+			target.observe(observation, account.accountId(), successes, failures, unanswered);
+			this.interval.add(account.accountId(), failures + unanswered, successes);
+		}
+		if (!observation.cold()) {
+			this.latencies.observe(observation);
+		}
+	}
+
+	private static int count(int reported) {
+		return Math.max(0, reported);
+	}
+
+	private void roll(long now) {
+		if (this.intervalStart == Long.MIN_VALUE) {
+			this.intervalStart = now;
+		}
+		long passed = now - this.intervalStart;
+		if (passed < INTERVAL_MILLIS) {
+			return;
+		}
+		Set<String> sick = sickNow();
+		Map<TargetCase, List<Map<String, Double>>> evidence = new HashMap<>();
+		this.cases.forEach(
+				(id, target) -> evidence.put(target, List.of(failureRatios(target, sick), this.latencies.ratios(id))));
+		evidence.forEach((target, ratios) -> {
+			target.failing.add(ratios.get(0));
+			target.slow.add(ratios.get(1));
+		});
+		double fade = Math.exp(-passed / MEMORY_MILLIS);
+		this.cases.values().forEach((target) -> target.finishInterval(fade));
+		this.memory.addAll(this.interval);
+		this.memory.fade(fade);
+		this.interval.clear();
+		this.latencies.finishInterval(fade);
+		this.intervalStart = now;
+	}
+
+	private Set<String> sickNow() {
+		Set<String> sick = new HashSet<>();
+		this.cases.forEach((id, target) -> {
+			if (target.failing.sum() >= THRESHOLD) {
+				sick.add(id);
+			}
+		});
+		return sick;
+	}
+
+	// The log-likelihood ratio of the target's outcomes in the running interval, by group
+	// of reporters. Targets that are known to be sick do not count as siblings.
+	private Map<String, Double> failureRatios(TargetCase target, Set<String> sick) {
+		if (target.interval.all() == 0 || (target.interval.bad() == 0 && target.failing.sum() == 0)) {
+			return Map.of();
+		}
+		List<TargetCase> left = new ArrayList<>();
+		left.add(target);
+		sick.forEach((id) -> {
+			TargetCase other = this.cases.get(id);
+			if (other != null && other != target) {
+				left.add(other);
+			}
+		});
+		Map<String, Double> ratios = new HashMap<>();
+		double now = SiblingRates.serviceRate(this.interval, left);
+		target.interval.counts().forEach((cell, counts) -> {
+			double rate = LogLikelihood
+				.clamp(Math.max(now, SiblingRates.accountRate(cell.account(), this.interval, this.memory, left)));
+			ratios.merge(cell.group(),
+					LogLikelihood.ratio(counts[0], counts[1] - counts[0], rate, LogLikelihood.sickRate(rate)),
+					Double::sum);
+		});
+		return ratios;
+	}
+
+	@Override
+	public Assessment assess(String targetId) {
+		TargetCase target = this.cases.get(targetId);
+		if (target == null) {
+			return Assessment.HEALTHY;
+		}
+		Map<String, Double> failing = failureRatios(target, sickNow());
+		Map<String, Double> slow = this.latencies.ratios(targetId);
+		Assessment byFailures = assess(target.failing, failing, "failures");
+		Assessment bySlowness = assess(target.slow, slow, "slow answers");
+		if (byFailures.sick() || (!bySlowness.sick() && byFailures.sickness() >= bySlowness.sickness())) {
+			return byFailures;
+		}
+		return bySlowness;
+	}
+
+	private static Assessment assess(SequentialTest test, Map<String, Double> current, String kind) {
+		double sum = test.sumWith(current);
+		if (sum < THRESHOLD) {
+			return (sum > 0) ? new Assessment(false, sum, Set.of(), "") : Assessment.HEALTHY;
+		}
+		Set<String> avoidedBy = test.failingAgainstOthers(current);
+		boolean cut = !avoidedBy.isEmpty() || test.suggestsCutPath();
+		String reason = kind + " against siblings, log-likelihood ratio " + Math.round(sum)
+				+ (cut ? ", seen from some hosts only" : "");
+		return new Assessment(!cut, sum, avoidedBy, reason);
+	}
+
+	@Override
+	public void readmitted(String targetId) {
+		TargetCase target = this.cases.get(targetId);
+		if (target != null) {
+			// A relapse is found with half the evidence.
+			target.failing.restart(THRESHOLD / 2);
+			target.slow.restart(0);
+		}
+	}
+
+	@Override
+	public void retain(Collection<String> targetIds) {
+		this.cases.keySet().retainAll(targetIds);
+		this.latencies.retain(targetIds);
+	}
+
+	/**
+	 * Outcomes of an account seen by a group of reporters.
+	 *
+	 * @param account the account
+	 * @param group the reporters' failure domain
+	 */
+	record Cell(String account, String group) {
+	}
+
+	/**
+	 * The evidence on one target.
+	 */
+	static final class TargetCase {
+
+		final SequentialTest failing = new SequentialTest();
+
+		final SequentialTest slow = new SequentialTest();
+
+		final Tally<Cell> interval = new Tally<>();
+
+		final Tally<String> byAccount = new Tally<>();
+
+		final Tally<String> memory = new Tally<>();
+
+		void observe(Observation observation, String account, int successes, int failures, int unanswered) {
+			this.interval.add(new Cell(account, observation.group()), failures + unanswered, successes);
+			this.byAccount.add(account, failures + unanswered, successes);
+			this.failing.saw(observation.reporter(), successes + failures, failures, unanswered);
+		}
+
+		void finishInterval(double fade) {
+			this.memory.addAll(this.byAccount);
+			this.memory.fade(fade);
+			this.interval.clear();
+			this.byAccount.clear();
+		}
+
+	}
+
+}
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -54,11 +54,13 @@
 	 * Reports the outcomes that one host saw since its last report.
 	 *
 	 * @param hostId the reporter's host
+	 * @param processId the reporter's process
+	 * @param sequence the reporter's sequence number in force
 	 * @param service the service
 	 * @param targets the outcomes by target
 	 * @param ejectedHeld the targets that the reporter holds ejected now
 	 */
-	record Report(String hostId, String service, List<TargetEvidence> targets,
+	record Report(String hostId, String processId, long sequence, String service, List<TargetEvidence> targets,
 			List<String> ejectedHeld) implements PeerMessage {
 	}
 
@@ -81,23 +83,28 @@
 	 *
 	 * @param accountId the account
 	 * @param successes whole answers below status 500
-	 * @param failures other answers, timeouts and resets
+	 * @param failures whole answers with status 500 or above, which prove that the path
+	 * works
+	 * @param unanswered timeouts and resets
 	 * @param connectFailures attempts without a connection
 	 * @param sheds refusals by the target
 	 */
-	record AccountEvidence(String accountId, int successes, int failures, int connectFailures, int sheds) {
+	record AccountEvidence(String accountId, int successes, int failures, int unanswered, int connectFailures,
+			int sheds) {
 	}
 
 	/**
 	 * Answers a report.
 	 *
 	 * @param service the service
-	 * @param verdicts the verdicts in force on targets that are not fully in use
+	 * @param verdicts the verdicts in force, one for each target of the service
 	 * @param lifetimeMillis how long the verdicts hold, counted from before the report
 	 * was sent
+	 * @param settling whether the coordinator is too new to eject; the receiver keeps the
+	 * ejections it holds until they expire
 	 * @param leaving the targets that are leaving
 	 */
-	record Verdicts(String service, List<Verdict> verdicts, long lifetimeMillis,
+	record Verdicts(String service, List<Verdict> verdicts, long lifetimeMillis, boolean settling,
 			List<String> leaving) implements PeerMessage {
 	}
 
@@ -107,10 +114,11 @@
 	 * @param targetId the target
 	 * @param ejected whether it gets no work
 	 * @param weight its weight from 0 to 1 if it is not ejected
+	 * @param load the requests in flight on it from all hosts, as last reported
 	 * @param sickness how sick it is; larger is worse
 	 * @param reason the evidence, for operators
 	 */
-	record Verdict(String targetId, boolean ejected, double weight, double sickness, String reason) {
+	record Verdict(String targetId, boolean ejected, double weight, int load, double sickness, String reason) {
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/health/CrashQuarantineTests.java
@@ -0,0 +1,127 @@
+package org.plantainspur.core.health;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a request that crashes one target after another, and against holding
+ * those crashes against the targets.
+ */
+class CrashQuarantineTests {
+
+	private final HandClock clock = new HandClock();
+
+	private final List<PeerMessage.Suspect> announced = new ArrayList<>();
+
+	private final CrashQuarantine quarantine = new CrashQuarantine(this.clock, this.announced::add);
+
+	private final EvidenceCollector collector = new EvidenceCollector(this.clock, this.quarantine, (id) -> 0);
+
+	private final OutcomeRecorder recorder = new OutcomeRecorders(this.quarantine, this.collector);
+
+	private void outcome(int target, String fingerprint, OutcomeRecorder.Kind kind) {
+		Target on = HealthFixtures.target(target, 4);
+		this.recorder.record(new OutcomeRecorder.Outcome(on, "large", fingerprint, kind, 20));
+	}
+
+	private int unanswered() {
+		return this.collector.drain(HealthFixtures.SERVICE)
+			.stream()
+			.flatMap((target) -> target.accounts().stream())
+			.mapToInt(PeerMessage.AccountEvidence::unanswered)
+			.sum();
+	}
+
+	@Nested
+	class Crashes {
+
+		@Test
+		void ofTwoTargetsQuarantineTheRequest() {
+			outcome(1, "poison", OutcomeRecorder.Kind.RESET);
+			assertThat(CrashQuarantineTests.this.quarantine.holds("poison")).isFalse();
+			outcome(2, "poison", OutcomeRecorder.Kind.RESET);
+			assertThat(CrashQuarantineTests.this.quarantine.holds("poison")).isTrue();
+			assertThat(CrashQuarantineTests.this.announced).hasSize(2);
+		}
+
+		@Test
+		void seenByOtherHostsCount() {
+			outcome(1, "poison", OutcomeRecorder.Kind.RESET);
+			CrashQuarantineTests.this.quarantine.suspect(new PeerMessage.Suspect("poison", "t2"));
+			assertThat(CrashQuarantineTests.this.quarantine.holds("poison")).isTrue();
+		}
+
+		@Test
+		void ofOneTargetTwiceDoNotQuarantineTheRequest() {
+			outcome(1, "unlucky", OutcomeRecorder.Kind.RESET);
+			outcome(1, "unlucky", OutcomeRecorder.Kind.RESET);
+			assertThat(CrashQuarantineTests.this.quarantine.holds("unlucky")).isFalse();
+		}
+
+		@Test
+		void areForgottenWhenTheRequestSucceeds() {
+			outcome(1, "popular", OutcomeRecorder.Kind.RESET);
+			outcome(3, "popular", OutcomeRecorder.Kind.SUCCESS);
+			outcome(2, "popular", OutcomeRecorder.Kind.RESET);
+			assertThat(CrashQuarantineTests.this.quarantine.holds("popular")).isFalse();
+		}
+
+		@Test
+		void quarantineForTenMinutes() {
+			outcome(1, "poison", OutcomeRecorder.Kind.RESET);
+			outcome(2, "poison", OutcomeRecorder.Kind.RESET);
+			CrashQuarantineTests.this.clock.advance(599_999);
+			assertThat(CrashQuarantineTests.this.quarantine.holds("poison")).isTrue();
+			CrashQuarantineTests.this.clock.advance(1);
+			assertThat(CrashQuarantineTests.this.quarantine.holds("poison")).isFalse();
+		}
+
+		@Test
+		void ofManyRequestsDoNotFillMemory() {
+			for (int i = 0; i < 20_000; i++) {
+				CrashQuarantineTests.this.quarantine.suspect(new PeerMessage.Suspect("f" + i, "t1"));
+			}
+			assertThat(CrashQuarantineTests.this.quarantine.known(50_000)).hasSize(10_000);
+		}
+
+	}
+
+	@Nested
+	class Evidence {
+
+		@Test
+		void ofAQuarantinedRequestIsNotReported() {
+			outcome(1, "poison", OutcomeRecorder.Kind.RESET);
+			outcome(2, "poison", OutcomeRecorder.Kind.RESET);
+			CrashQuarantineTests.this.clock.advance(1000);
+			assertThat(unanswered()).isZero();
+		}
+
+		@Test
+		void ofOtherResetsIsReportedAfterTheHold() {
+			outcome(1, "single", OutcomeRecorder.Kind.RESET);
+			assertThat(unanswered()).isZero();
+			CrashQuarantineTests.this.clock.advance(1000);
+			assertThat(unanswered()).isEqualTo(1);
+		}
+
+		@Test
+		void isReportedOnce() {
+			outcome(1, "a", OutcomeRecorder.Kind.FAILURE);
+			assertThat(CrashQuarantineTests.this.collector.drain(HealthFixtures.SERVICE).get(0).accounts())
+				.containsExactly(HealthFixtures.account("large", 0, 1));
+			assertThat(CrashQuarantineTests.this.collector.drain(HealthFixtures.SERVICE).get(0).accounts()).isEmpty();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
@@ -0,0 +1,99 @@
+package org.plantainspur.core.health;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+
+import org.plantainspur.core.routing.Target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against ejections that together take a service below its floor, when
+ * coordinators change and reports and verdicts are lost or late. The judge finds targets
+ * sick at random, which is worse than any real one.
+ */
+class EjectionBudgetTests {
+
+	private static final int STEPS = 600;
+
+	private static int slots(List<Target> targets) {
+		return targets.stream().mapToInt(Target::slots).sum();
+	}
+
+	private static int slots(List<Target> targets, Set<String> ids) {
+		return targets.stream().filter((target) -> ids.contains(target.id())).mapToInt(Target::slots).sum();
+	}
+
+	@Group
+	class UnionOverHosts {
+
+		@Property(seed = "20261204", tries = 150)
+		void leavesTheFloorInUse(@ForAll long schedule) {
+			HealthSchedule fleet = new HealthSchedule(schedule);
+			for (int i = 0; i < STEPS; i++) {
+				fleet.step();
+				Set<String> union = new HashSet<>();
+				fleet.views().forEach((view) -> union.addAll(view.ejectedHeld(HealthFixtures.SERVICE)));
+				int left = slots(fleet.targets()) - slots(fleet.targets(), union);
+				assertThat(left).as("slots in use at step %d, ejected %s", i, union)
+					.isGreaterThanOrEqualTo(FloorGuard.floorSlots(fleet.targets(), HealthSchedule.FLOOR));
+			}
+		}
+
+	}
+
+	@Group
+	class Progress {
+
+		/** Otherwise the property above would hold for want of ejections. */
+		@Example
+		void targetsAreEjectedInMostSchedules() {
+			int withEjections = 0;
+			for (long seed = 0; seed < 40; seed++) {
+				HealthSchedule fleet = new HealthSchedule(seed);
+				boolean held = false;
+				for (int i = 0; i < STEPS; i++) {
+					fleet.step();
+					held |= fleet.views()
+						.stream()
+						.anyMatch((view) -> !view.ejectedHeld(HealthFixtures.SERVICE).isEmpty());
+				}
+				withEjections += held ? 1 : 0;
+			}
+			assertThat(withEjections).isGreaterThan(20);
+		}
+
+	}
+
+	@Group
+	class OneHost {
+
+		@Property(seed = "20261204", tries = 150)
+		void usesAtLeastTheFloorWhateverItHolds(@ForAll long seed) {
+			Random random = new Random(seed);
+			List<Target> targets = HealthSchedule.randomTargets(random);
+			double floor = random.nextInt(11) / 10.0;
+			Map<String, HealthView.TargetHealth> held = new HashMap<>();
+			for (int i = 0; i < 2 * targets.size(); i++) {
+				held.put("t" + i, new HealthView.TargetHealth(random.nextInt(4) > 0, random.nextDouble(),
+						random.nextInt(9), random.nextDouble(), random.nextInt(200)));
+			}
+			List<FloorGuard.Usable> usable = FloorGuard.usable(targets,
+					new HealthView.ServiceHealth("p0", 1, held, Map.of()), floor, 100);
+			int slots = usable.stream().mapToInt((entry) -> entry.target().slots()).sum();
+			assertThat(slots).isGreaterThanOrEqualTo(FloorGuard.floorSlots(targets, floor)).isPositive();
+			assertThat(usable).allMatch((entry) -> entry.weight() > 0 || !held.get(entry.target().id()).ejected());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
@@ -0,0 +1,250 @@
+package org.plantainspur.core.health;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.membership.Membership;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a coordinator that ejects too early, too much, for too short a time, or
+ * that gives a target its full share at once.
+ */
+class HealthCoordinatorTests {
+
+	private final HandClock clock = new HandClock();
+
+	private final Map<String, Double> sickness = new HashMap<>();
+
+	private final Membership members = HealthFixtures.members(2);
+
+	private List<Target> targets = HealthFixtures.targets(10, 4);
+
+	private boolean current = true;
+
+	private final HealthCoordinator coordinator = new HealthCoordinator(HealthFixtures.SERVICE, this.clock,
+			new GivenJudge(), () -> this.targets, () -> 0.7, () -> this.current);
+
+	@BeforeEach
+	void becomeCoordinatorAndWait() {
+		this.coordinator.follow(1, this.members, true);
+		this.clock.advance(6000);
+	}
+
+	private PeerMessage.Verdicts report(int host, long sequence, String... held) {
+		return this.coordinator.report(new PeerMessage.Report("h" + host, "p" + host, sequence, HealthFixtures.SERVICE,
+				List.of(), List.of(held)));
+	}
+
+	private Set<String> ejected(PeerMessage.Verdicts verdicts) {
+		Set<String> ids = new HashSet<>();
+		verdicts.verdicts()
+			.stream()
+			.filter(PeerMessage.Verdict::ejected)
+			.forEach((verdict) -> ids.add(verdict.targetId()));
+		return ids;
+	}
+
+	private double weight(PeerMessage.Verdicts verdicts, String id) {
+		return verdicts.verdicts()
+			.stream()
+			.filter((verdict) -> verdict.targetId().equals(id))
+			.mapToDouble(PeerMessage.Verdict::weight)
+			.sum();
+	}
+
+	private void sick(String... ids) {
+		for (String id : ids) {
+			this.sickness.put(id, 30.0 + ids.length - this.sickness.size());
+		}
+	}
+
+	@Nested
+	class NewCoordinator {
+
+		@Test
+		void ejectsNothingUntilEarlierVerdictsHaveExpired() {
+			HealthCoordinatorTests.this.coordinator.follow(5, HealthCoordinatorTests.this.members, true);
+			sick("t1");
+			assertThat(ejected(report(0, 5))).isEmpty();
+			HealthCoordinatorTests.this.clock.advance(5600);
+			assertThat(ejected(report(0, 5))).isEmpty();
+			HealthCoordinatorTests.this.clock.advance(100);
+			assertThat(ejected(report(0, 5))).containsExactly("t1");
+		}
+
+		@Test
+		void ejectsOnceEveryMemberHasReportedToIt() {
+			HealthCoordinatorTests.this.coordinator.follow(2, HealthCoordinatorTests.this.members, false);
+			HealthCoordinatorTests.this.coordinator.follow(3, HealthCoordinatorTests.this.members, true);
+			sick("t1");
+			assertThat(report(0, 3).settling()).isTrue();
+			assertThat(report(1, 2).settling()).as("a report from before the change").isTrue();
+			assertThat(ejected(report(1, 3))).containsExactly("t1");
+		}
+
+		@Test
+		void keepsTheEjectionsThatItsHostsHold() {
+			HealthCoordinatorTests.this.coordinator.follow(2, HealthCoordinatorTests.this.members, false);
+			HealthCoordinatorTests.this.coordinator.follow(3, HealthCoordinatorTests.this.members, true);
+			report(0, 3, "t4");
+			assertThat(ejected(report(1, 3))).containsExactly("t4");
+		}
+
+		@Test
+		void countsTheEjectionsThatItsHostsHoldAgainstTheBudget() {
+			HealthCoordinatorTests.this.coordinator.follow(2, HealthCoordinatorTests.this.members, false);
+			HealthCoordinatorTests.this.coordinator.follow(3, HealthCoordinatorTests.this.members, true);
+			sick("t1", "t2", "t3");
+			report(0, 3, "t4", "t5");
+			assertThat(ejected(report(1, 3))).hasSize(3).contains("t4", "t5");
+		}
+
+	}
+
+	@Nested
+	class Budget {
+
+		@Test
+		void leavesTheLeastSickInUseAtReducedWeight() {
+			sick("t0", "t1", "t2", "t3", "t4");
+			PeerMessage.Verdicts verdicts = report(0, 1);
+			assertThat(ejected(verdicts)).containsExactlyInAnyOrder("t0", "t1", "t2");
+			assertThat(weight(verdicts, "t4")).isEqualTo(0.1);
+		}
+
+		@Test
+		void isNotSpentAgainBeforeReleasedEjectionsHaveExpired() {
+			sick("t0", "t1", "t2");
+			report(0, 1);
+			HealthCoordinatorTests.this.clock.advance(4900);
+			report(0, 1);
+			HealthCoordinatorTests.this.sickness.clear();
+			HealthCoordinatorTests.this.clock.advance(100);
+			report(0, 1);
+			sick("t5", "t6", "t7");
+			assertThat(ejected(report(0, 1))).isEmpty();
+			HealthCoordinatorTests.this.clock.advance(2600);
+			assertThat(ejected(report(0, 1))).hasSize(3);
+		}
+
+		@Test
+		void shrinksWhenTargetsLeave() {
+			sick("t0", "t1", "t2");
+			report(0, 1);
+			HealthCoordinatorTests.this.targets = HealthFixtures.targets(4, 4);
+			assertThat(ejected(report(0, 1))).hasSize(1);
+		}
+
+		@Test
+		void isNothingWhileTheConfigurationIsNotCurrent() {
+			HealthCoordinatorTests.this.current = false;
+			sick("t0");
+			assertThat(ejected(report(0, 1))).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Readmission {
+
+		@Test
+		void startsAtTenPercentAfterFiveSeconds() {
+			sick("t0");
+			report(0, 1);
+			HealthCoordinatorTests.this.sickness.clear();
+			HealthCoordinatorTests.this.clock.advance(4999);
+			assertThat(ejected(report(0, 1))).containsExactly("t0");
+			HealthCoordinatorTests.this.clock.advance(1);
+			assertThat(weight(report(0, 1), "t0")).isEqualTo(0.1);
+			HealthCoordinatorTests.this.clock.advance(20_000);
+			assertThat(weight(report(0, 1), "t0")).isEqualTo(1);
+		}
+
+		@Test
+		void takesTwiceAsLongAtEachRelapseUpToTenMinutes() {
+			long expected = 5000;
+			for (int i = 0; i < 10; i++) {
+				sick("t0");
+				report(0, 1);
+				HealthCoordinatorTests.this.clock.advance(expected - 1);
+				HealthCoordinatorTests.this.sickness.clear();
+				assertThat(ejected(report(0, 1))).as("relapse %d", i).containsExactly("t0");
+				HealthCoordinatorTests.this.clock.advance(1);
+				assertThat(ejected(report(0, 1))).as("relapse %d", i).isEmpty();
+				expected = Math.min(600_000, expected * 2);
+			}
+		}
+
+	}
+
+	@Nested
+	class Reports {
+
+		@Test
+		void ofAStrangerGiveNoRight() {
+			HealthCoordinatorTests.this.coordinator.follow(2, HealthCoordinatorTests.this.members, false);
+			HealthCoordinatorTests.this.coordinator.follow(3, HealthCoordinatorTests.this.members, true);
+			report(0, 3);
+			assertThat(HealthCoordinatorTests.this.coordinator
+				.report(new PeerMessage.Report("h1", "other-process", 3, HealthFixtures.SERVICE, List.of(), List.of()))
+				.settling()).isTrue();
+		}
+
+		@Test
+		void passOnThatATargetIsLeaving() {
+			PeerMessage.TargetEvidence leaving = new PeerMessage.TargetEvidence("t2", List.of(), List.of(), 0, true);
+			HealthCoordinatorTests.this.coordinator
+				.report(new PeerMessage.Report("h0", "p0", 1, HealthFixtures.SERVICE, List.of(leaving), List.of()));
+			assertThat(report(1, 1).leaving()).containsExactly("t2");
+		}
+
+		@Test
+		void givePooledLoad() {
+			for (int host = 0; host < 2; host++) {
+				PeerMessage.TargetEvidence busy = new PeerMessage.TargetEvidence("t2", List.of(), List.of(), 3, false);
+				HealthCoordinatorTests.this.coordinator.report(new PeerMessage.Report("h" + host, "p" + host, 1,
+						HealthFixtures.SERVICE, List.of(busy), List.of()));
+			}
+			assertThat(report(1, 1).verdicts())
+				.anyMatch((verdict) -> verdict.targetId().equals("t2") && verdict.load() == 3);
+		}
+
+	}
+
+	/** Finds sick what the test says. */
+	private final class GivenJudge implements HealthJudge {
+
+		@Override
+		public void observe(Observation observation) {
+		}
+
+		@Override
+		public Assessment assess(String targetId) {
+			Double sickness = HealthCoordinatorTests.this.sickness.get(targetId);
+			return (sickness != null) ? new Assessment(true, sickness, Set.of(), "given") : Assessment.HEALTHY;
+		}
+
+		@Override
+		public void readmitted(String targetId) {
+		}
+
+		@Override
+		public void retain(Collection<String> targetIds) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/health/HealthViewTests.java
@@ -0,0 +1,104 @@
+package org.plantainspur.core.health;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against verdicts that outlive their time or come from a coordinator that this
+ * host has left.
+ */
+class HealthViewTests {
+
+	private final HandClock clock = new HandClock();
+
+	private final HealthView view = new HealthView(this.clock);
+
+	private static PeerMessage.Verdicts ejecting(boolean settling, String... ids) {
+		return new PeerMessage.Verdicts(HealthFixtures.SERVICE,
+				List.of(ids).stream().map((id) -> new PeerMessage.Verdict(id, true, 0.1, 0, 30, "")).toList(), 2500,
+				settling, List.of());
+	}
+
+	private HealthView.ReportTicket reporting(String coordinator) {
+		return this.view.reporting(HealthFixtures.SERVICE, coordinator);
+	}
+
+	private List<String> held() {
+		return this.view.ejectedHeld(HealthFixtures.SERVICE);
+	}
+
+	@Nested
+	class Expiry {
+
+		@Test
+		void countsFromBeforeTheReportWasSent() {
+			HealthView.ReportTicket ticket = reporting("p0");
+			HealthViewTests.this.clock.advance(2000);
+			HealthViewTests.this.view.apply(ticket, ejecting(false, "t1"));
+			HealthViewTests.this.clock.advance(499);
+			assertThat(held()).containsExactly("t1");
+			HealthViewTests.this.clock.advance(1);
+			assertThat(held()).isEmpty();
+		}
+
+		@Test
+		void leavesTheSlowStartWeight() {
+			HealthViewTests.this.view.apply(reporting("p0"), ejecting(false, "t1"));
+			HealthViewTests.this.clock.advance(2500);
+			assertThat(HealthViewTests.this.view.service(HealthFixtures.SERVICE)
+				.target("t1")
+				.weightAt(HealthViewTests.this.clock.millis())).isEqualTo(0.1);
+		}
+
+	}
+
+	@Nested
+	class Answers {
+
+		@Test
+		void ofAnEarlierCoordinatorAreDropped() {
+			HealthView.ReportTicket old = reporting("p0");
+			reporting("p1");
+			HealthViewTests.this.view.apply(old, ejecting(false, "t1"));
+			assertThat(held()).isEmpty();
+		}
+
+		@Test
+		void thatAreOvertakenAreDropped() {
+			HealthView.ReportTicket first = reporting("p0");
+			HealthView.ReportTicket second = reporting("p0");
+			HealthViewTests.this.view.apply(second, ejecting(false));
+			HealthViewTests.this.view.apply(first, ejecting(false, "t1"));
+			assertThat(held()).isEmpty();
+		}
+
+		@Test
+		void ofACoordinatorThatSettlesKeepWhatIsHeldButDoNotProlongIt() {
+			HealthViewTests.this.view.apply(reporting("p0"), ejecting(false, "t1"));
+			HealthViewTests.this.clock.advance(2000);
+			HealthViewTests.this.view.apply(reporting("p1"), ejecting(true));
+			assertThat(held()).containsExactly("t1");
+			HealthViewTests.this.clock.advance(500);
+			assertThat(held()).isEmpty();
+		}
+
+		@Test
+		void withAnOddWeightGiveAtLeastTenPercent() {
+			PeerMessage.Verdict odd = new PeerMessage.Verdict("t1", false, Double.NaN, -4, 0, "");
+			HealthViewTests.this.view.apply(reporting("p0"),
+					new PeerMessage.Verdicts(HealthFixtures.SERVICE, List.of(odd), 2500, false, List.of()));
+			assertThat(HealthViewTests.this.view.service(HealthFixtures.SERVICE).target("t1"))
+				.extracting(HealthView.TargetHealth::weight, HealthView.TargetHealth::load)
+				.containsExactly(0.1, 0);
+		}
+
+	}
+
+}
