--- a/core/src/main/java/org/plantainspur/core/rate/Demand.java
+++ b/core/src/main/java/org/plantainspur/core/rate/Demand.java
@@ -31,8 +31,10 @@
 	 * @return the amount of tokens
 	 */
 	double expected(long now, long millis) {
-		double recent = (double) this.arrivals / Math.max(WINDOW_MILLIS, now - this.startMillis);
-		return Math.max(recent, this.perMilli) * millis * Amounts.TOKEN;
+		long elapsed = Math.max(WINDOW_MILLIS, now - this.startMillis);
+		double recent = (double) this.arrivals / elapsed;
+		double faded = this.perMilli * Math.exp((WINDOW_MILLIS - elapsed) / SMOOTHING_MILLIS);
+		return Math.max(recent, faded) * millis * Amounts.TOKEN;
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
@@ -182,7 +182,7 @@
 	}
 
 	// The caller may have read the account from an older configuration.
-	private AccountLimit limit(ClientAccount seen) {
+	AccountLimit limit(ClientAccount seen) {
 		ShareHistory present = history();
 		ClientAccount newest = present.current().account(seen.id());
 		ClientAccount account = (newest != null) ? newest : seen;
--- a/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
@@ -41,6 +41,10 @@
 		this.log = this.log.apply(new ChangeEntry(this.log.sequence() + 1, "c" + this.log.sequence(), change));
 	}
 
+	Configuration log() {
+		return this.log;
+	}
+
 	void put(ClientAccount account) {
 		append(new Change.PutAccount(account));
 	}
--- a/core/src/test/java/org/plantainspur/core/rate/SimulatedHost.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedHost.java
@@ -79,6 +79,7 @@
 	private CompletableFuture<PeerMessage> ask(Directory directory, Member to, PeerMessage.Borrow message) {
 		CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
 		String from = this.member.hostId();
+		this.network.countBorrowMessage();
 		this.network.send(from, to.hostId(), () -> {
 			SimulatedHost lender = directory.at(to.hostId());
 			lender.run(() -> {
--- a/core/src/test/java/org/plantainspur/core/rate/SimulatedNetwork.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedNetwork.java
@@ -26,6 +26,8 @@
 
 	private long count;
 
+	private long borrowMessages;
+
 	SimulatedNetwork(Random random, int shortestDelay, int longestDelay, double loss) {
 		this.random = random;
 		this.shortestDelay = shortestDelay;
@@ -33,6 +35,14 @@
 		this.loss = loss;
 	}
 
+	long borrowMessages() {
+		return this.borrowMessages;
+	}
+
+	void countBorrowMessage() {
+		this.borrowMessages++;
+	}
+
 	long now() {
 		return this.now;
 	}
@@ -54,10 +64,6 @@
 		}
 	}
 
-	boolean isCut(String from, String to) {
-		return this.cuts.contains(from + ">" + to);
-	}
-
 	void heal() {
 		this.cuts.clear();
 	}
