Judge currency by a majority of members and keep the membership

Cause: fencing by age stops every keyed route 3 s into an outage of the platform, and nothing removed a silent member or accepted a change.

A change of seats waits until the one before it is known to a majority of the members before and after it; SeatsSettled records that. A process without a past counts itself only after a majority of others showed nothing newer.

--- a/core/src/main/java/org/plantainspur/core/configuration/Change.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/Change.java
@@ -186,4 +186,19 @@
 
 	}
 
+	/**
+	 * Records that the last change of seats is known to a majority of the members before
+	 * and after it, and that processes that lost their seat are fenced.
+	 *
+	 * @param seatSequence the sequence number of that change of seats
+	 */
+	record SeatsSettled(long seatSequence) implements Change {
+
+		@Override
+		public List<String> entities() {
+			return List.of("seats");
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/plantainspur/core/configuration/Configuration.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/Configuration.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
@@ -53,6 +54,32 @@
 		return EMPTY;
 	}
 
+	/**
+	 * Restores a configuration.
+	 * @param state the state, as given by {@link #state()}
+	 * @return the configuration
+	 */
+	public static Configuration restore(ConfigurationState state) {
+		Map<String, ClientAccount> accounts = new HashMap<>();
+		state.accounts().forEach((account) -> accounts.put(account.id(), account));
+		Map<String, Route> routes = new HashMap<>();
+		state.routes().forEach((route) -> routes.put(route.id(), route));
+		Map<String, ServicePolicy> services = new HashMap<>();
+		state.services().forEach((policy) -> services.put(policy.service(), policy));
+		return new Configuration(state.sequence(), Map.copyOf(accounts), state.accountsByKeyHash(), Map.copyOf(routes),
+				Map.copyOf(services), Membership.restore(state.membership()), state.versions());
+	}
+
+	/**
+	 * Returns the state as a value that can be stored.
+	 * @return the state
+	 */
+	public ConfigurationState state() {
+		return new ConfigurationState(this.sequence, List.copyOf(this.accounts.values()), this.accountsByKeyHash,
+				List.copyOf(this.routes.values()), List.copyOf(this.services.values()), this.membership.state(),
+				this.versions);
+	}
+
 	/**
 	 * Returns the sequence number of the last change applied.
 	 * @return the sequence number
--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -14,15 +14,72 @@
  */
 public final class Membership {
 
-	private static final Membership EMPTY = new Membership(new TreeMap<>(), 0);
+	private static final Membership EMPTY = new Membership(new TreeMap<>(), new State(0, List.of(), 0, 0, List.of()));
 
 	private final TreeMap<String, Member> members;
 
-	private final long sequence;
+	private final State state;
 
-	private Membership(TreeMap<String, Member> members, long sequence) {
+	private Membership(TreeMap<String, Member> members, State state) {
 		this.members = members;
-		this.sequence = sequence;
+		this.state = state;
+	}
+
+	/**
+	 * Restores a membership.
+	 * @param state the state of the membership
+	 * @return the membership
+	 */
+	public static Membership restore(State state) {
+		TreeMap<String, Member> members = new TreeMap<>();
+		state.members().forEach((member) -> members.put(member.hostId(), member));
+		return new Membership(members, state);
+	}
+
+	/**
+	 * Returns the state as a value that can be stored.
+	 * @return the state
+	 */
+	public State state() {
+		return this.state;
+	}
+
+	/**
+	 * Returns the sequence number of the last change of seats. A seat is a host with its
+	 * peer address; a process that replaces another one at the same seat proves that the
+	 * other is dead, since it could bind the address.
+	 * @return the sequence number, 0 if there was none
+	 */
+	public long seatSequence() {
+		return this.state.seatSequence();
+	}
+
+	/**
+	 * Returns the members before the last change of seats while that change is not
+	 * settled.
+	 * @return an unmodifiable list, empty once it is settled
+	 */
+	public List<Member> previousMembers() {
+		return this.state.previousMembers();
+	}
+
+	/**
+	 * Returns the sequence number of the last change that took a seat away while the
+	 * process that lost it may not be fenced yet.
+	 * @return the sequence number, 0 if there is none
+	 */
+	public long departureSequence() {
+		return this.state.departureSequence();
+	}
+
+	/**
+	 * Returns whether a member still has its seat here.
+	 * @param member the member
+	 * @return whether its host is a member at the same peer address
+	 */
+	public boolean hasSeat(Member member) {
+		Member present = this.members.get(member.hostId());
+		return present != null && present.peerAddress().equals(member.peerAddress());
 	}
 
 	/**
@@ -38,7 +95,7 @@
 	 * @return the sequence number
 	 */
 	public long sequence() {
-		return this.sequence;
+		return this.state.sequence();
 	}
 
 	/**
@@ -83,6 +140,9 @@
 	 * @return the new membership
 	 */
 	public Membership apply(Change change, long sequence) {
+		if (change instanceof Change.SeatsSettled settled) {
+			return (settled.seatSequence() == seatSequence()) ? settle(sequence) : this;
+		}
 		TreeMap<String, Member> next = new TreeMap<>(this.members);
 		if (change instanceof Change.MemberJoined joined) {
 			next.put(joined.member().hostId(), joined.member());
@@ -94,7 +154,21 @@
 		else if (change instanceof Change.MembersRemoved removed) {
 			removed.members().forEach((gone) -> remove(next, gone));
 		}
-		return new Membership(next, sequence);
+		return new Membership(next, nextState(next, sequence));
+	}
+
+	private Membership settle(long sequence) {
+		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()));
+	}
+
+	private State nextState(TreeMap<String, Member> next, long sequence) {
+		List<Member> members = List.copyOf(next.values());
+		Membership after = new Membership(next, this.state);
+		boolean departed = !this.members.values().stream().allMatch(after::hasSeat);
+		boolean seatsChanged = departed || next.size() != this.members.size();
+		return new State(sequence, members, seatsChanged ? sequence : seatSequence(),
+				departed ? sequence : departureSequence(),
+				seatsChanged ? List.copyOf(this.members.values()) : previousMembers());
 	}
 
 	private static void remove(Map<String, Member> members, Member gone) {
@@ -104,4 +178,24 @@
 		}
 	}
 
+	/**
+	 * The state of a membership.
+	 *
+	 * @param sequence the sequence number of the last change of the membership
+	 * @param members the members, ordered by host
+	 * @param seatSequence the sequence number of the last change of seats
+	 * @param departureSequence the sequence number of the last change that took a seat
+	 * away
+	 * @param previousMembers the members before the last change of seats
+	 */
+	public record State(long sequence, List<Member> members, long seatSequence, long departureSequence,
+			List<Member> previousMembers) {
+
+		public State {
+			members = List.copyOf(members);
+			previousMembers = List.copyOf(previousMembers);
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/plantainspur/core/membership/RendezvousHomeHosts.java
+++ b/core/src/main/java/org/plantainspur/core/membership/RendezvousHomeHosts.java
@@ -45,6 +45,16 @@
 		return rank("service/" + service, membership).stream().limit(1).map(Ranked::member).toList();
 	}
 
+	/**
+	 * Returns the members in the order in which they take a duty.
+	 * @param duty the duty's name
+	 * @param membership the members
+	 * @return every active member, the first in the order first
+	 */
+	public List<Member> order(String duty, Membership membership) {
+		return rank("duty/" + duty, membership).stream().map(Ranked::member).toList();
+	}
+
 	private static List<Ranked> rank(String name, Membership membership) {
 		long nameHash = hash(name);
 		return membership.active()
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -2,6 +2,10 @@
 
 import java.util.List;
 
+import org.jspecify.annotations.Nullable;
+
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ConfigurationState;
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.CallerRequest;
 
@@ -15,13 +19,41 @@
 	 *
 	 * @param hostId the sender's host
 	 * @param processId the sender's process
-	 * @param sequence the sender's sequence number in force
+	 * @param sequence the sender's sequence number in force, -1 while the sender has not
+	 * shown it to be the newest that a majority knows
 	 * @param platformReadAgeMillis the age of the sender's newest read of the platform in
 	 * milliseconds, -1 if it has none
 	 * @param leaving whether the sender is about to stop
+	 * @param silentHosts hosts that gave the sender no answer for 3 s, at most 64
+	 */
+	record Heartbeat(String hostId, String processId, long sequence, long platformReadAgeMillis, boolean leaving,
+			List<String> silentHosts) implements PeerMessage {
+
+		public Heartbeat {
+			silentHosts = List.copyOf(silentHosts);
+		}
+	}
+
+	/**
+	 * Asks for the changes after a sequence number.
+	 *
+	 * @param after the sequence number to start after
 	 */
-	record Heartbeat(String hostId, String processId, long sequence, long platformReadAgeMillis,
-			boolean leaving) implements PeerMessage {
+	record ConfigurationRequest(long after) implements PeerMessage {
+	}
+
+	/**
+	 * Returns changes in order.
+	 *
+	 * @param base the state to apply the changes to, {@code null} if they follow the
+	 * requested sequence number
+	 * @param entries the changes
+	 */
+	record ConfigurationChanges(@Nullable ConfigurationState base, List<ChangeEntry> entries) implements PeerMessage {
+
+		public ConfigurationChanges {
+			entries = List.copyOf(entries);
+		}
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/schedule/AcceptedChangesTests.java
@@ -0,0 +1,161 @@
+package org.plantainspur.core.schedule;
+
+import java.util.List;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a host that serves with a configuration older than an accepted change,
+ * and against hosts that stop serving although the design lets them continue.
+ */
+class AcceptedChangesTests {
+
+	private static final long START_MILLIS = 30_000;
+
+	private static Fleet started(int size, long seed) {
+		Fleet fleet = new Fleet(size, seed);
+		fleet.run(START_MILLIS);
+		return fleet;
+	}
+
+	private static void assertAllCurrent(Fleet fleet, List<FakeHost> hosts) {
+		assertThat(hosts).allSatisfy(
+				(host) -> assertThat(host.current()).as("%s is current at %d", host.id(), fleet.now()).isTrue());
+	}
+
+	@Group
+	class Safety {
+
+		@Property(seed = "20261204", tries = 1500)
+		void noHostServesOlderThanAccepted(@ForAll @IntRange(min = 3, max = 7) int size, @ForAll long seed,
+				@ForAll("schedules") List<Step> schedule) {
+			Fleet fleet = started(size, seed);
+			for (Step step : schedule) {
+				step.apply(fleet);
+				fleet.run(step.gapMillis());
+			}
+			fleet.run(8000);
+			fleet.heal();
+			fleet.healPlatform();
+			fleet.thaw();
+			fleet.run(10_000);
+		}
+
+		@Provide
+		Arbitrary<List<Step>> schedules() {
+			Arbitrary<Integer> index = Arbitraries.integers().between(0, 6);
+			Arbitrary<Integer> gap = Arbitraries.frequencyOf(Tuple.of(3, Arbitraries.integers().between(0, 800)),
+					Tuple.of(1, Arbitraries.integers().between(800, 7000)));
+			Arbitrary<Fault> fault = Arbitraries.of(Fault.values());
+			return Combinators.combine(fault, index, index, gap).as(Step::new).list().ofMinSize(5).ofMaxSize(40);
+		}
+
+	}
+
+	@Group
+	class Liveness {
+
+		@Property(seed = "20261204", tries = 3)
+		void connectedHostsServeForHoursWithoutThePlatform(@ForAll @IntRange(min = 3, max = 7) int size,
+				@ForAll long seed) {
+			Fleet fleet = started(size, seed);
+			fleet.cutPlatformFromAll();
+			for (int step = 0; step < 2 * 3600 * 4; step++) {
+				fleet.run(250);
+				assertAllCurrent(fleet, fleet.hosts());
+			}
+		}
+
+		@Property(seed = "20261204", tries = 30)
+		void othersServeIfOneHostCannotBeHeard(@ForAll @IntRange(min = 3, max = 7) int size, @ForAll long seed,
+				@ForAll boolean platform) {
+			Fleet fleet = started(size, seed);
+			if (!platform) {
+				fleet.cutPlatformFromAll();
+			}
+			for (int other = 1; other < size; other++) {
+				fleet.cut(0, other);
+			}
+			List<FakeHost> others = fleet.hosts().stream().filter((host) -> !host.id().equals("h0")).toList();
+			for (int step = 0; step < 240; step++) {
+				fleet.run(250);
+				assertAllCurrent(fleet, others);
+			}
+		}
+
+		@Property(seed = "20261204", tries = 30)
+		void newProcessServesInAnOutage(@ForAll @IntRange(min = 3, max = 7) int size, @ForAll long seed) {
+			Fleet fleet = started(size, seed);
+			fleet.cutPlatformFromAll();
+			fleet.run(10_000);
+			// All but one are replaced in turn, so in the end the majority never read the
+			// platform.
+			for (int index = 1; index < size; index++) {
+				fleet.startProcess("h" + index);
+				assertThat(fleet.host(index).current()).as("new process before it asked the others").isFalse();
+				fleet.run(6000);
+			}
+			assertAllCurrent(fleet, fleet.hosts());
+		}
+
+		@Property(seed = "20261204", tries = 30)
+		void changesAreAcceptedWithOneSilentHost(@ForAll @IntRange(min = 3, max = 7) int size, @ForAll long seed) {
+			Fleet fleet = started(size, seed);
+			fleet.isolate(0);
+			fleet.cutPlatform(0);
+			fleet.write();
+			fleet.run(8000);
+			assertThat(fleet.changesAccepted()).isEqualTo(1);
+			assertThat(fleet.host(1).view().current().membership().member("h0")).as("silent member").isNull();
+			fleet.heal();
+			fleet.healPlatform();
+			fleet.run(10_000);
+			assertThat(fleet.host(1).view().current().membership().size()).as("members after rejoining")
+				.isEqualTo(size);
+		}
+
+	}
+
+	/**
+	 * What happens next in a schedule.
+	 */
+	enum Fault {
+
+		WRITE, WRITE_AGAIN, CUT_ONE_WAY, ISOLATE, SPLIT, HEAL, CUT_PLATFORM, CUT_PLATFORM_FROM_ALL, HEAL_PLATFORM,
+		FREEZE, THAW, SLOW_READS, RESTART, LOSE_REPLY
+
+	}
+
+	record Step(Fault fault, int first, int second, int gapMillis) {
+
+		void apply(Fleet fleet) {
+			switch (this.fault) {
+				case WRITE, WRITE_AGAIN -> fleet.write();
+				case CUT_ONE_WAY -> fleet.cut(this.first, this.second);
+				case ISOLATE -> fleet.isolate(this.first);
+				case SPLIT -> fleet.split(this.first);
+				case HEAL -> fleet.heal();
+				case CUT_PLATFORM -> fleet.cutPlatform(this.first);
+				case CUT_PLATFORM_FROM_ALL -> fleet.cutPlatformFromAll();
+				case HEAL_PLATFORM -> fleet.healPlatform();
+				case FREEZE -> fleet.freeze(this.first);
+				case THAW -> fleet.thaw();
+				case SLOW_READS -> fleet.slowReads(this.first);
+				case RESTART -> fleet.startProcess(fleet.host(this.first).id());
+				case LOSE_REPLY -> fleet.host(this.first).table().loseReplies(1);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/schedule/FakeTable.java
@@ -0,0 +1,124 @@
+package org.plantainspur.core.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ChangeLog;
+
+/**
+ * The platform's sequence of changes in memory.
+ */
+final class FakeTable {
+
+	private final List<ChangeEntry> entries = new ArrayList<>();
+
+	long head() {
+		return this.entries.size();
+	}
+
+	List<ChangeEntry> entries() {
+		return this.entries;
+	}
+
+	/**
+	 * Returns the table as one process reaches it.
+	 * @param reachable whether the process reaches the platform now
+	 * @return the table's view
+	 */
+	Access access(BooleanSupplier reachable) {
+		return new Access(reachable);
+	}
+
+	/**
+	 * The table as one process reaches it.
+	 */
+	final class Access implements ChangeLog {
+
+		private final BooleanSupplier reachable;
+
+		private long visibleHead = Long.MAX_VALUE;
+
+		private int repliesToLose;
+
+		private int writesToLose;
+
+		Access(BooleanSupplier reachable) {
+			this.reachable = reachable;
+		}
+
+		/**
+		 * Makes reads return what was there when a slow read began.
+		 * @param head the newest visible sequence number
+		 */
+		void showOnly(long head) {
+			this.visibleHead = head;
+		}
+
+		void loseReplies(int replies) {
+			this.repliesToLose = replies;
+		}
+
+		void loseWrites(int writes) {
+			this.writesToLose = writes;
+		}
+
+		@Override
+		public long head() {
+			demandReachable();
+			return Math.min(FakeTable.this.head(), this.visibleHead);
+		}
+
+		@Override
+		public List<ChangeEntry> read(long after) {
+			long head = head();
+			return FakeTable.this.entries.stream()
+				.filter((entry) -> entry.sequence() > after && entry.sequence() <= head)
+				.toList();
+		}
+
+		@Override
+		public AppendResult append(long expectedHead, String changeId, Change change) {
+			if (!this.reachable.getAsBoolean()) {
+				return new AppendResult.Unknown("no connection");
+			}
+			if (this.writesToLose > 0) {
+				this.writesToLose--;
+				return new AppendResult.Unknown("the write was lost");
+			}
+			OptionalLong found = find(changeId);
+			if (found.isPresent()) {
+				return new AppendResult.Appended(found.getAsLong());
+			}
+			if (expectedHead != FakeTable.this.head()) {
+				return new AppendResult.HeadMoved(FakeTable.this.head());
+			}
+			FakeTable.this.entries.add(new ChangeEntry(expectedHead + 1, changeId, change));
+			if (this.repliesToLose > 0) {
+				this.repliesToLose--;
+				return new AppendResult.Unknown("the reply was lost");
+			}
+			return new AppendResult.Appended(expectedHead + 1);
+		}
+
+		@Override
+		public OptionalLong find(String changeId) {
+			demandReachable();
+			return FakeTable.this.entries.stream()
+				.filter((entry) -> entry.changeId().equals(changeId))
+				.mapToLong(ChangeEntry::sequence)
+				.findFirst();
+		}
+
+		private void demandReachable() {
+			if (!this.reachable.getAsBoolean()) {
+				throw new UnavailableException("no connection", new IllegalStateException("platform down"));
+			}
+		}
+
+	}
+
+}
--- a/host/src/main/java/org/plantainspur/host/HostModule.java
+++ b/host/src/main/java/org/plantainspur/host/HostModule.java
@@ -15,6 +15,7 @@
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.configuration.SnapshotStore;
 import org.plantainspur.core.currency.CurrencyRule;
 import org.plantainspur.core.currency.FencingByAge;
 import org.plantainspur.core.health.OutcomeRecorder;
@@ -85,7 +86,7 @@
 	@Provides
 	@Singleton
 	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, Clock clock) {
-		return new ConfigurationFollower(log, view, clock);
+		return new ConfigurationFollower(log, view, SnapshotStore.none(), clock);
 	}
 
 	@Provides
