--- a/adapters/src/main/java/org/plantainspur/adapters/platform/PlatformClient.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/PlatformClient.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
+import org.apache.hc.client5.http.classic.methods.HttpPut;
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
@@ -119,6 +120,29 @@
 		return true;
 	}
 
+	/**
+	 * Reads an object.
+	 * @param name the object's name
+	 * @return its content, if there is one
+	 * @throws IOException if no answer came
+	 */
+	Optional<JsonNode> object(String name) throws IOException {
+		Reply reply = send(new HttpGet(this.baseUrl + "/objects/" + name));
+		return (reply.status() == NOT_FOUND) ? Optional.empty() : Optional.of(reply.expect(OK));
+	}
+
+	/**
+	 * Writes an object.
+	 * @param name the object's name
+	 * @param content its new content
+	 * @throws IOException if no answer came; the object may have been written
+	 */
+	void putObject(String name, JsonNode content) throws IOException {
+		HttpPut put = new HttpPut(this.baseUrl + "/objects/" + name);
+		put.setEntity(new StringEntity(this.mapper.writeValueAsString(content), ContentType.APPLICATION_JSON));
+		send(put).expect(OK);
+	}
+
 	/**
 	 * Reads the list of live and leaving hosts.
 	 * @return the list as JSON
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/configuration/SnapshotTests.java
@@ -0,0 +1,113 @@
+package org.plantainspur.core.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a new host that reads the whole sequence, loses part of the state, or
+ * skips changes after the snapshot.
+ */
+class SnapshotTests {
+
+	private static Configuration after(long changes) {
+		Configuration configuration = Configuration.empty();
+		for (long sequence = 1; sequence <= changes; sequence++) {
+			configuration = configuration.apply(entry(sequence));
+		}
+		return configuration;
+	}
+
+	private static ChangeEntry entry(long sequence) {
+		Change change = (sequence % 2 == 0) ? new Change.PutAccount(new ClientAccount("a" + sequence, 1, 1))
+				: new Change.MemberJoined(Member.builder("h" + sequence, "p").peerAddress("h:1").build());
+		return new ChangeEntry(sequence, "c" + sequence, change);
+	}
+
+	private static final class FakeStore implements SnapshotStore {
+
+		private final AtomicReference<Optional<Configuration>> stored = new AtomicReference<>(Optional.empty());
+
+		@Override
+		public Optional<Configuration> newest() {
+			return this.stored.get();
+		}
+
+		@Override
+		public void put(Configuration configuration) {
+			this.stored.set(Optional.of(Configuration.restore(configuration.state())));
+		}
+
+	}
+
+	private record LogAfterSnapshot(long first, long head) implements ChangeLog {
+
+		@Override
+		public List<ChangeEntry> read(long after) {
+			assertThat(after).as("read starts after the snapshot").isGreaterThanOrEqualTo(this.first);
+			return java.util.stream.LongStream.rangeClosed(after + 1, this.head)
+				.mapToObj(SnapshotTests::entry)
+				.toList();
+		}
+
+		@Override
+		public AppendResult append(long expectedHead, String changeId, Change change) {
+			return new AppendResult.Unknown("read only");
+		}
+
+		@Override
+		public OptionalLong find(String changeId) {
+			return OptionalLong.empty();
+		}
+
+	}
+
+	@Nested
+	class Reading {
+
+		@Test
+		void newHostReadsTheSnapshotAndTheChangesAfterIt() {
+			FakeStore store = new FakeStore();
+			store.put(after(30));
+			ConfigurationView view = new ConfigurationView();
+			new ConfigurationFollower(new LogAfterSnapshot(30, 35), view, store, new HandClock()).poll();
+			assertThat(view.current().state()).usingRecursiveComparison()
+				.ignoringCollectionOrder()
+				.isEqualTo(after(35).state());
+		}
+
+	}
+
+	@Nested
+	class Writing {
+
+		@Test
+		void onlyTheCoordinatorWritesAndOnlyAfterTheInterval() {
+			FakeStore store = new FakeStore();
+			ConfigurationView view = new ConfigurationView();
+			AtomicBoolean coordinates = new AtomicBoolean();
+			SnapshotWriter writer = new SnapshotWriter(view, store, coordinates::get);
+			view.advance(after(SnapshotWriter.INTERVAL));
+			writer.tick();
+			assertThat(store.newest()).as("written by another host").isEmpty();
+			coordinates.set(true);
+			writer.tick();
+			assertThat(store.newest().map(Configuration::sequence)).contains(SnapshotWriter.INTERVAL);
+			view.advance(after(2 * SnapshotWriter.INTERVAL - 1));
+			writer.tick();
+			assertThat(store.newest().map(Configuration::sequence)).contains(SnapshotWriter.INTERVAL);
+		}
+
+	}
+
+}
