--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -21,20 +21,78 @@
 	 */
 	private static final int MAXIMUM_EARLIER = 16;
 
-	private static final Membership EMPTY = new Membership(new TreeMap<>(), 0, List.of());
+	private static final Membership EMPTY = new Membership(new TreeMap<>(), new State(0, List.of(), 0, 0, List.of()),
+			List.of());
 
 	private final TreeMap<String, Member> members;
 
-	private final long sequence;
+	private final State state;
 
 	private final List<Membership> earlier;
 
-	private Membership(TreeMap<String, Member> members, long sequence, List<Membership> earlier) {
+	private Membership(TreeMap<String, Member> members, State state, List<Membership> earlier) {
 		this.members = members;
-		this.sequence = sequence;
+		this.state = state;
 		this.earlier = earlier;
 	}
 
+	/**
+	 * Restores a membership.
+	 * @param state the state of the membership
+	 * @return the membership
+	 */
+	public static Membership restore(State state) {
+		TreeMap<String, Member> members = new TreeMap<>();
+		state.members().forEach((member) -> members.put(member.hostId(), member));
+		return new Membership(members, state, List.of());
+	}
+
+	/**
+	 * Returns the state as a value that can be stored.
+	 * @return the state
+	 */
+	public State state() {
+		return this.state;
+	}
+
+	/**
+	 * Returns the sequence number of the last change of seats. A seat is a host with its
+	 * peer address; a process that replaces another one at the same seat proves that the
+	 * other is dead, since it could bind the address.
+	 * @return the sequence number, 0 if there was none
+	 */
+	public long seatSequence() {
+		return this.state.seatSequence();
+	}
+
+	/**
+	 * Returns the members before the last change of seats while that change is not
+	 * settled.
+	 * @return an unmodifiable list, empty once it is settled
+	 */
+	public List<Member> previousMembers() {
+		return this.state.previousMembers();
+	}
+
+	/**
+	 * Returns the sequence number of the last change that took a seat away while the
+	 * process that lost it may not be fenced yet.
+	 * @return the sequence number, 0 if there is none
+	 */
+	public long departureSequence() {
+		return this.state.departureSequence();
+	}
+
+	/**
+	 * Returns whether a member still has its seat here.
+	 * @param member the member
+	 * @return whether its host is a member at the same peer address
+	 */
+	public boolean hasSeat(Member member) {
+		Member present = this.members.get(member.hostId());
+		return present != null && present.peerAddress().equals(member.peerAddress());
+	}
+
 	/**
 	 * Returns a membership without members.
 	 * @return the empty membership
@@ -48,7 +106,7 @@
 	 * @return the sequence number
 	 */
 	public long sequence() {
-		return this.sequence;
+		return this.state.sequence();
 	}
 
 	/**
@@ -102,6 +160,9 @@
 	 * @return the new membership
 	 */
 	public Membership apply(Change change, long sequence) {
+		if (change instanceof Change.SeatsSettled settled) {
+			return (settled.seatSequence() == seatSequence()) ? settle(sequence) : this;
+		}
 		TreeMap<String, Member> next = new TreeMap<>(this.members);
 		if (change instanceof Change.MemberJoined joined) {
 			next.put(joined.member().hostId(), joined.member());
@@ -113,15 +174,30 @@
 		else if (change instanceof Change.MembersRemoved removed) {
 			removed.members().forEach((gone) -> remove(next, gone));
 		}
-		return new Membership(next, sequence, withThis());
+		return new Membership(next, nextState(next, sequence), withThis());
 	}
 
 	private List<Membership> withThis() {
 		List<Membership> all = new ArrayList<>(this.earlier);
-		all.add(new Membership(this.members, this.sequence, List.of()));
+		all.add(new Membership(this.members, this.state, List.of()));
 		return List.copyOf(all.subList(Math.max(0, all.size() - MAXIMUM_EARLIER), all.size()));
 	}
 
+	private Membership settle(long sequence) {
+		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()),
+				withThis());
+	}
+
+	private State nextState(TreeMap<String, Member> next, long sequence) {
+		List<Member> members = List.copyOf(next.values());
+		Membership after = new Membership(next, this.state, List.of());
+		boolean departed = !this.members.values().stream().allMatch(after::hasSeat);
+		boolean seatsChanged = departed || next.size() != this.members.size();
+		return new State(sequence, members, seatsChanged ? sequence : seatSequence(),
+				departed ? sequence : departureSequence(),
+				seatsChanged ? List.copyOf(this.members.values()) : previousMembers());
+	}
+
 	private static void remove(Map<String, Member> members, Member gone) {
 		Member present = members.get(gone.hostId());
 		if (present != null && present.processId().equals(gone.processId())) {
@@ -129,4 +205,24 @@
 		}
 	}
 
+	/**
+	 * The state of a membership.
+	 *
+	 * @param sequence the sequence number of the last change of the membership
+	 * @param members the members, ordered by host
+	 * @param seatSequence the sequence number of the last change of seats
+	 * @param departureSequence the sequence number of the last change that took a seat
+	 * away
+	 * @param previousMembers the members before the last change of seats
+	 */
+	public record State(long sequence, List<Member> members, long seatSequence, long departureSequence,
+			List<Member> previousMembers) {
+
+		public State {
+			members = List.copyOf(members);
+			previousMembers = List.copyOf(previousMembers);
+		}
+
+	}
+
 }
--- a/host/src/main/java/org/plantainspur/host/PeerModule.java
+++ b/host/src/main/java/org/plantainspur/host/PeerModule.java
@@ -1,6 +1,7 @@
 package org.plantainspur.host;
 
 import java.io.IOException;
+import java.util.List;
 
 import com.google.inject.AbstractModule;
 import com.google.inject.Provider;
@@ -62,7 +63,7 @@
 			ConfigurationFollower follower, StopSignal stopSignal) {
 		long age = follower.readAgeMillis();
 		return new PeerMessage.Heartbeat(member.hostId(), member.processId(), view.current().sequence(),
-				(age == Long.MAX_VALUE) ? -1 : age, stopSignal.stopping());
+				(age == Long.MAX_VALUE) ? -1 : age, stopSignal.stopping(), List.of());
 	}
 
 	@Provides
