--- a/core/src/main/java/org/plantainspur/core/routing/RouteTable.java
+++ b/core/src/main/java/org/plantainspur/core/routing/RouteTable.java
@@ -1,7 +1,10 @@
 package org.plantainspur.core.routing;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import org.jspecify.annotations.Nullable;
 
@@ -9,14 +12,24 @@
 import org.plantainspur.core.configuration.Route;
 
 /**
- * The routes of one configuration, ordered for matching.
+ * The routes of one configuration, by prefix. A match costs one hash lookup for each
+ * distinct length of prefix, however many routes there are.
  */
 public final class RouteTable {
 
-	private final List<Route> routes;
+	private final Map<String, List<Route>> byPrefix;
 
-	private RouteTable(List<Route> routes) {
-		this.routes = routes;
+	private final int[] lengths;
+
+	private RouteTable(Map<String, List<Route>> byPrefix) {
+		this.byPrefix = byPrefix;
+		this.lengths = byPrefix.keySet()
+			.stream()
+			.map(String::length)
+			.distinct()
+			.sorted(Comparator.reverseOrder())
+			.mapToInt(Integer::intValue)
+			.toArray();
 	}
 
 	/**
@@ -25,10 +38,12 @@
 	 * @return the route table
 	 */
 	public static RouteTable of(Configuration configuration) {
-		return new RouteTable(configuration.routes()
+		Map<String, List<Route>> byPrefix = new HashMap<>();
+		configuration.routes()
 			.stream()
-			.sorted(Comparator.comparingInt((Route route) -> -route.pathPrefix().length()).thenComparing(Route::id))
-			.toList());
+			.sorted(Comparator.comparing(Route::id))
+			.forEach((route) -> byPrefix.computeIfAbsent(route.pathPrefix(), (prefix) -> new ArrayList<>()).add(route));
+		return new RouteTable(byPrefix);
 	}
 
 	/**
@@ -39,22 +54,31 @@
 	 * none
 	 */
 	public @Nullable Route match(String method, String path) {
-		for (Route route : this.routes) {
-			if (matchesMethod(route, method) && matchesPath(route, path)) {
-				return route;
+		for (int length : this.lengths) {
+			if (endsAtSegment(path, length)) {
+				Route route = match(method, this.byPrefix.get(path.substring(0, length)));
+				if (route != null) {
+					return route;
+				}
 			}
 		}
 		return null;
 	}
 
-	private static boolean matchesMethod(Route route, String method) {
-		return route.method().equals("*") || route.method().equals(method);
+	private static boolean endsAtSegment(String path, int length) {
+		return length == path.length() || (length < path.length()
+				&& (path.charAt(length) == '/' || (length > 0 && path.charAt(length - 1) == '/')));
 	}
 
-	private static boolean matchesPath(Route route, String path) {
-		String prefix = route.pathPrefix();
-		return path.startsWith(prefix)
-				&& (path.length() == prefix.length() || prefix.endsWith("/") || path.charAt(prefix.length()) == '/');
+	private static @Nullable Route match(String method, @Nullable List<Route> routes) {
+		if (routes != null) {
+			for (Route route : routes) {
+				if (route.method().equals("*") || route.method().equals(method)) {
+					return route;
+				}
+			}
+		}
+		return null;
 	}
 
 }
