--- /dev/null
+++ b/host/src/test/java/org/plantainspur/host/AdminTests.java
@@ -0,0 +1,100 @@
+package org.plantainspur.host;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against operators who cannot see the state of a host.
+ */
+@Timeout(60)
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class AdminTests {
+
+	private RunningHost host;
+
+	@BeforeAll
+	void start() throws Exception {
+		this.host = new RunningHost((target, request, idempotent, timeout) -> RunningHost.ok());
+		this.host.exchange(
+				"GET /booking HTTP/1.1\r\nHost: x\r\nX-Api-Key: " + RunningHost.KEY + "\r\nConnection: close\r\n\r\n");
+	}
+
+	@AfterAll
+	void stop() throws Exception {
+		this.host.close();
+	}
+
+	private HttpResponse<String> get(String path) throws Exception {
+		return HttpClient.newHttpClient()
+			.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + this.host.adminPort + path)).build(),
+					HttpResponse.BodyHandlers.ofString());
+	}
+
+	private JsonNode json(String path) throws Exception {
+		return new ObjectMapper().readTree(get(path).body());
+	}
+
+	@Nested
+	class Status {
+
+		@Test
+		void hasEveryField() throws Exception {
+			JsonNode status = json("/status");
+			assertThat(status.fieldNames()).toIterable()
+				.containsExactly("hostId", "processId", "region", "failureDomain", "sequence", "current",
+						"currencyReason", "stopping", "members", "targets", "accountsInUse");
+			assertThat(status.path("hostId").asText()).isEqualTo("entry-1");
+			assertThat(status.path("current").asBoolean()).isTrue();
+			assertThat(status.path("members").path(0).path("hostId").asText()).isEqualTo("entry-1");
+			assertThat(status.path("targets").path(0).fieldNames()).toIterable()
+				.containsExactlyInAnyOrder("id", "service", "ejected", "weight", "reason", "leaving");
+		}
+
+	}
+
+	@Nested
+	class Explanation {
+
+		@Test
+		void ofATargetNamesItsState() throws Exception {
+			assertThat(json("/explain/target/booking-1").path("service").asText()).isEqualTo("booking");
+		}
+
+		@Test
+		void ofAnAccountNamesItsHomesAndNoKey() throws Exception {
+			JsonNode account = json("/explain/account/harbor-clinic");
+			assertThat(account.path("homes").path(0).asText()).isEqualTo("entry-1");
+			assertThat(account.toString()).doesNotContain(RunningHost.KEY);
+		}
+
+		@Test
+		void ofAnUnknownNameIsNotFound() throws Exception {
+			assertThat(get("/explain/account/nobody").statusCode()).isEqualTo(404);
+		}
+
+	}
+
+	@Nested
+	class Health {
+
+		@Test
+		void isGoodWhileTheConfigurationIsCurrent() throws Exception {
+			assertThat(get("/healthcheck").statusCode()).isEqualTo(200);
+		}
+
+	}
+
+}
