Add metrics for Prometheus and release a request's place before its answer ends

Cause: operators had no metrics. The place of a request was given back after its answer had been sent, so that a caller at its limit of 3 that sent its next request at once was refused with 429 (seen in one of two runs of the account limit test). A request in flight when a stop began was answered without Connection: close.

The place is given back with the last write of a small answer.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/CallerLimits.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/CallerLimits.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Connection;
@@ -11,6 +12,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.ConfigurationView;
@@ -70,7 +72,8 @@
 		if (!this.requests.tryAdd(accountId)) {
 			return refuse(response, counted, "more requests at a time");
 		}
-		return handOn(request, response, Callback.from(counted, () -> this.requests.remove(accountId)));
+		RequestPlace place = new RequestPlace(() -> this.requests.remove(accountId));
+		return handOn(request, new PlaceResponse(request, response, place), Callback.from(place::giveBack, counted));
 	}
 
 	private boolean handOn(Request request, Response response, Callback callback) throws Exception {
@@ -156,4 +159,52 @@
 
 	}
 
+	/**
+	 * One of the places that an account's requests may take; given back once.
+	 */
+	private static final class RequestPlace {
+
+		private final AtomicBoolean held = new AtomicBoolean(true);
+
+		private final Runnable release;
+
+		RequestPlace(Runnable release) {
+			this.release = release;
+		}
+
+		void giveBack() {
+			if (this.held.compareAndSet(true, false)) {
+				this.release.run();
+			}
+		}
+
+	}
+
+	/**
+	 * Gives the place back before the last bytes of the answer are sent. A caller that
+	 * sends its next request as soon as it has the answer would otherwise be counted
+	 * twice and refused at its limit. An answer larger than the socket's buffer may keep
+	 * its thread for as long as the caller likes, so its place is kept until it is sent.
+	 */
+	private static final class PlaceResponse extends Response.Wrapper {
+
+		private static final int SOCKET_BUFFER_BYTES = 32 * 1024;
+
+		private final RequestPlace place;
+
+		PlaceResponse(Request request, Response response, RequestPlace place) {
+			super(request, response);
+			this.place = place;
+		}
+
+		@Override
+		public void write(boolean last, @Nullable ByteBuffer content, Callback callback) {
+			if (last && (content == null || content.remaining() <= SOCKET_BUFFER_BYTES)) {
+				this.place.giveBack();
+			}
+			super.write(last, content, callback);
+		}
+
+	}
+
 }
--- a/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
@@ -46,15 +46,19 @@
 
 	private final Clock clock;
 
+	private final StopSignal stopSignal;
+
 	/**
 	 * Creates the resource.
 	 * @param pipeline serves the requests
 	 * @param clock the process clock
+	 * @param stopSignal whether the host is about to stop
 	 */
 	@Inject
-	public CallerResource(RequestPipeline pipeline, Clock clock) {
+	public CallerResource(RequestPipeline pipeline, Clock clock, StopSignal stopSignal) {
 		this.pipeline = pipeline;
 		this.clock = clock;
+		this.stopSignal = stopSignal;
 	}
 
 	@GET
@@ -130,7 +134,16 @@
 		return fields;
 	}
 
-	private static Response response(CallerAnswer answer) {
+	private Response response(CallerAnswer answer) {
+		Response.ResponseBuilder builder = builder(answer);
+		if (this.stopSignal.stopping()) {
+			// The stop may have begun after the request arrived.
+			builder.header("Connection", "close");
+		}
+		return builder.build();
+	}
+
+	private static Response.ResponseBuilder builder(CallerAnswer answer) {
 		if (answer instanceof CallerAnswer.Answered answered) {
 			Response.ResponseBuilder builder = Response.status(answered.status());
 			for (Headers.Field field : answered.headers().fields()) {
@@ -138,7 +151,7 @@
 					builder.header(field.name(), field.value());
 				}
 			}
-			return builder.entity(answered.body()).build();
+			return builder.entity(answered.body());
 		}
 		Problem problem = ((CallerAnswer.Refused) answer).problem();
 		Response.ResponseBuilder builder = Response.status(problem.code().status())
@@ -148,7 +161,7 @@
 			builder.header("Retry-After",
 					Math.max(1, (problem.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND));
 		}
-		return builder.build();
+		return builder;
 	}
 
 }
--- /dev/null
+++ b/adapters/src/main/java/org/plantainspur/adapters/metrics/MeasuredRetryPolicy.java
@@ -0,0 +1,37 @@
+package org.plantainspur.adapters.metrics;
+
+import io.micrometer.core.instrument.Counter;
+
+import org.plantainspur.core.configuration.Route;
+import org.plantainspur.core.request.DispatchOutcome;
+import org.plantainspur.core.request.RetryPolicy;
+
+/**
+ * Counts the retries that a policy allows.
+ */
+final class MeasuredRetryPolicy implements RetryPolicy {
+
+	private final RetryPolicy policy;
+
+	private final Counter retries;
+
+	MeasuredRetryPolicy(RetryPolicy policy, Counter retries) {
+		this.policy = policy;
+		this.retries = retries;
+	}
+
+	@Override
+	public void requestArrived() {
+		this.policy.requestArrived();
+	}
+
+	@Override
+	public boolean retry(Route route, DispatchOutcome outcome, int attempts) {
+		boolean retry = this.policy.retry(route, outcome, attempts);
+		if (retry) {
+			this.retries.increment();
+		}
+		return retry;
+	}
+
+}
--- a/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
+++ b/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
@@ -16,6 +16,7 @@
 import org.plantainspur.adapters.http.LocateResource;
 import org.plantainspur.adapters.http.ProblemErrorHandler;
 import org.plantainspur.adapters.http.ProblemExceptionMapper;
+import org.plantainspur.adapters.metrics.HostMetrics;
 
 /**
  * The Dropwizard application of an entry host. Its configuration object is built from
@@ -71,6 +72,9 @@
 		environment.admin()
 			.addServlet("status", new StatusServlet(report))
 			.addMapping("/status", "/explain/target/*", "/explain/account/*");
+		environment.admin()
+			.addServlet("prometheus", new MetricsServlet(injector.getInstance(HostMetrics.class)))
+			.addMapping("/metrics");
 		environment.healthChecks().register("configuration", new ConfigurationCheck(report));
 	}
 
--- a/host/src/main/java/org/plantainspur/host/HostModule.java
+++ b/host/src/main/java/org/plantainspur/host/HostModule.java
@@ -29,6 +29,7 @@
 		install(new PeerModule());
 		install(new StopModule());
 		install(new StatusModule());
+		install(new MetricsModule());
 	}
 
 	private Member member() {
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/MetricsModule.java
@@ -0,0 +1,26 @@
+package org.plantainspur.host;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+
+import org.plantainspur.adapters.http.CallerActivity;
+import org.plantainspur.adapters.metrics.HostMetrics;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.currency.CurrencyRule;
+
+/**
+ * Wires the metrics.
+ */
+final class MetricsModule extends AbstractModule {
+
+	@Provides
+	@Singleton
+	HostMetrics hostMetrics(CurrencyRule currency, ConfigurationView view, CallerActivity activity) {
+		HostMetrics metrics = new HostMetrics();
+		metrics.watch(() -> currency.check() instanceof CurrencyRule.Currency.Current, () -> view.current().sequence(),
+				activity::inFlight);
+		return metrics;
+	}
+
+}
--- a/host/src/main/java/org/plantainspur/host/RequestModule.java
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -10,6 +10,7 @@
 import org.plantainspur.adapters.http.CallerLimits;
 import org.plantainspur.adapters.http.HttpClientTargetDispatcher;
 import org.plantainspur.adapters.http.StopSignal;
+import org.plantainspur.adapters.metrics.HostMetrics;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.currency.CurrencyRule;
 import org.plantainspur.core.health.OutcomeRecorder;
@@ -88,21 +89,23 @@
 	@Singleton
 	RequestPipeline requestPipeline(Clock clock, ConfigurationView view, CurrencyRule currency, OnceGate onceGate,
 			RequestRelay relay, RateLimiter rateLimiter, AdmissionQueue admissionQueue, TargetChooser chooser,
-			TargetDispatcher dispatcher, RetryPolicy retryPolicy, OutcomeRecorder recorder, Quarantine quarantine) {
-		return StandardRequestPipeline.builder()
+			TargetDispatcher dispatcher, RetryPolicy retryPolicy, OutcomeRecorder recorder, Quarantine quarantine,
+			HostMetrics metrics) {
+		RequestPipeline pipeline = StandardRequestPipeline.builder()
 			.clock(clock)
 			.view(view)
 			.currency(currency)
 			.onceGate(onceGate)
 			.relay(relay)
 			.rateLimiter(rateLimiter)
-			.admissionQueue(admissionQueue)
+			.admissionQueue(metrics.measure(admissionQueue))
 			.chooser(chooser)
-			.dispatcher(dispatcher)
-			.retryPolicy(retryPolicy)
+			.dispatcher(metrics.measure(dispatcher))
+			.retryPolicy(metrics.measure(retryPolicy))
 			.recorder(recorder)
 			.quarantine(quarantine)
 			.build();
+		return metrics.measure(pipeline, view);
 	}
 
 	/**
--- a/host/src/test/java/org/plantainspur/host/AdminTests.java
+++ b/host/src/test/java/org/plantainspur/host/AdminTests.java
@@ -87,6 +87,22 @@
 
 	}
 
+	@Nested
+	class Metrics {
+
+		@Test
+		void haveTheRequestsOfAnAccountAndTheStateOfTheHost() throws Exception {
+			assertThat(get("/metrics").body())
+				.contains("plantainspur_requests_by_account_seconds_bucket{account=\"harbor-clinic\",le=\"0.005\"}")
+				.contains("plantainspur_requests_by_route_seconds_count{route=\"read\"}")
+				.contains("plantainspur_dispatches_total{outcome=\"answered\",service=\"booking\"}")
+				.contains("plantainspur_configuration_current 1.0")
+				.contains("plantainspur_queue_wait_seconds_count")
+				.contains("plantainspur_retries_total");
+		}
+
+	}
+
 	@Nested
 	class Health {
 
--- a/host/src/test/java/org/plantainspur/host/GracefulStopTests.java
+++ b/host/src/test/java/org/plantainspur/host/GracefulStopTests.java
@@ -84,7 +84,9 @@
 			GracefulStopTests.this.mayEnd.release();
 			stopped.get(5, TimeUnit.SECONDS);
 			GracefulStopTests.this.host.close();
-			assertThat(answer.get()).startsWith("HTTP/1.1 200").endsWith("ok");
+			assertThat(answer.get()).startsWith("HTTP/1.1 200")
+				.containsIgnoringCase("connection: close")
+				.endsWith("ok");
 		}
 
 	}
