Test the daemon as a process, locate answers and disconnects; name every event

Cause: nothing proved the exit codes, that standard output holds one line, that each log line is JSON, or that a caller who disconnects gives its place back.

Change: tests of the daemon as a process, of LocateResource and of disconnecting callers; every own log line is an event with a name.

Conclusion: mvn verify of core, adapters and host passes.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
@@ -66,22 +66,30 @@
 	@Produces(MediaType.APPLICATION_JSON)
 	public Response locate(@HeaderParam(Headers.API_KEY) @Nullable String key,
 			@QueryParam("region") @Nullable String region) {
-		Configuration configuration = this.view.current();
-		ClientAccount account = (key != null) ? configuration.accountOfKey(KeyHash.of(key))
-				: StandardRequestPipeline.OPEN_ACCOUNT;
-		if (account == null) {
+		LocateAnswer answer = answer((key != null) ? KeyHash.of(key) : null, region);
+		if (answer == null) {
 			return Response.status(Problem.Code.KEY_NOT_VALID.status())
 				.type(ProblemDocument.MEDIA_TYPE)
 				.entity(ProblemDocument.encode(Problem.notRun(Problem.Code.KEY_NOT_VALID,
 						"the key in " + Headers.API_KEY + " is unknown or withdrawn")))
 				.build();
 		}
+		return Response.ok(answer).build();
+	}
+
+	@Nullable LocateAnswer answer(@Nullable String keyHash, @Nullable String region) {
+		Configuration configuration = this.view.current();
+		ClientAccount account = (keyHash != null) ? configuration.accountOfKey(keyHash)
+				: StandardRequestPipeline.OPEN_ACCOUNT;
+		if (account == null) {
+			return null;
+		}
 		List<Located> hosts = usable(account, configuration.membership()).stream()
 			.sorted(Comparator.comparing((member) -> !member.region().equals(region)))
 			.map(Located::of)
 			.toList();
 		String token = this.stopSignal.stopping() ? "" : this.onceGate.mint(account.id());
-		return Response.ok(new LocateAnswer(hosts, LIFETIME_MILLIS, token)).build();
+		return new LocateAnswer(hosts, LIFETIME_MILLIS, token);
 	}
 
 	// A host knows of its own stop before its resignation is in force everywhere.
--- a/adapters/src/main/java/org/plantainspur/adapters/http/ProblemExceptionMapper.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/ProblemExceptionMapper.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.io.EofException;
 
+import org.plantainspur.adapters.log.Event;
 import org.plantainspur.core.request.Problem;
 
 /**
@@ -30,7 +31,7 @@
 				? Problem.notRun(ProblemDocument.ofStatus(status).code(), "the request could not be read as a whole")
 				: ProblemDocument.ofStatus(status);
 		if (status >= INTERNAL_ERROR) {
-			logger.error("a request ended with an internal error", exception);
+			logger.error(Event.named("request-failed"), exception);
 		}
 		return Response.status(status)
 			.type(ProblemDocument.MEDIA_TYPE)
--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerChannel.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerChannel.java
@@ -18,6 +18,7 @@
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.adapters.log.Event;
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.time.Clock;
 
@@ -248,7 +249,9 @@
 				}
 			}
 			catch (PeerProtocolException ex) {
-				logger.warn("the connection to {} is closed: {}", PeerChannel.this.address, ex.getMessage());
+				logger.warn(Event.named("peer-protocol-fault")
+					.with("peer", PeerChannel.this.address)
+					.with("reason", String.valueOf(ex.getMessage())));
 				end(String.valueOf(ex.getMessage()));
 			}
 			catch (IOException | RuntimeException ex) {
@@ -259,7 +262,7 @@
 		private void deliver(PeerCodec.Decoded decoded) {
 			Ask ask = this.waiting.remove(decoded.id());
 			if (ask == null) {
-				logger.debug("a late answer from {} is dropped", PeerChannel.this.address);
+				logger.debug(() -> Event.named("late-answer-dropped").with("peer", PeerChannel.this.address));
 			}
 			else if (decoded instanceof PeerCodec.Decoded.Message message) {
 				ask.answer().complete(message.message());
--- a/adapters/src/main/java/org/plantainspur/adapters/peer/TcpPeerServer.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/TcpPeerServer.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
+import org.plantainspur.adapters.log.Event;
 import org.plantainspur.core.peer.PeerHandler;
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.request.Problem;
@@ -91,7 +92,7 @@
 			}
 			catch (IOException ex) {
 				if (!this.listener.isClosed()) {
-					logger.warn("accepting a peer connection failed: {}", ex.getMessage());
+					logger.warn(Event.named("peer-accept-failed").with("reason", String.valueOf(ex.getMessage())));
 				}
 			}
 		}
@@ -103,8 +104,9 @@
 			this.readers.execute(() -> serve(connection, socket.getRemoteSocketAddress().toString()));
 		}
 		catch (RejectedExecutionException ex) {
-			logger.warn("a peer connection from {} is refused: all {} are in use", socket.getRemoteSocketAddress(),
-					this.readers.getMaximumPoolSize());
+			logger.warn(Event.named("peer-connection-refused")
+				.with("peer", String.valueOf(socket.getRemoteSocketAddress()))
+				.with("limit", this.readers.getMaximumPoolSize()));
 			connection.close();
 		}
 	}
@@ -120,13 +122,15 @@
 			}
 		}
 		catch (PeerProtocolException ex) {
-			logger.warn("the peer connection from {} is closed: {}", peer, ex.getMessage());
+			logger.warn(Event.named("peer-protocol-fault")
+				.with("peer", peer)
+				.with("reason", String.valueOf(ex.getMessage())));
 		}
 		catch (IOException ex) {
-			logger.debug("the peer connection from {} ended: {}", peer, ex.getMessage());
+			logger.debug(() -> Event.named("peer-connection-ended").with("peer", peer));
 		}
 		catch (RuntimeException ex) {
-			logger.error("the peer connection from {} is closed after an internal error", peer, ex);
+			logger.error(Event.named("peer-connection-failed").with("peer", peer), ex);
 		}
 		finally {
 			this.connections.remove(connection);
@@ -162,7 +166,7 @@
 			connection.send(encodeAnswer(id, relayAnswer(relay)));
 		}
 		catch (IOException ex) {
-			logger.debug("the answer of a relayed request could not be sent: {}", ex.getMessage());
+			logger.debug(() -> Event.named("relayed-answer-not-sent"));
 			connection.close();
 		}
 	}
@@ -172,7 +176,7 @@
 			return this.handler.handle(relay);
 		}
 		catch (RuntimeException ex) {
-			logger.error("a relayed request ended with an internal error", ex);
+			logger.error(Event.named("relayed-request-failed"), ex);
 			return unknown("an internal error ended the relayed request");
 		}
 	}
--- a/host/src/test/java/org/plantainspur/host/CallerProtocolTests.java
+++ b/host/src/test/java/org/plantainspur/host/CallerProtocolTests.java
@@ -184,6 +184,29 @@
 
 	}
 
+	@Nested
+	class Disconnect {
+
+		@Test
+		void ofACallerGivesItsPlaceBack() throws Exception {
+			for (int i = 0; i < 3; i++) {
+				try (Socket socket = CallerProtocolTests.this.host.connect()) {
+					socket.getOutputStream().write(("GET /booking/slow HTTP/1.1\r\n" + KEYED + "\r\n").getBytes());
+					Thread.sleep(100);
+				}
+			}
+			CallerProtocolTests.this.slow.release(3);
+			String answer = "";
+			for (int i = 0; i < 100 && !answer.startsWith("HTTP/1.1 200"); i++) {
+				Thread.sleep(20);
+				answer = CallerProtocolTests.this.host.exchange("GET /booking HTTP/1.1\r\n" + KEYED + CLOSE);
+			}
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			CallerProtocolTests.this.dispatched.clear();
+		}
+
+	}
+
 	@Nested
 	class Account {
 
