--- a/core/src/main/java/org/plantainspur/core/request/Problem.java
+++ b/core/src/main/java/org/plantainspur/core/request/Problem.java
@@ -41,6 +41,14 @@
 		return new Problem(this.code, this.run, this.detail, millis);
 	}
 
+	/**
+	 * Returns this problem for a request that may have run.
+	 * @return a copy
+	 */
+	public Problem mayHaveRun() {
+		return new Problem(this.code, Run.UNKNOWN, this.detail, this.retryAfterMillis);
+	}
+
 	/**
 	 * Returns this problem as a refusal.
 	 * @return the refusal
@@ -93,6 +101,12 @@
 		/** The idempotency key is missing or holds no dispatch token. */
 		IDEMPOTENCY_KEY_NOT_VALID(400),
 
+		/** The idempotency key was sent with another request before. */
+		IDEMPOTENCY_KEY_REUSED(422),
+
+		/** The request was answered, but the answer is no longer kept. */
+		ANSWER_NOT_KEPT(409),
+
 		/** The dispatch token is too old, or its process is gone. */
 		DISPATCH_TOKEN_EXPIRED(409),
 
