Tell platform clients apart by address, and reconnect in the load tool

Cause: every client on this machine has the caller address 127.0.0.1, so the platform stand-in could not cut off one region. The load tool treated a request that was never sent like one with an unknown outcome and kept the dispatch token of a process that could not be reached.

Change: the platform stand-in listens on several addresses, and a fault may name one of them, closed or silent. The load tool sends a request that could not connect to the next host, asks for new hosts at once, and uses the newest dispatch token as long as nothing was sent with the old one. A target that is closed while it is crashed stays closed. A test covers the crash that ends the process.

--- a/standins/src/main/java/org/plantainspur/standins/http/Connection.java
+++ b/standins/src/main/java/org/plantainspur/standins/http/Connection.java
@@ -53,7 +53,8 @@
 			throw new BadRequestException("the request line '" + first + "' is malformed");
 		}
 		Map<String, String> headers = headers();
-		return new Request(parts[0], parts[1], headers, body(headers), this.socket.getInetAddress().getHostAddress());
+		return new Request(parts[0], parts[1], headers, body(headers), this.socket.getInetAddress().getHostAddress(),
+				this.socket.getLocalAddress().getHostAddress() + ":" + this.socket.getLocalPort());
 	}
 
 	private Map<String, String> headers() throws IOException {
--- a/standins/src/main/java/org/plantainspur/standins/http/Listen.java
+++ b/standins/src/main/java/org/plantainspur/standins/http/Listen.java
@@ -11,6 +11,9 @@
 	/** What an address looks like; stand-ins stay on the loopback network. */
 	public static final String PATTERN = "127\\.[0-9.]+:[0-9]{1,5}";
 
+	/** What a list of addresses looks like. */
+	public static final String LIST_PATTERN = PATTERN + "(," + PATTERN + ")*";
+
 	/**
 	 * Reads an address.
 	 * @param text {@code ip:port}
--- a/standins/src/main/java/org/plantainspur/standins/http/Request.java
+++ b/standins/src/main/java/org/plantainspur/standins/http/Request.java
@@ -16,8 +16,10 @@
  * @param headers the header fields by lower-case name; of repeated ones, the first
  * @param body the body
  * @param callerAddress the IP address of the client
+ * @param localAddress {@code ip:port} that the client connected to
  */
-public record Request(String method, String target, Map<String, String> headers, byte[] body, String callerAddress) {
+public record Request(String method, String target, Map<String, String> headers, byte[] body, String callerAddress,
+		String localAddress) {
 
 	/**
 	 * Returns the path without the query.
--- a/standins/src/main/java/org/plantainspur/standins/load/Destinations.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/Destinations.java
@@ -14,6 +14,13 @@
 	 */
 	@Nullable Destination next(LoadPlan.AccountShare account);
 
+	/**
+	 * Says that no connection to a destination could be made.
+	 * @param account the account
+	 */
+	default void notConnected(LoadPlan.AccountShare account) {
+	}
+
 	@Override
 	void close();
 
--- a/standins/src/main/java/org/plantainspur/standins/load/LoadRun.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadRun.java
@@ -90,15 +90,14 @@
 			return;
 		}
 		tally.sent();
-		String key = destination.dispatchToken() + "." + this.runId + "-" + request.number();
-		send(request, key, destination, this.settings.resend());
+		send(request, destination, new Attempt(destination.dispatchToken(), false, this.settings.resend()));
 	}
 
-	private void send(LoadPlan.PlannedRequest request, String key, Destinations.Destination destination, int resends) {
+	private void send(LoadPlan.PlannedRequest request, Destinations.Destination destination, Attempt attempt) {
 		Map<String, String> headers = new HashMap<>();
 		headers.put("X-Api-Key", request.account().key());
 		if (!request.idempotent()) {
-			headers.put("Idempotency-Key", key);
+			headers.put("Idempotency-Key", attempt.dispatchToken() + "." + this.runId + "-" + request.number());
 		}
 		if (this.settings.deadlineMillis() > 0) {
 			headers.put("X-Deadline-Ms", String.valueOf(this.settings.deadlineMillis()));
@@ -106,15 +105,19 @@
 		HttpSender.Message message = new HttpSender.Message(request.idempotent() ? "GET" : "POST",
 				destination.address(), request.path(), headers,
 				request.idempotent() ? "" : "{\"number\": " + request.number() + "}");
-		this.sender.send(message, (reply) -> received(request, key, Outcome.of(reply), resends));
+		this.sender.send(message, (reply) -> received(request, Outcome.of(reply), attempt));
 	}
 
-	private void received(LoadPlan.PlannedRequest request, String key, Outcome outcome, int resends) {
-		if (!request.idempotent() && outcome.isUnknown() && resends > 0) {
-			Destinations.@Nullable Destination again = this.destinations.next(request.account());
-			if (again != null) {
+	private void received(LoadPlan.PlannedRequest request, Outcome outcome, Attempt attempt) {
+		if (outcome.isNotSent()) {
+			this.destinations.notConnected(request.account());
+		}
+		boolean again = outcome.isNotSent() || (!request.idempotent() && outcome.isUnknown());
+		if (again && attempt.resends() > 0) {
+			Destinations.@Nullable Destination next = this.destinations.next(request.account());
+			if (next != null) {
 				tally(request).resent();
-				send(request, key, again, resends - 1);
+				send(request, next, attempt.next(outcome, next.dispatchToken()));
 				return;
 			}
 		}
@@ -148,4 +151,22 @@
 	private record Tallies(Tally idempotent, Tally nonIdempotent) {
 	}
 
+	/**
+	 * One sending of a request.
+	 *
+	 * @param dispatchToken the prefix of its idempotency key
+	 * @param sentBefore whether an earlier sending with this key may have reached a host
+	 * @param resends how often it may be sent again
+	 */
+	private record Attempt(String dispatchToken, boolean sentBefore, int resends) {
+
+		// The key may change only while nothing was sent with it: the process that the
+		// old token names may be the one that could not be reached.
+		private Attempt next(Outcome outcome, String newestToken) {
+			boolean sent = this.sentBefore || !outcome.isNotSent();
+			return new Attempt(sent ? this.dispatchToken : newestToken, sent, this.resends - 1);
+		}
+
+	}
+
 }
--- a/standins/src/main/java/org/plantainspur/standins/load/LoadSettings.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadSettings.java
@@ -55,7 +55,8 @@
 	private long timeoutMillis;
 
 	@Setting(flag = "--resend", variable = "LOAD_RESEND", defaultValue = "1", minimum = 0, maximum = 100,
-			help = "how often a non-idempotent request with an unknown outcome is sent again with the same key")
+			help = "how often a request is sent again: a non-idempotent one with an unknown outcome with the same key, "
+					+ "and any that could not connect")
 	private int resend;
 
 	@Setting(flag = "--connections", variable = "LOAD_CONNECTIONS", defaultValue = "200", minimum = 1, maximum = 10_000,
--- a/standins/src/main/java/org/plantainspur/standins/load/LocatedHosts.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LocatedHosts.java
@@ -45,6 +45,8 @@
 
 	private final AtomicLong failed = new AtomicLong();
 
+	private final AtomicLong askedEarlyNanos = new AtomicLong(System.nanoTime());
+
 	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((task) -> {
 		Thread thread = new Thread(task, "locate");
 		thread.setDaemon(true);
@@ -54,7 +56,7 @@
 	LocatedHosts(List<String> entries, List<LoadPlan.AccountShare> accounts, HttpSender sender) {
 		this.entries = List.copyOf(entries);
 		this.sender = sender;
-		accounts.forEach(this::ask);
+		accounts.forEach((account) -> ask(account, true));
 	}
 
 	@Override
@@ -67,6 +69,16 @@
 		return new Destination(address, known.dispatchToken());
 	}
 
+	@Override
+	public void notConnected(LoadPlan.AccountShare account) {
+		long now = System.nanoTime();
+		long earlier = this.askedEarlyNanos.get();
+		// Many requests may fail at once; one question serves them all.
+		if (now - earlier > RETRY_MILLIS * NANOS_PER_MILLI && this.askedEarlyNanos.compareAndSet(earlier, now)) {
+			ask(account, false);
+		}
+	}
+
 	long asked() {
 		return this.asked.get();
 	}
@@ -75,16 +87,20 @@
 		return this.failed.get();
 	}
 
-	private void ask(LoadPlan.AccountShare account) {
+	private void ask(LoadPlan.AccountShare account, boolean repeat) {
 		String entry = this.entries.get((int) (this.asked.getAndIncrement() % this.entries.size()));
 		long sentNanos = System.nanoTime();
-		this.sender.send(HttpSender.Message.get(entry, PATH, Map.of("X-Api-Key", account.key())),
-				(reply) -> scheduleNext(account, read(account, reply, sentNanos)));
+		this.sender.send(HttpSender.Message.get(entry, PATH, Map.of("X-Api-Key", account.key())), (reply) -> {
+			long delayMillis = read(account, reply, sentNanos);
+			if (repeat) {
+				scheduleNext(account, delayMillis);
+			}
+		});
 	}
 
 	private void scheduleNext(LoadPlan.AccountShare account, long delayMillis) {
 		if (!this.timer.isShutdown()) {
-			this.timer.schedule(() -> ask(account), delayMillis, TimeUnit.MILLISECONDS);
+			this.timer.schedule(() -> ask(account, true), delayMillis, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/standins/src/main/java/org/plantainspur/standins/load/Outcome.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/Outcome.java
@@ -47,6 +47,14 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether no connection could be made.
+	 * @return whether nothing was sent
+	 */
+	default boolean isNotSent() {
+		return false;
+	}
+
 	/**
 	 * The target's answer.
 	 *
@@ -80,7 +88,12 @@
 
 		@Override
 		public boolean isUnknown() {
-			return true;
+			return this.sent;
+		}
+
+		@Override
+		public boolean isNotSent() {
+			return !this.sent;
 		}
 
 	}
--- a/standins/src/main/java/org/plantainspur/standins/platform/Faults.java
+++ b/standins/src/main/java/org/plantainspur/standins/platform/Faults.java
@@ -11,7 +11,7 @@
  * The faults that the stand-in causes, as sent to {@code PUT /.control/faults}. Fields
  * that are left out have no fault. For example <pre>
  * {"unavailable": "silent", "delayMillis": 0, "dropRepliesToWrites": 0, "hostListLagMillis": 0,
- *  "dropped": [{"callerAddress": "127.0.0.5", "pathPrefix": "/table"}]}
+ *  "dropped": [{"localAddress": "127.0.0.1:7001", "callerAddress": "", "pathPrefix": "/table", "how": "closed"}]}
  * </pre>
  */
 final class Faults {
@@ -56,8 +56,11 @@
 		if (this.unavailable != Unavailable.NO) {
 			return this.unavailable;
 		}
-		boolean matches = this.dropped.stream().anyMatch((entry) -> entry.matches(request));
-		return matches ? Unavailable.CLOSED : Unavailable.NO;
+		return this.dropped.stream()
+			.filter((entry) -> entry.matches(request))
+			.map((entry) -> entry.how)
+			.findFirst()
+			.orElse(Unavailable.NO);
 	}
 
 	/**
@@ -75,9 +78,9 @@
 		}
 		for (int i = 0; i < this.dropped.size(); i++) {
 			Dropped entry = this.dropped.get(i);
-			if (entry.callerAddress.isEmpty() && entry.pathPrefix.isEmpty()) {
+			if (entry.isForAll()) {
 				findings.add("dropped[" + i + "]", "{}", "matches every request",
-						"set callerAddress or pathPrefix, or use unavailable");
+						"set localAddress, callerAddress or pathPrefix, or use unavailable");
 			}
 		}
 		findings.throwIfAny();
@@ -111,16 +114,26 @@
 	}
 
 	/**
-	 * Requests that are dropped; an empty field matches all.
+	 * Requests that are dropped; an empty field matches all. A client that was given a
+	 * listening address of its own is told apart by {@code localAddress}.
 	 */
 	static final class Dropped {
 
 		private String callerAddress = "";
 
+		private String localAddress = "";
+
 		private String pathPrefix = "";
 
+		private Unavailable how = Unavailable.CLOSED;
+
+		private boolean isForAll() {
+			return this.localAddress.isEmpty() && this.callerAddress.isEmpty() && this.pathPrefix.isEmpty();
+		}
+
 		private boolean matches(Request request) {
 			return (this.callerAddress.isEmpty() || this.callerAddress.equals(request.callerAddress()))
+					&& (this.localAddress.isEmpty() || this.localAddress.equals(request.localAddress()))
 					&& request.path().startsWith(this.pathPrefix);
 		}
 
--- a/standins/src/main/java/org/plantainspur/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/plantainspur/standins/platform/PlatformStandIn.java
@@ -1,6 +1,9 @@
 package org.plantainspur.standins.platform;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 
 import org.plantainspur.adapters.settings.Setting;
 import org.plantainspur.standins.http.Listen;
@@ -14,7 +17,7 @@
  */
 public final class PlatformStandIn implements AutoCloseable {
 
-	private final StandInServer server;
+	private final List<StandInServer> servers = new ArrayList<>();
 
 	/**
 	 * Starts the stand-in.
@@ -22,24 +25,42 @@
 	 * @throws IOException if the port cannot be used
 	 */
 	public PlatformStandIn(int port) throws IOException {
-		this("127.0.0.1", port);
+		this(List.of(new Listen("127.0.0.1", port)));
 	}
 
-	private PlatformStandIn(String address, int port) throws IOException {
-		this.server = new StandInServer(address, port, new PlatformRoutes());
+	/**
+	 * Starts the stand-in on several addresses, so that faults can tell clients apart by
+	 * the address that they use.
+	 * @param addresses the addresses; a port of 0 stands for any free one
+	 * @throws IOException if an address cannot be used
+	 */
+	public PlatformStandIn(List<Listen> addresses) throws IOException {
+		PlatformRoutes routes = new PlatformRoutes();
+		for (Listen address : addresses) {
+			this.servers.add(new StandInServer(address.host(), address.port(), routes));
+		}
 	}
 
 	/**
-	 * Returns the port.
+	 * Returns the port of the first address.
 	 * @return the port
 	 */
 	public int port() {
-		return this.server.port();
+		return port(0);
+	}
+
+	/**
+	 * Returns the port of an address.
+	 * @param index the place of the address, from 0
+	 * @return the port
+	 */
+	public int port(int index) {
+		return this.servers.get(index).port();
 	}
 
 	@Override
 	public void close() {
-		this.server.close();
+		this.servers.forEach(StandInServer::close);
 	}
 
 	/**
@@ -49,9 +70,9 @@
 	 */
 	public static void main(String[] args) throws Exception {
 		Programs.run("platform-stand-in", args, Settings::new, (settings) -> {
-			Listen listen = Listen.parse(settings.address);
-			PlatformStandIn platform = new PlatformStandIn(listen.host(), listen.port());
-			System.out.println("platform stand-in listens on " + listen.host() + ":" + platform.port());
+			List<Listen> addresses = Arrays.stream(settings.address.split(",")).map(Listen::parse).toList();
+			PlatformStandIn platform = new PlatformStandIn(addresses);
+			System.out.println("platform stand-in listens on " + settings.address + ", first port " + platform.port());
 			Thread.currentThread().join();
 		});
 	}
@@ -62,7 +83,7 @@
 	static final class Settings {
 
 		@Setting(flag = "--address", variable = "STANDIN_PLATFORM_ADDRESS", defaultValue = "127.0.0.1:7000",
-				pattern = Listen.PATTERN, help = "ip:port of the stand-in")
+				pattern = Listen.LIST_PATTERN, help = "ip:port of the stand-in, or several, comma-separated")
 		private String address = "";
 
 	}
--- a/standins/src/main/java/org/plantainspur/standins/target/Crasher.java
+++ b/standins/src/main/java/org/plantainspur/standins/target/Crasher.java
@@ -23,6 +23,12 @@
 		this.state = state;
 	}
 
+	private volatile boolean closed;
+
+	void close() {
+		this.closed = true;
+	}
+
 	void serves(StandInServer started) {
 		this.server.complete(started);
 	}
@@ -42,8 +48,10 @@
 
 	private void restart(StandInServer crashed) {
 		try {
-			this.state.restarted();
-			crashed.listenAgain();
+			if (!this.closed) {
+				this.state.restarted();
+				crashed.listenAgain();
+			}
 		}
 		catch (IOException ex) {
 			System.err.println("target " + this.state.id() + " cannot listen on port " + crashed.port() + " again: "
--- a/standins/src/main/java/org/plantainspur/standins/target/TargetEmulator.java
+++ b/standins/src/main/java/org/plantainspur/standins/target/TargetEmulator.java
@@ -16,6 +16,8 @@
 
 	private final StandInServer server;
 
+	private final Crasher crasher;
+
 	/**
 	 * Starts the emulator.
 	 * @param id the target's name
@@ -30,10 +32,10 @@
 	private TargetEmulator(String id, String address, int port, int slots) throws IOException {
 		TargetState state = new TargetState(id, slots);
 		RunRecords records = new RunRecords();
-		Crasher crasher = new Crasher(state);
+		this.crasher = new Crasher(state);
 		this.server = new StandInServer(address, port,
-				new TargetRoutes(state, records, new WorkHandler(state, records, crasher)));
-		crasher.serves(this.server);
+				new TargetRoutes(state, records, new WorkHandler(state, records, this.crasher)));
+		this.crasher.serves(this.server);
 	}
 
 	/**
@@ -46,6 +48,7 @@
 
 	@Override
 	public void close() {
+		this.crasher.close();
 		this.server.close();
 	}
 
--- a/standins/src/test/java/org/plantainspur/standins/Processes.java
+++ b/standins/src/test/java/org/plantainspur/standins/Processes.java
@@ -13,7 +13,7 @@
 /**
  * Starts the programs under test as processes of their own and ends them all on close.
  */
-final class Processes implements AutoCloseable {
+public final class Processes implements AutoCloseable {
 
 	private final List<Process> processes = new ArrayList<>();
 
@@ -24,7 +24,7 @@
 	 * @return the process
 	 * @throws Exception if the program ends or stays silent for 30 seconds
 	 */
-	Process start(String main, String... args) throws Exception {
+	public Process start(String main, String... args) throws Exception {
 		List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx96m",
 				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), main));
 		command.addAll(List.of(args));
@@ -54,7 +54,7 @@
 		}
 	}
 
-	static int freePort() throws IOException {
+	public static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0)) {
 			return socket.getLocalPort();
 		}
--- a/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
@@ -108,6 +108,23 @@
 
 	}
 
+	@Nested
+	class RequestThatCannotConnect {
+
+		@Test
+		void goesToTheNextHost() throws Exception {
+			try (TargetEmulator gone = new TargetEmulator("gone", 0, 1)) {
+				gone.close();
+				LoadReport report = LoadMain.run(settings("--direct",
+						"127.0.0.1:" + gone.port() + "," + LoadToolTests.this.address, "--accounts", "a:k:1", "--rate",
+						"5", "--seconds", "2", "--non-idempotent", "50", "--resend", "3"));
+				assertThat(report.total().answered()).isEqualTo(10);
+				assertThat(report.total().resent()).isPositive();
+			}
+		}
+
+	}
+
 	@Nested
 	class Errors {
 
--- a/standins/src/test/java/org/plantainspur/standins/platform/PlatformStandInTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/platform/PlatformStandInTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.plantainspur.standins.Calls;
+import org.plantainspur.standins.http.Listen;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -133,6 +135,20 @@
 			assertThat(PlatformStandInTests.this.calls.get("/hosts").statusCode()).isEqualTo(200);
 		}
 
+		@Test
+		void ofOneListeningAddressSparesTheClientsOfAnother() throws Exception {
+			try (PlatformStandIn two = new PlatformStandIn(
+					List.of(new Listen("127.0.0.1", 0), new Listen("127.0.0.2", 0)))) {
+				Calls first = new Calls("127.0.0.1:" + two.port(0));
+				Calls second = new Calls("127.0.0.2:" + two.port(1));
+				first.control("/.control/faults",
+						"{\"dropped\": [{\"localAddress\": \"127.0.0.2:" + two.port(1) + "\", \"how\": \"silent\"}]}");
+				assertThat(first.get("/hosts").statusCode()).isEqualTo(200);
+				assertThatExceptionOfType(HttpTimeoutException.class)
+					.isThrownBy(() -> second.send("GET", "/hosts", "", Map.of(), 300));
+			}
+		}
+
 		@Test
 		void ofAnotherCallerSparesThisOne() throws Exception {
 			faults("{\"dropped\": [{\"callerAddress\": \"127.0.0.9\"}]}");
--- a/standins/src/test/java/org/plantainspur/standins/target/TargetEmulatorTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/target/TargetEmulatorTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterEach;
@@ -14,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.plantainspur.standins.Calls;
+import org.plantainspur.standins.Processes;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -338,6 +340,21 @@
 			assertThat(run("k1").path("count").asInt()).isEqualTo(1);
 		}
 
+		@Test
+		void canEndTheProcess() throws Exception {
+			try (Processes processes = new Processes()) {
+				String address = "127.0.0.1:" + Processes.freePort();
+				Process process = processes.start(TargetEmulator.class.getName(), "--id", "booking-2", "--address",
+						address);
+				Calls other = new Calls(address);
+				other.control("/.control/behaviour",
+						"{\"crash\": {\"onText\": \"poison\", \"downMillis\": 0, \"exit\": true}}");
+				assertThatExceptionOfType(IOException.class).isThrownBy(() -> other.send("POST", "/booking", "poison"));
+				assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+				assertThat(process.exitValue()).isEqualTo(70);
+			}
+		}
+
 		private boolean answersChecks() throws Exception {
 			try {
 				return TargetEmulatorTests.this.calls.get("/health").statusCode() == 200;
