Leave a warm-up out of the load report

Cause: at 2,000 requests/s direct to one idle target, the tool itself was 331 ms late and p99 was 1,234 ms, because its first second ran while classes were loaded.

Conclusion: `mvn -pl standins -am verify` passes.

--- a/standins/src/main/java/org/plantainspur/standins/load/LoadPlan.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadPlan.java
@@ -66,7 +66,15 @@
 	}
 
 	long count() {
-		return Math.round(this.settings.rate() * this.settings.seconds());
+		return firstCounted() + Math.round(this.settings.rate() * this.settings.seconds());
+	}
+
+	/**
+	 * Returns the first request after the warm-up.
+	 * @return the request's number
+	 */
+	long firstCounted() {
+		return Math.round(this.settings.rate() * this.settings.warmUpSeconds());
 	}
 
 	/**
--- a/standins/src/main/java/org/plantainspur/standins/load/LoadRun.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadRun.java
@@ -37,6 +37,9 @@
 
 	private final Map<LoadPlan.AccountShare, Tallies> tallies = new LinkedHashMap<>();
 
+	/** Takes the requests of the warm-up, which the report leaves out. */
+	private final Tally warmUp = new Tally();
+
 	private final Semaphore outstanding;
 
 	private long largestLagNanos;
@@ -58,10 +61,12 @@
 			for (long left = intended - System.nanoTime(); left > 0; left = intended - System.nanoTime()) {
 				LockSupport.parkNanos(left);
 			}
-			this.largestLagNanos = Math.max(this.largestLagNanos, System.nanoTime() - intended);
+			if (number >= this.plan.firstCounted()) {
+				this.largestLagNanos = Math.max(this.largestLagNanos, System.nanoTime() - intended);
+			}
 			begin(this.plan.draw(number, intended));
 		}
-		double seconds = (System.nanoTime() - start) / NANOS_PER_MILLI / 1000;
+		double seconds = (System.nanoTime() - start) / NANOS_PER_MILLI / 1000 - this.settings.warmUpSeconds();
 		long longest = this.settings.timeoutMillis() * (1 + this.settings.resend()) + 1000;
 		if (this.outstanding.tryAcquire(this.settings.outstanding(), longest, TimeUnit.MILLISECONDS)) {
 			this.outstanding.release(this.settings.outstanding());
@@ -126,6 +131,9 @@
 	}
 
 	private Tally tally(LoadPlan.PlannedRequest request) {
+		if (request.number() < this.plan.firstCounted()) {
+			return this.warmUp;
+		}
 		Tallies both = this.tallies.get(request.account());
 		if (both == null) {
 			throw new IllegalArgumentException("the account " + request.account().name() + " is not in the plan");
--- a/standins/src/main/java/org/plantainspur/standins/load/LoadSettings.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadSettings.java
@@ -34,6 +34,10 @@
 			help = "how long to send, in seconds")
 	private double seconds;
 
+	@Setting(flag = "--warm-up", variable = "LOAD_WARM_UP", defaultValue = "0", minimum = 0, maximum = 3600,
+			help = "seconds of sending before the report begins to count")
+	private double warmUpSeconds;
+
 	@Setting(flag = "--non-idempotent", variable = "LOAD_NON_IDEMPOTENT", defaultValue = "20", minimum = 0,
 			maximum = 100, help = "percentage of requests that are non-idempotent (POST)")
 	private double nonIdempotentPercent;
@@ -94,6 +98,10 @@
 		return this.seconds;
 	}
 
+	double warmUpSeconds() {
+		return this.warmUpSeconds;
+	}
+
 	double nonIdempotentPercent() {
 		return this.nonIdempotentPercent;
 	}
--- a/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
@@ -66,6 +66,14 @@
 			assertThat(report.seconds()).isBetween(1.9, 4.0);
 		}
 
+		@Test
+		void leavesTheWarmUpOutOfTheReport() throws Exception {
+			LoadReport report = direct("50", "1", "0", "--warm-up", "1");
+			assertThat(report.total().sent()).isEqualTo(50);
+			assertThat(LoadToolTests.this.calls.json("/.control/runs").path("started").asInt()).isEqualTo(100);
+			assertThat(report.seconds()).isBetween(0.9, 3.0);
+		}
+
 		@Test
 		void showsAStallInTheLatencyOfEveryRequestIntendedDuringIt() throws Exception {
 			// One slot and a queue: a closed loop would send few requests during the
