--- a/standins/src/main/java/org/plantainspur/standins/load/LoadSettings.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LoadSettings.java
@@ -34,6 +34,10 @@
 			help = "how long to send, in seconds")
 	private double seconds;
 
+	@Setting(flag = "--warm-up", variable = "LOAD_WARM_UP", defaultValue = "0", minimum = 0, maximum = 3600,
+			help = "seconds of sending before the report begins to count")
+	private double warmUpSeconds;
+
 	@Setting(flag = "--non-idempotent", variable = "LOAD_NON_IDEMPOTENT", defaultValue = "20", minimum = 0,
 			maximum = 100, help = "percentage of requests that are non-idempotent (POST)")
 	private double nonIdempotentPercent;
@@ -55,7 +59,8 @@
 	private long timeoutMillis;
 
 	@Setting(flag = "--resend", variable = "LOAD_RESEND", defaultValue = "1", minimum = 0, maximum = 100,
-			help = "how often a non-idempotent request with an unknown outcome is sent again with the same key")
+			help = "how often a request is sent again: a non-idempotent one with an unknown outcome with the same key, "
+					+ "and any that could not connect")
 	private int resend;
 
 	@Setting(flag = "--connections", variable = "LOAD_CONNECTIONS", defaultValue = "200", minimum = 1, maximum = 10_000,
@@ -93,6 +98,10 @@
 		return this.seconds;
 	}
 
+	double warmUpSeconds() {
+		return this.warmUpSeconds;
+	}
+
 	double nonIdempotentPercent() {
 		return this.nonIdempotentPercent;
 	}
