Use the core's relay and records, and follow the new message fields

Cause: core now has PeerRequestRelay and RelayReceiver, so that the adapter's own relay was a second one without the check of the token; the generators of the codec tests did not compile with the new fields of reports and verdicts; a stop did not look at the records of non-idempotent requests.

Change: the adapter's relay is removed; the peer handler passes relayed requests to RelayReceiver; GracefulStop also waits for OnceGate.idle within its bound.

--- a/adapters/src/test/java/org/plantainspur/adapters/http/LocateResourceTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/LocateResourceTests.java
@@ -13,7 +13,7 @@
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.RendezvousHomeHosts;
-import org.plantainspur.core.once.ProcessOnceGate;
+import org.plantainspur.core.once.OnceGate;
 import org.plantainspur.core.request.KeyHash;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -35,8 +35,8 @@
 		for (String host : List.of("pdx-1", "pdx-2", "sea-1", "sea-2")) {
 			apply(new Change.MemberJoined(member(host)));
 		}
-		this.resource = new LocateResource(this.view, new RendezvousHomeHosts(), new ProcessOnceGate("pdx-1", "p"),
-				member("pdx-1"), this.stopping::get);
+		this.resource = new LocateResource(this.view, new RendezvousHomeHosts(), new NoTokens(), member("pdx-1"),
+				this.stopping::get);
 	}
 
 	private static Member member(String host) {
@@ -80,4 +80,36 @@
 
 	}
 
+	/**
+	 * Gives one token, since these tests are about hosts.
+	 */
+	private static final class NoTokens implements OnceGate {
+
+		@Override
+		public String mint(String accountId) {
+			return "token";
+		}
+
+		@Override
+		public OnceDecision enter(String accountId, String idempotencyKey, String fingerprint) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public boolean certainlyNotRun(String idempotencyKey) {
+			return false;
+		}
+
+		@Override
+		public int running() {
+			return 0;
+		}
+
+		@Override
+		public boolean idle(long quietMillis) {
+			return true;
+		}
+
+	}
+
 }
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -53,18 +53,19 @@
 	}
 
 	private static Arbitrary<PeerMessage> reports() {
-		Arbitrary<PeerMessage.AccountEvidence> account = Combinators.combine(TEXT, INT, INT, INT, INT)
+		Arbitrary<PeerMessage.AccountEvidence> account = Combinators.combine(TEXT, INT, INT, INT, INT, INT)
 			.as(PeerMessage.AccountEvidence::new);
 		Arbitrary<PeerMessage.TargetEvidence> target = Combinators
 			.combine(TEXT, account.list().ofMaxSize(3), INT.list().ofMaxSize(16), INT, FLAG)
 			.as(PeerMessage.TargetEvidence::new);
-		return Combinators.combine(TEXT, TEXT, target.list().ofMaxSize(3), TEXTS).as(PeerMessage.Report::new);
+		return Combinators.combine(TEXT, TEXT, LONG, TEXT, target.list().ofMaxSize(3), TEXTS)
+			.as(PeerMessage.Report::new);
 	}
 
 	private static Arbitrary<PeerMessage> verdicts() {
-		Arbitrary<PeerMessage.Verdict> verdict = Combinators.combine(TEXT, FLAG, DOUBLE, DOUBLE, TEXT)
+		Arbitrary<PeerMessage.Verdict> verdict = Combinators.combine(TEXT, FLAG, DOUBLE, INT, DOUBLE, TEXT)
 			.as(PeerMessage.Verdict::new);
-		return Combinators.combine(TEXT, verdict.list().ofMaxSize(3), LONG, TEXTS).as(PeerMessage.Verdicts::new);
+		return Combinators.combine(TEXT, verdict.list().ofMaxSize(3), LONG, FLAG, TEXTS).as(PeerMessage.Verdicts::new);
 	}
 
 	private static Arbitrary<PeerMessage> relays() {
--- a/host/src/main/java/org/plantainspur/host/GracefulStop.java
+++ b/host/src/main/java/org/plantainspur/host/GracefulStop.java
@@ -1,6 +1,7 @@
 package org.plantainspur.host;
 
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongPredicate;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -27,14 +28,18 @@
 
 	private final CallerActivity activity;
 
+	private final LongPredicate recordsIdle;
+
 	private final Times times;
 
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
-	GracefulStop(Clock clock, Resignation resignation, CallerActivity activity, Times times) {
+	GracefulStop(Clock clock, Resignation resignation, CallerActivity activity, LongPredicate recordsIdle,
+			Times times) {
 		this.clock = clock;
 		this.resignation = resignation;
 		this.activity = activity;
+		this.recordsIdle = recordsIdle;
 		this.times = times;
 	}
 
@@ -72,8 +77,9 @@
 		if (this.activity.inFlight() > 0 || elapsed < this.times.locateLifetimeMillis()) {
 			return false;
 		}
-		return this.activity.idleMillis() >= this.times.idleMillis()
-				|| elapsed >= this.times.locateLifetimeMillis() + this.times.longestDeadlineMillis();
+		boolean idle = this.activity.idleMillis() >= this.times.idleMillis()
+				&& this.recordsIdle.test(this.times.idleMillis());
+		return idle || elapsed >= this.times.locateLifetimeMillis() + this.times.longestDeadlineMillis();
 	}
 
 	/**
--- a/host/src/main/java/org/plantainspur/host/PeerModule.java
+++ b/host/src/main/java/org/plantainspur/host/PeerModule.java
@@ -10,7 +10,6 @@
 import org.plantainspur.adapters.http.CallerActivity;
 import org.plantainspur.adapters.http.StopSignal;
 import org.plantainspur.adapters.peer.FleetSecret;
-import org.plantainspur.adapters.peer.PeerRequestRelay;
 import org.plantainspur.adapters.peer.TcpPeerLink;
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
@@ -18,6 +17,8 @@
 import org.plantainspur.core.peer.PeerHandler;
 import org.plantainspur.core.peer.PeerLink;
 import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.request.PeerRequestRelay;
+import org.plantainspur.core.request.RelayReceiver;
 import org.plantainspur.core.request.RequestPipeline;
 import org.plantainspur.core.request.RequestRelay;
 import org.plantainspur.core.time.Clock;
@@ -47,14 +48,14 @@
 	@Provides
 	@Singleton
 	RequestRelay requestRelay(PeerLink link, ConfigurationView view, Clock clock) {
-		return new PeerRequestRelay(link, view, clock);
+		return new PeerRequestRelay(view, link, clock);
 	}
 
 	@Provides
 	@Singleton
 	PeerHandler peerHandler(Member member, ConfigurationView view, ConfigurationFollower follower,
 			StopSignal stopSignal, CallerActivity activity, Provider<RequestPipeline> pipeline, Clock clock) {
-		return new HostPeerHandler(member, activity, pipeline, clock,
+		return new HostPeerHandler(activity, (relay) -> new RelayReceiver(member, pipeline.get(), clock).serve(relay),
 				() -> heartbeat(member, view, follower, stopSignal));
 	}
 
--- a/host/src/main/java/org/plantainspur/host/StopModule.java
+++ b/host/src/main/java/org/plantainspur/host/StopModule.java
@@ -9,6 +9,7 @@
 import org.plantainspur.adapters.http.StopSignal;
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.once.OnceGate;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -29,8 +30,9 @@
 
 	@Provides
 	@Singleton
-	GracefulStop gracefulStop(Clock clock, Resignation resignation, CallerActivity activity, GracefulStop.Times times) {
-		return new GracefulStop(clock, resignation, activity, times);
+	GracefulStop gracefulStop(Clock clock, Resignation resignation, CallerActivity activity, OnceGate onceGate,
+			GracefulStop.Times times) {
+		return new GracefulStop(clock, resignation, activity, onceGate::idle, times);
 	}
 
 	@Provides
