--- a/core/src/main/java/org/plantainspur/core/configuration/PeerConfiguration.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/PeerConfiguration.java
@@ -57,8 +57,8 @@
 	public void fetch(Member member) {
 		this.link.ask(member, new PeerMessage.ConfigurationRequest(this.view.current().sequence()), TIMEOUT_MILLIS)
 			.whenComplete((answer, failure) -> {
-				if (answer instanceof PeerMessage.ConfigurationChanges changes) {
-					this.follower.adopt(changes);
+				if (answer != null) {
+					this.follower.adopt(answer);
 				}
 			});
 	}
--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -1,5 +1,6 @@
 package org.plantainspur.core.membership;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -14,15 +15,25 @@
  */
 public final class Membership {
 
-	private static final Membership EMPTY = new Membership(new TreeMap<>(), new State(0, List.of(), 0, 0, List.of()));
+	/**
+	 * A host that reads more changes at once than this treats the earlier holders of
+	 * shares as unknown.
+	 */
+	private static final int MAXIMUM_EARLIER = 16;
+
+	private static final Membership EMPTY = new Membership(new TreeMap<>(), new State(0, List.of(), 0, 0, List.of()),
+			List.of());
 
 	private final TreeMap<String, Member> members;
 
 	private final State state;
 
-	private Membership(TreeMap<String, Member> members, State state) {
+	private final List<Membership> earlier;
+
+	private Membership(TreeMap<String, Member> members, State state, List<Membership> earlier) {
 		this.members = members;
 		this.state = state;
+		this.earlier = earlier;
 	}
 
 	/**
@@ -33,7 +44,7 @@
 	public static Membership restore(State state) {
 		TreeMap<String, Member> members = new TreeMap<>();
 		state.members().forEach((member) -> members.put(member.hostId(), member));
-		return new Membership(members, state);
+		return new Membership(members, state, List.of());
 	}
 
 	/**
@@ -98,6 +109,15 @@
 		return this.state.sequence();
 	}
 
+	/**
+	 * Returns the memberships before this one, so that a host that puts several changes
+	 * in force at once learns of every earlier holder of a share.
+	 * @return the last few, the newest last; they have no earlier ones themselves
+	 */
+	public List<Membership> earlier() {
+		return this.earlier;
+	}
+
 	/**
 	 * Returns the member at a host.
 	 * @param hostId the host's name
@@ -154,16 +174,17 @@
 		else if (change instanceof Change.MembersRemoved removed) {
 			removed.members().forEach((gone) -> remove(next, gone));
 		}
-		return new Membership(next, nextState(next, sequence));
+		return new Membership(next, nextState(next, sequence), withThis());
 	}
 
 	private Membership settle(long sequence) {
-		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()));
+		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()),
+				withThis());
 	}
 
 	private State nextState(TreeMap<String, Member> next, long sequence) {
 		List<Member> members = List.copyOf(next.values());
-		Membership after = new Membership(next, this.state);
+		Membership after = new Membership(next, this.state, List.of());
 		boolean departed = !this.members.values().stream().allMatch(after::hasSeat);
 		boolean seatsChanged = departed || next.size() != this.members.size();
 		return new State(sequence, members, seatsChanged ? sequence : seatSequence(),
@@ -171,6 +192,12 @@
 				seatsChanged ? List.copyOf(this.members.values()) : previousMembers());
 	}
 
+	private List<Membership> withThis() {
+		List<Membership> all = new ArrayList<>(this.earlier);
+		all.add(new Membership(this.members, this.state, List.of()));
+		return List.copyOf(all.subList(Math.max(0, all.size() - MAXIMUM_EARLIER), all.size()));
+	}
+
 	private static void remove(Map<String, Member> members, Member gone) {
 		Member present = members.get(gone.hostId());
 		if (present != null && present.processId().equals(gone.processId())) {
--- a/core/src/main/java/org/plantainspur/core/membership/PeerProgress.java
+++ b/core/src/main/java/org/plantainspur/core/membership/PeerProgress.java
@@ -1,16 +1,17 @@
 package org.plantainspur.core.membership;
 
 /**
- * Tells whether an earlier holder of something assigned by membership has given it up.
+ * What other members have told about the sequence number that they have in force.
  */
+@FunctionalInterface
 public interface PeerProgress {
 
 	/**
-	 * Returns whether an earlier holder can no longer use what a change took from it.
-	 * @param earlierHolder the member that held it before the change
+	 * Tells whether a member has stopped using the shares that it held before a change.
+	 * @param earlierHolder the member; the process counts, not only the host
 	 * @param sequence the sequence number of the change
-	 * @return whether the holder has that sequence number in force, has resigned, or was
-	 * replaced by another process at its address
+	 * @return whether a heartbeat of this very process showed at least this sequence
+	 * number in force, or the process has resigned or was replaced at its address
 	 */
 	boolean released(Member earlierHolder, long sequence);
 
--- a/core/src/main/java/org/plantainspur/core/request/Problem.java
+++ b/core/src/main/java/org/plantainspur/core/request/Problem.java
@@ -41,6 +41,14 @@
 		return new Problem(this.code, this.run, this.detail, millis);
 	}
 
+	/**
+	 * Returns this problem for a request that may have run.
+	 * @return a copy
+	 */
+	public Problem mayHaveRun() {
+		return new Problem(this.code, Run.UNKNOWN, this.detail, this.retryAfterMillis);
+	}
+
 	/**
 	 * Returns this problem as a refusal.
 	 * @return the refusal
@@ -93,15 +101,36 @@
 		/** The idempotency key is missing or holds no dispatch token. */
 		IDEMPOTENCY_KEY_NOT_VALID(400),
 
+		/** The idempotency key was sent with another request before. */
+		IDEMPOTENCY_KEY_REUSED(422),
+
+		/** The request was answered, but the answer is no longer kept. */
+		ANSWER_NOT_KEPT(409),
+
 		/** The dispatch token is too old, or its process is gone. */
 		DISPATCH_TOKEN_EXPIRED(409),
 
 		/** The account is over its rate. */
 		RATE_LIMITED(429),
 
-		/** The body or the headers are too large. */
+		/** The body is too large. */
 		TOO_LARGE(413),
 
+		/** The header fields are too large. */
+		HEADERS_TOO_LARGE(431),
+
+		/** The method is not known. */
+		METHOD_NOT_ALLOWED(405),
+
+		/** The caller sent its request too slowly. */
+		REQUEST_TIMEOUT(408),
+
+		/** The account has too many connections or running requests at this host. */
+		TOO_MANY_CONCURRENT(429),
+
+		/** An internal error. */
+		INTERNAL_ERROR(500),
+
 		/** This host cannot show that its configuration is current. */
 		CONFIGURATION_NOT_CURRENT(503),
 
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/StopModule.java
@@ -0,0 +1,47 @@
+package org.plantainspur.host;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+
+import org.plantainspur.adapters.http.CallerActivity;
+import org.plantainspur.adapters.http.LocateResource;
+import org.plantainspur.adapters.http.StopSignal;
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Wires the graceful shutdown.
+ */
+final class StopModule extends AbstractModule {
+
+	@Override
+	protected void configure() {
+		bind(StopTrigger.class).to(ShutdownHook.class);
+	}
+
+	@Provides
+	@Singleton
+	Resignation resignation(ChangeLog log, Member member) {
+		return new PlatformResignation(log, member);
+	}
+
+	@Provides
+	@Singleton
+	GracefulStop gracefulStop(Clock clock, Resignation resignation, CallerActivity activity, GracefulStop.Times times) {
+		return new GracefulStop(clock, resignation, activity, times);
+	}
+
+	@Provides
+	GracefulStop.Times stopTimes(HostSettings settings) {
+		return new GracefulStop.Times(LocateResource.LIFETIME_MILLIS, settings.longestDeadlineMillis(),
+				settings.stopIdleMillis());
+	}
+
+	@Provides
+	StopSignal stopSignal(GracefulStop stop) {
+		return stop;
+	}
+
+}
--- a/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
@@ -48,9 +48,9 @@
 	void startEverything() throws Exception {
 		String platform = "127.0.0.1:" + Processes.freePort();
 		this.targetAddress = "127.0.0.1:" + Processes.freePort();
-		this.processes.start("org.plantainspur.standins.platform.PlatformStandIn", port(platform));
-		this.processes.start("org.plantainspur.standins.target.TargetEmulator", "booking-1", port(this.targetAddress),
-				"4");
+		this.processes.start("org.plantainspur.standins.platform.PlatformStandIn", "--address", platform);
+		this.processes.start("org.plantainspur.standins.target.TargetEmulator", "--id", "booking-1", "--address",
+				this.targetAddress, "--slots", "4");
 		putHosts(platform);
 		configure(platform);
 		startHost("entry-1", "pdx", platform);
@@ -63,10 +63,6 @@
 		this.processes.close();
 	}
 
-	private static String port(String address) {
-		return address.substring(address.indexOf(':') + 1);
-	}
-
 	private void putHosts(String platform) throws Exception {
 		ArrayNode hosts = mapper.createArrayNode();
 		hosts.addObject()
@@ -107,7 +103,8 @@
 		this.processes.start("org.plantainspur.host.EntryHostMain", "--host-id", hostId, "--region", region,
 				"--failure-domain", region + "-a", "--caller-address", caller, "--peer-address",
 				"127.0.0.1:" + Processes.freePort(), "--admin-address", "127.0.0.1:" + Processes.freePort(),
-				"--platform-url", "http://" + platform);
+				"--platform-url", "http://" + platform, "--platform-region", "pdx", "--fleet-secret",
+				"the-fleet-secret-of-these-tests");
 	}
 
 	private void waitForTwoHosts() throws Exception {
