Add the operators' command line

Cause: accounts, keys, routes, floors and the planners' sheet could only be changed by writing rows.

Keys are 256-bit random values, shown once and stored as hashes. A sheet is applied as one change or not at all.

Checked by: CommandLineTests against a platform and hosts in memory, 12 tests.

--- /dev/null
+++ b/operator/src/main/java/org/plantainspur/operator/ChangeRunner.java
@@ -0,0 +1,106 @@
+package org.plantainspur.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.plantainspur.core.configuration.AcceptanceTracker;
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeAuthor;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Writes a change and waits until it is accepted.
+ */
+final class ChangeRunner {
+
+	private static final long ROUND_MILLIS = 100;
+
+	private final ChangeAuthor author;
+
+	private final HostAdmin hosts;
+
+	private final Clock clock;
+
+	private final Pause pause;
+
+	private final Supplier<String> changeIds;
+
+	ChangeRunner(ChangeAuthor author, HostAdmin hosts, Clock clock, Pause pause, Supplier<String> changeIds) {
+		this.author = author;
+		this.hosts = hosts;
+		this.clock = clock;
+		this.pause = pause;
+		this.changeIds = changeIds;
+	}
+
+	Configuration read() {
+		return this.author.read();
+	}
+
+	Map<String, JsonNode> ask(String path) {
+		return this.hosts.ask(read().membership().members(), path);
+	}
+
+	Report run(Change change, Configuration base, long waitMillis) {
+		String changeId = this.changeIds.get();
+		ChangeAuthor.Outcome outcome = this.author.write(changeId, change, base);
+		if (outcome instanceof ChangeAuthor.Outcome.Written written) {
+			return follow(written.sequence(), waitMillis);
+		}
+		if (outcome instanceof ChangeAuthor.Outcome.Conflicting conflicting) {
+			return new Report(Report.CONFLICT).with("result", "conflict, nothing was written")
+				.with("conflicts", conflicting.conflicts().stream().map(ChangeRunner::describe).toList());
+		}
+		if (outcome instanceof ChangeAuthor.Outcome.Unknown unknown) {
+			return new Report(Report.UNKNOWN).with("result", "unknown, the change may have been written")
+				.with("changeId", unknown.changeId())
+				.with("reason", unknown.reason());
+		}
+		return new Report(Report.FAILED).with("result", "nothing was written").with("reason", outcome.toString());
+	}
+
+	private static String describe(ChangeAuthor.Conflict conflict) {
+		return conflict.entity() + " was at version " + conflict.baseVersion() + " and is now at version "
+				+ conflict.presentVersion();
+	}
+
+	private Report follow(long sequence, long waitMillis) {
+		AcceptanceTracker tracker = new AcceptanceTracker(this.clock, read().membership(), sequence);
+		long deadline = this.clock.millis() + waitMillis;
+		tracker.round(acknowledgements());
+		while (!tracker.accepted() && this.clock.millis() < deadline) {
+			this.pause.pause(ROUND_MILLIS);
+			tracker.round(acknowledgements());
+		}
+		String result = tracker.accepted() ? "accepted" : "written, not yet accepted";
+		return new Report(tracker.accepted() ? Report.DONE : Report.UNKNOWN).with("result", result)
+			.with("sequence", sequence)
+			.with("inForce", tracker.inForce().stream().map(Member::hostId).toList())
+			.with("notYet", tracker.missing().stream().map(Member::hostId).toList());
+	}
+
+	private List<AcceptanceTracker.Acknowledgement> acknowledgements() {
+		List<AcceptanceTracker.Acknowledgement> all = new ArrayList<>();
+		ask("/status")
+			.forEach((host, status) -> all.add(new AcceptanceTracker.Acknowledgement(status.path("hostId").asText(),
+					status.path("processId").asText(), status.path("sequence").asLong(-1))));
+		return all;
+	}
+
+	/**
+	 * Waits between rounds.
+	 */
+	@FunctionalInterface
+	interface Pause {
+
+		void pause(long millis);
+
+	}
+
+}
--- /dev/null
+++ b/operator/src/main/java/org/plantainspur/operator/HostAdmin.java
@@ -0,0 +1,23 @@
+package org.plantainspur.operator;
+
+import java.util.Collection;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.plantainspur.core.membership.Member;
+
+/**
+ * Asks the admin interfaces of hosts.
+ */
+interface HostAdmin {
+
+	/**
+	 * Asks several members at once.
+	 * @param members the members
+	 * @param path the path, such as {@code /status}
+	 * @return the answers by host; hosts that gave none are missing
+	 */
+	Map<String, JsonNode> ask(Collection<Member> members, String path);
+
+}
--- /dev/null
+++ b/operator/src/main/java/org/plantainspur/operator/OperatorMain.java
@@ -0,0 +1,47 @@
+package org.plantainspur.operator;
+
+import java.util.UUID;
+import java.util.concurrent.locks.LockSupport;
+
+import org.plantainspur.adapters.platform.ObjectSnapshotStore;
+import org.plantainspur.adapters.platform.PlatformClient;
+import org.plantainspur.adapters.platform.TableChangeLog;
+import org.plantainspur.core.configuration.ChangeAuthor;
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.configuration.ConfigurationFollower;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Starts the operators' command line.
+ */
+public final class OperatorMain {
+
+	private static final long PLATFORM_TIMEOUT_MILLIS = 5000;
+
+	private OperatorMain() {
+	}
+
+	/**
+	 * Runs one command.
+	 * @param args the command, see {@code --help}
+	 */
+	public static void main(String[] args) {
+		System.exit(new CommandLine(System.getenv(), OperatorMain::runner, System.out).run(args));
+	}
+
+	private static ChangeRunner runner(String platformUrl) {
+		PlatformClient client = new PlatformClient(platformUrl, PLATFORM_TIMEOUT_MILLIS);
+		ChangeLog log = new TableChangeLog(client);
+		ConfigurationView view = new ConfigurationView();
+		Clock clock = Clock.system();
+		ConfigurationFollower follower = new ConfigurationFollower(log, view, new ObjectSnapshotStore(client), clock);
+		ChangeAuthor author = new ChangeAuthor(log, () -> {
+			follower.poll();
+			return view.current();
+		});
+		return new ChangeRunner(author, new HttpHostAdmin(), clock,
+				(millis) -> LockSupport.parkNanos(millis * 1_000_000), () -> UUID.randomUUID().toString());
+	}
+
+}
--- /dev/null
+++ b/operator/src/main/java/org/plantainspur/operator/Report.java
@@ -0,0 +1,68 @@
+package org.plantainspur.operator;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * What a command prints, and its exit code.
+ */
+final class Report {
+
+	static final int DONE = 0;
+
+	static final int FAILED = 1;
+
+	static final int BAD_INPUT = 2;
+
+	static final int CONFLICT = 3;
+
+	static final int UNKNOWN = 4;
+
+	private final int exitCode;
+
+	private final Map<String, Object> fields = new LinkedHashMap<>();
+
+	Report(int exitCode) {
+		this.exitCode = exitCode;
+	}
+
+	Report with(String name, Object value) {
+		this.fields.put(name, value);
+		return this;
+	}
+
+	int exitCode() {
+		return this.exitCode;
+	}
+
+	Map<String, Object> fields() {
+		return this.fields;
+	}
+
+	String json() {
+		try {
+			return new ObjectMapper().writeValueAsString(this.fields);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("a report holds only plain values", ex);
+		}
+	}
+
+	String text() {
+		StringBuilder text = new StringBuilder();
+		this.fields.forEach((name, value) -> {
+			if (value instanceof Iterable<?> items) {
+				text.append(name).append(":\n");
+				items.forEach((item) -> text.append("  ").append(item).append('\n'));
+			}
+			else {
+				text.append(name).append(": ").append(value).append('\n');
+			}
+		});
+		return text.toString();
+	}
+
+}
--- /dev/null
+++ b/operator/src/test/java/org/plantainspur/operator/CommandLineTests.java
@@ -0,0 +1,180 @@
+package org.plantainspur.operator;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.request.KeyHash;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against commands that report another outcome than the one that happened.
+ */
+class CommandLineTests {
+
+	private static final String[] PUT = { "account", "put", "harbor", "--rate", "10", "--burst", "5" };
+
+	private final FakeFleet fleet = new FakeFleet(3);
+
+	private FakeFleet fleet() {
+		return this.fleet;
+	}
+
+	@Nested
+	class Write {
+
+		@Test
+		void saysWhereTheChangeIsInForce() throws IOException {
+			assertThat(fleet().run("account", "put", "harbor", "--rate", "10", "--burst", "5", "--output", "json"))
+				.isEqualTo(Report.DONE);
+			JsonNode report = new ObjectMapper().readTree(fleet().output());
+			assertThat(report.path("result").asText()).isEqualTo("accepted");
+			assertThat(report.path("inForce")).hasSize(3);
+			assertThat(fleet().clock.millis()).as("wait if all acknowledge").isEqualTo(100);
+		}
+
+		@Test
+		void waitsForFencingIfOneHostDoesNotAcknowledge() {
+			fleet().stopAt("h1", 2);
+			assertThat(fleet().run(PUT)).isEqualTo(Report.DONE);
+			assertThat(fleet().output()).contains("accepted").contains("notYet:\n  h1");
+			assertThat(fleet().clock.millis()).isGreaterThanOrEqualTo(3110);
+		}
+
+		@Test
+		void isNotCalledAcceptedWithoutAMajority() {
+			fleet().stopAt("h1", 2);
+			fleet().stopAt("h2", 2);
+			assertThat(fleet().run(PUT)).isEqualTo(Report.UNKNOWN);
+			assertThat(fleet().output()).contains("written, not yet accepted");
+		}
+
+		@Test
+		void isRefusedIfAnotherOperatorChangedTheEntity() {
+			fleet().beforeAppend(() -> fleet().add(new Change.PutAccount(new ClientAccount("harbor", 1, 1))));
+			assertThat(fleet().run(PUT)).isEqualTo(Report.CONFLICT);
+			assertThat(fleet().output()).contains("account/harbor was at version 0 and is now at version 5");
+		}
+
+		@Test
+		void withALostReplyNamesTheChangeId() {
+			fleet().beforeAppend(fleet()::down);
+			assertThat(fleet().run(PUT)).isEqualTo(Report.UNKNOWN);
+			assertThat(fleet().output()).contains("changeId: change-4");
+		}
+
+		@Test
+		void withoutThePlatformFails() {
+			fleet().down();
+			assertThat(fleet().run(PUT)).isEqualTo(Report.FAILED);
+		}
+
+		@Test
+		void withBadNumbersNamesAllOfThem() {
+			assertThat(fleet().run("account", "put", "harbor", "--rate", "-1", "--burst", "0"))
+				.isEqualTo(Report.BAD_INPUT);
+			assertThat(fleet().output()).contains("--rate").contains("--burst");
+			assertThat(fleet().entries).hasSize(4);
+		}
+
+	}
+
+	@Nested
+	class Key {
+
+		@Test
+		void isShownOnceAndStoredAsAHash() throws IOException {
+			fleet().run(PUT);
+			assertThat(fleet().run("key", "issue", "harbor", "--output", "json")).isEqualTo(Report.DONE);
+			String key = new ObjectMapper().readTree(fleet().output()).path("key").asText();
+			assertThat(key).hasSize(43);
+			assertThat(fleet().configuration().accountOfKey(KeyHash.of(key))).isNotNull();
+			assertThat(fleet().entries.toString()).doesNotContain(key);
+			fleet().run("key", "list", "harbor");
+			assertThat(fleet().output()).contains(KeyHash.of(key)).doesNotContain(key);
+			assertThat(fleet().run("key", "withdraw", KeyHash.of(key))).isEqualTo(Report.DONE);
+			assertThat(fleet().configuration().accountOfKey(KeyHash.of(key))).isNull();
+		}
+
+		@Test
+		void cannotBeIssuedForAnUnknownAccount() {
+			assertThat(fleet().run("key", "issue", "nobody")).isEqualTo(Report.BAD_INPUT);
+		}
+
+	}
+
+	@Nested
+	class PlannersSheet {
+
+		@TempDir
+		private Path folder;
+
+		private String file(String content) throws IOException {
+			return Files.writeString(this.folder.resolve("sheet.csv"), "kind,name,headroom,rate,burst\n" + content)
+				.toString();
+		}
+
+		@Test
+		void withFaultsIsNotAppliedAndEveryFaultIsNamed() throws IOException {
+			fleet().run(PUT);
+			int before = fleet().entries.size();
+			assertThat(fleet().run("sheet", "apply", file("""
+					service,booking,0.2,,
+					service,offers,2,5,
+					account,nobody,,x,4
+					team,a,,,
+					"""))).isEqualTo(Report.BAD_INPUT);
+			assertThat(fleet().output()).contains("row 3, column headroom", "row 3, column rate", "row 4, column name",
+					"row 4, column rate", "row 5, column kind");
+			assertThat(fleet().entries).hasSize(before);
+		}
+
+		@Test
+		void checkShowsWhatApplyChanges() throws IOException {
+			fleet().run(PUT);
+			int before = fleet().entries.size();
+			String file = file("service,booking,0.25,,\naccount,harbor,,120,5\nservice,offers,0.1,,\n");
+			assertThat(fleet().run("sheet", "check", file)).isEqualTo(Report.DONE);
+			String differences = fleet().output();
+			assertThat(differences).contains("headroom 0.1 -> 0.25", "rate 10.0 -> 120.0").doesNotContain("offers");
+			assertThat(fleet().entries).hasSize(before);
+			assertThat(fleet().run("sheet", "apply", file)).isEqualTo(Report.DONE);
+			assertThat(fleet().output()).contains(differences);
+			assertThat(fleet().configuration().service("booking").headroom()).isEqualTo(0.25);
+		}
+
+	}
+
+	@Nested
+	class Listing {
+
+		@Test
+		void showsRoutesHostsAndExplanations() {
+			assertThat(fleet().run("route", "put", "read", "--path", "/booking", "--service", "booking"))
+				.isEqualTo(Report.DONE);
+			fleet().run("route", "list");
+			assertThat(fleet().output()).contains("/booking");
+			assertThat(fleet().run("floor", "set", "booking", "0.6")).isEqualTo(Report.DONE);
+			assertThat(fleet().configuration().service("booking").capacityFloor()).isEqualTo(0.6);
+			fleet().stopAt("h2", 1);
+			assertThat(fleet().run("status")).isEqualTo(Report.DONE);
+			assertThat(fleet().output()).contains("h2: sequence 1, current");
+			assertThat(fleet().run("explain", "target", "booking-1")).isEqualTo(Report.DONE);
+			assertThat(fleet().output()).contains("/explain/target/booking-1");
+			assertThat(fleet().run("route", "remove", "read")).isEqualTo(Report.DONE);
+			assertThat(fleet().configuration().routes()).isEmpty();
+			assertThat(fleet().run("nonsense")).isEqualTo(Report.BAD_INPUT);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/operator/src/test/java/org/plantainspur/operator/FakeFleet.java
@@ -0,0 +1,142 @@
+package org.plantainspur.operator;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeAuthor;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.time.HandClock;
+
+/**
+ * A platform and hosts in memory, and the command line in front of them.
+ */
+final class FakeFleet implements ChangeLog, HostAdmin {
+
+	final List<ChangeEntry> entries = new ArrayList<>();
+
+	final HandClock clock = new HandClock();
+
+	private final Map<String, Long> behind = new HashMap<>();
+
+	private Runnable beforeAppend = () -> {
+	};
+
+	private boolean down;
+
+	private String output = "";
+
+	FakeFleet(int hosts) {
+		for (int i = 0; i < hosts; i++) {
+			add(new Change.MemberJoined(Member.builder("h" + i, "p" + i).peerAddress("h" + i + ":1").build()));
+		}
+		add(new Change.SeatsSettled(hosts));
+	}
+
+	void add(Change change) {
+		this.entries.add(new ChangeEntry(this.entries.size() + 1L, "c" + this.entries.size(), change));
+	}
+
+	void stopAt(String host, long sequence) {
+		this.behind.put(host, sequence);
+	}
+
+	void beforeAppend(Runnable action) {
+		this.beforeAppend = action;
+	}
+
+	void down() {
+		this.down = true;
+	}
+
+	int run(String... args) {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		ChangeRunner runner = new ChangeRunner(new ChangeAuthor(this, this::configuration), this, this.clock,
+				this.clock::advance, () -> "change-" + this.entries.size());
+		int exitCode = new CommandLine(Map.of("PLANTAINSPUR_PLATFORM_URL", "http://127.0.0.1:1"), (url) -> runner,
+				new PrintStream(bytes, true, StandardCharsets.UTF_8))
+			.run(args);
+		this.output = bytes.toString(StandardCharsets.UTF_8);
+		return exitCode;
+	}
+
+	String output() {
+		return this.output;
+	}
+
+	Configuration configuration() {
+		head();
+		Configuration configuration = Configuration.empty();
+		for (ChangeEntry entry : this.entries) {
+			configuration = configuration.apply(entry);
+		}
+		return configuration;
+	}
+
+	@Override
+	public Map<String, JsonNode> ask(Collection<Member> members, String path) {
+		Map<String, JsonNode> answers = new HashMap<>();
+		for (Member member : members) {
+			answers.put(member.hostId(),
+					new ObjectMapper().createObjectNode()
+						.put("hostId", member.hostId())
+						.put("processId", member.processId())
+						.put("sequence", this.behind.getOrDefault(member.hostId(), (long) this.entries.size()))
+						.put("current", true)
+						.put("path", path));
+		}
+		return answers;
+	}
+
+	@Override
+	public long head() {
+		if (this.down) {
+			throw new UnavailableException("no connection", new IllegalStateException("down"));
+		}
+		return this.entries.size();
+	}
+
+	@Override
+	public List<ChangeEntry> read(long after) {
+		return this.entries.subList((int) after, (int) head());
+	}
+
+	@Override
+	public AppendResult append(long expectedHead, String changeId, Change change) {
+		Runnable action = this.beforeAppend;
+		this.beforeAppend = () -> {
+		};
+		action.run();
+		if (this.down) {
+			return new AppendResult.Unknown("no connection");
+		}
+		if (expectedHead != this.entries.size()) {
+			return new AppendResult.HeadMoved(this.entries.size());
+		}
+		this.entries.add(new ChangeEntry(expectedHead + 1, changeId, change));
+		return new AppendResult.Appended(expectedHead + 1);
+	}
+
+	@Override
+	public OptionalLong find(String changeId) {
+		head();
+		return this.entries.stream()
+			.filter((entry) -> entry.changeId().equals(changeId))
+			.mapToLong(ChangeEntry::sequence)
+			.findFirst();
+	}
+
+}
