--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
@@ -30,6 +30,9 @@
 
 	static {
 		register("heartbeat", PeerMessage.Heartbeat.class);
+		register("configuration-request", PeerMessage.ConfigurationRequest.class);
+		register("configuration-changes", PeerMessage.ConfigurationChanges.class);
+		register("whole-configuration", PeerMessage.WholeConfiguration.class);
 		register("nudge", PeerMessage.Nudge.class);
 		register("borrow", PeerMessage.Borrow.class);
 		register("lent", PeerMessage.Lent.class);
--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
@@ -20,6 +20,7 @@
 import com.fasterxml.jackson.databind.module.SimpleModule;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
+import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.Headers;
@@ -44,6 +45,7 @@
 					DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY,
 					DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
 			.addMixIn(CallerAnswer.class, AnswerKinds.class)
+			.addMixIn(Change.class, ChangeKinds.class)
 			.addMixIn(PeerMessage.Unsupported.class, UnsupportedName.class)
 			.addModule(module)
 			.build();
@@ -56,6 +58,23 @@
 
 	}
 
+	@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
+	@JsonSubTypes({ @JsonSubTypes.Type(value = Change.PutAccount.class, name = "put-account"),
+			@JsonSubTypes.Type(value = Change.RemoveAccount.class, name = "remove-account"),
+			@JsonSubTypes.Type(value = Change.IssueKey.class, name = "issue-key"),
+			@JsonSubTypes.Type(value = Change.WithdrawKey.class, name = "withdraw-key"),
+			@JsonSubTypes.Type(value = Change.PutRoute.class, name = "put-route"),
+			@JsonSubTypes.Type(value = Change.RemoveRoute.class, name = "remove-route"),
+			@JsonSubTypes.Type(value = Change.PutService.class, name = "put-service"),
+			@JsonSubTypes.Type(value = Change.ApplySheet.class, name = "apply-sheet"),
+			@JsonSubTypes.Type(value = Change.MemberJoined.class, name = "member-joined"),
+			@JsonSubTypes.Type(value = Change.MemberResigned.class, name = "member-resigned"),
+			@JsonSubTypes.Type(value = Change.MembersRemoved.class, name = "members-removed"),
+			@JsonSubTypes.Type(value = Change.SeatsSettled.class, name = "seats-settled") })
+	private interface ChangeKinds {
+
+	}
+
 	/**
 	 * Keeps the field apart from the type of the message itself.
 	 */
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -2,12 +2,20 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
 import net.jqwik.api.arbitraries.ListArbitrary;
 
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.ConfigurationState;
+import org.plantainspur.core.configuration.ServicePolicy;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.CallerRequest;
@@ -37,7 +45,7 @@
 	}
 
 	static Arbitrary<PeerMessage> any() {
-		return Arbitraries.oneOf(List.of(heartbeats(), borrows(), LONG.map(PeerMessage.Nudge::new),
+		return Arbitraries.oneOf(List.of(heartbeats(), configurations(), borrows(), LONG.map(PeerMessage.Nudge::new),
 				LONG.map(PeerMessage.Lent::new), reports(), verdicts(), relays(),
 				Arbitraries.oneOf(answered(), refused()).map(PeerMessage.Relayed::new),
 				Combinators.combine(TEXT, TEXT).as(PeerMessage.Suspect::new),
@@ -45,7 +53,24 @@
 	}
 
 	private static Arbitrary<PeerMessage> heartbeats() {
-		return Combinators.combine(TEXT, TEXT, LONG, LONG, FLAG).as(PeerMessage.Heartbeat::new);
+		return Combinators.combine(TEXT, TEXT, LONG, LONG, FLAG, TEXTS).as(PeerMessage.Heartbeat::new);
+	}
+
+	private static Arbitrary<PeerMessage> configurations() {
+		Arbitrary<Member> member = Combinators.combine(TEXT, TEXT, TEXT, TEXT, TEXT, TEXT, TEXT, FLAG).as(Member::new);
+		Arbitrary<ClientAccount> account = Combinators.combine(TEXT, DOUBLE, DOUBLE).as(ClientAccount::new);
+		Arbitrary<Change> change = Arbitraries.oneOf(account.map(Change.PutAccount::new),
+				member.map(Change.MemberJoined::new), member.list().ofMaxSize(3).map(Change.MembersRemoved::new),
+				Combinators.combine(TEXT, TEXT).as(Change.IssueKey::new), LONG.map(Change.SeatsSettled::new));
+		Arbitrary<ChangeEntry> entry = Combinators.combine(LONG, TEXT, change).as(ChangeEntry::new);
+		Arbitrary<PeerMessage> state = Combinators
+			.combine(LONG, account.list().ofMaxSize(3), member.list().ofMaxSize(3), TEXT)
+			.as((sequence, accounts, members,
+					key) -> new PeerMessage.WholeConfiguration(new ConfigurationState(sequence, accounts,
+							Map.of(key, key), List.of(), List.of(ServicePolicy.defaults(key)),
+							new Membership.State(sequence, members, 1, 2, members), Map.of(key, sequence))));
+		return Arbitraries.oneOf(LONG.map(PeerMessage.ConfigurationRequest::new), state,
+				entry.list().ofMaxSize(3).map(PeerMessage.ConfigurationChanges::new));
 	}
 
 	private static Arbitrary<PeerMessage> borrows() {
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/TcpPeerTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/TcpPeerTests.java
@@ -40,7 +40,7 @@
 
 	private static final FleetSecret SECRET = FleetSecret.of("a secret of the fleet for tests 1");
 
-	private static final PeerMessage HEARTBEAT = new PeerMessage.Heartbeat("entry-1", "p1", 7, 20, false);
+	private static final PeerMessage HEARTBEAT = new PeerMessage.Heartbeat("entry-1", "p1", 7, 20, false, List.of());
 
 	private final List<AutoCloseable> open = new ArrayList<>();
 
--- a/core/src/main/java/org/plantainspur/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/ConfigurationFollower.java
@@ -11,8 +11,7 @@
 
 /**
  * Follows the sequence of changes and puts each new configuration in force. Only one
- * thread may call {@link #poll()}; {@link #adopt(PeerMessage.ConfigurationChanges)} may
- * be called by any.
+ * thread may call {@link #poll()}; {@link #adopt(PeerMessage)} may be called by any.
  */
 public final class ConfigurationFollower {
 
@@ -63,7 +62,7 @@
 		long asked = this.clock.millis();
 		long head = this.log.head();
 		if (this.view.current().sequence() == 0 && head > 0) {
-			this.snapshots.newest().ifPresent(this::start);
+			readSnapshot();
 		}
 		while (this.view.current().sequence() < head) {
 			List<ChangeEntry> entries = this.log.read(this.view.current().sequence());
@@ -77,20 +76,19 @@
 	}
 
 	/**
-	 * Puts changes in force that a peer has read from the platform. Every change that a
-	 * peer has in force is durable, so this never needs to be taken back; it is no
-	 * evidence that the configuration is current.
-	 * @param changes the peer's answer
+	 * Puts in force what a peer has read from the platform. Every change that a peer has
+	 * in force is durable, so this never needs to be taken back; it is no evidence that
+	 * the configuration is current.
+	 * @param answer the peer's answer to a request; other messages have no effect
 	 */
-	public void adopt(PeerMessage.ConfigurationChanges changes) {
-		ConfigurationState base = changes.base();
-		synchronized (this.advancing) {
-			if (base != null && base.sequence() > this.view.current().sequence()) {
-				this.history.set(List.of());
-				this.view.advance(Configuration.restore(base));
-			}
+	public void adopt(PeerMessage answer) {
+		if (answer instanceof PeerMessage.ConfigurationChanges changes) {
 			advance(changes.entries());
 		}
+		else if (answer instanceof PeerMessage.WholeConfiguration whole
+				&& whole.state().sequence() > this.view.current().sequence()) {
+			start(Configuration.restore(whole.state()));
+		}
 	}
 
 	/**
@@ -99,16 +97,16 @@
 	 * @return the changes after its sequence number, or the whole state if they are no
 	 * longer kept
 	 */
-	public PeerMessage.ConfigurationChanges answer(PeerMessage.ConfigurationRequest request) {
+	public PeerMessage answer(PeerMessage.ConfigurationRequest request) {
 		List<ChangeEntry> kept = this.history.get();
 		Configuration current = this.view.current();
 		if (request.after() >= current.sequence()) {
-			return new PeerMessage.ConfigurationChanges(null, List.of());
+			return new PeerMessage.ConfigurationChanges(List.of());
 		}
 		if (kept.isEmpty() || kept.get(0).sequence() > request.after() + 1) {
-			return new PeerMessage.ConfigurationChanges(current.state(), List.of());
+			return new PeerMessage.WholeConfiguration(current.state());
 		}
-		return new PeerMessage.ConfigurationChanges(null,
+		return new PeerMessage.ConfigurationChanges(
 				kept.stream().filter((entry) -> entry.sequence() > request.after()).toList());
 	}
 
@@ -139,6 +137,17 @@
 		this.listeners.add(listener);
 	}
 
+	private void readSnapshot() {
+		try {
+			this.snapshots.newest().ifPresent(this::start);
+		}
+		catch (ChangeLog.UnavailableException ex) {
+			// The object store can be down while the table is not; the whole sequence
+			// leads to the same configuration.
+			return;
+		}
+	}
+
 	private void start(Configuration snapshot) {
 		synchronized (this.advancing) {
 			if (this.view.advance(snapshot)) {
--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -177,12 +177,6 @@
 		return new Membership(next, nextState(next, sequence), withThis());
 	}
 
-	private List<Membership> withThis() {
-		List<Membership> all = new ArrayList<>(this.earlier);
-		all.add(new Membership(this.members, this.state, List.of()));
-		return List.copyOf(all.subList(Math.max(0, all.size() - MAXIMUM_EARLIER), all.size()));
-	}
-
 	private Membership settle(long sequence) {
 		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()),
 				withThis());
@@ -198,6 +192,12 @@
 				seatsChanged ? List.copyOf(this.members.values()) : previousMembers());
 	}
 
+	private List<Membership> withThis() {
+		List<Membership> all = new ArrayList<>(this.earlier);
+		all.add(new Membership(this.members, this.state, List.of()));
+		return List.copyOf(all.subList(Math.max(0, all.size() - MAXIMUM_EARLIER), all.size()));
+	}
+
 	private static void remove(Map<String, Member> members, Member gone) {
 		Member present = members.get(gone.hostId());
 		if (present != null && present.processId().equals(gone.processId())) {
--- a/core/src/main/java/org/plantainspur/core/membership/PeerProgress.java
+++ b/core/src/main/java/org/plantainspur/core/membership/PeerProgress.java
@@ -11,7 +11,7 @@
 	 * @param earlierHolder the member; the process counts, not only the host
 	 * @param sequence the sequence number of the change
 	 * @return whether a heartbeat of this very process showed at least this sequence
-	 * number in force
+	 * number in force, or the process has resigned or was replaced at its address
 	 */
 	boolean released(Member earlierHolder, long sequence);
 
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 
-import org.jspecify.annotations.Nullable;
-
 import org.plantainspur.core.configuration.ChangeEntry;
 import org.plantainspur.core.configuration.ConfigurationState;
 import org.plantainspur.core.request.CallerAnswer;
@@ -43,19 +41,25 @@
 	}
 
 	/**
-	 * Returns changes in order.
+	 * Returns the changes after the requested sequence number.
 	 *
-	 * @param base the state to apply the changes to, {@code null} if they follow the
-	 * requested sequence number
-	 * @param entries the changes
+	 * @param entries the changes in order
 	 */
-	record ConfigurationChanges(@Nullable ConfigurationState base, List<ChangeEntry> entries) implements PeerMessage {
+	record ConfigurationChanges(List<ChangeEntry> entries) implements PeerMessage {
 
 		public ConfigurationChanges {
 			entries = List.copyOf(entries);
 		}
 	}
 
+	/**
+	 * Returns the whole state, if the requested changes are no longer kept.
+	 *
+	 * @param state the state
+	 */
+	record WholeConfiguration(ConfigurationState state) implements PeerMessage {
+	}
+
 	/**
 	 * Tells that a newer sequence number exists.
 	 *
--- a/core/src/test/java/org/plantainspur/core/configuration/SnapshotTests.java
+++ b/core/src/test/java/org/plantainspur/core/configuration/SnapshotTests.java
@@ -88,6 +88,30 @@
 
 	}
 
+	@Nested
+	class ObjectStoreDown {
+
+		@Test
+		void newHostReadsTheWholeSequence() {
+			ConfigurationView view = new ConfigurationView();
+			SnapshotStore down = new SnapshotStore() {
+
+				@Override
+				public Optional<Configuration> newest() {
+					throw new ChangeLog.UnavailableException("no connection", new IllegalStateException());
+				}
+
+				@Override
+				public void put(Configuration configuration) {
+				}
+
+			};
+			new ConfigurationFollower(new LogAfterSnapshot(0, 5), view, down, new HandClock()).poll();
+			assertThat(view.current().sequence()).isEqualTo(5);
+		}
+
+	}
+
 	@Nested
 	class Writing {
 
--- a/host/src/main/java/org/plantainspur/host/PlatformModule.java
+++ b/host/src/main/java/org/plantainspur/host/PlatformModule.java
@@ -8,13 +8,13 @@
 import com.google.inject.TypeLiteral;
 
 import org.plantainspur.adapters.http.StopSignal;
+import org.plantainspur.adapters.platform.ObjectSnapshotStore;
 import org.plantainspur.adapters.platform.PlatformClient;
 import org.plantainspur.adapters.platform.TableChangeLog;
 import org.plantainspur.adapters.platform.TargetListReader;
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
-import org.plantainspur.core.configuration.SnapshotStore;
 import org.plantainspur.core.currency.CurrencyRule;
 import org.plantainspur.core.currency.FencingByAge;
 import org.plantainspur.core.membership.HomeHosts;
@@ -56,8 +56,8 @@
 
 	@Provides
 	@Singleton
-	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, Clock clock) {
-		return new ConfigurationFollower(log, view, SnapshotStore.none(), clock);
+	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, PlatformClient client, Clock clock) {
+		return new ConfigurationFollower(log, view, new ObjectSnapshotStore(client), clock);
 	}
 
 	@Provides
