--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/rate/ShareHistoryTests.java
@@ -0,0 +1,82 @@
+package org.plantainspur.core.rate;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.membership.Member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against earlier states that are forgotten while another host may act on them.
+ */
+class ShareHistoryTests {
+
+	private static Configuration append(Configuration before, Change change) {
+		return before.apply(new ChangeEntry(before.sequence() + 1, "c", change));
+	}
+
+	private static Configuration join(Configuration before, String hostId) {
+		return append(before, new Change.MemberJoined(Member.builder(hostId, "p-" + hostId).build()));
+	}
+
+	@Nested
+	class SeveralChangesAtOnce {
+
+		@Test
+		void membershipBetweenIsForgotten() {
+			Configuration first = join(Configuration.empty(), "a");
+			Configuration second = join(first, "b");
+			Configuration third = join(second, "c");
+			ShareHistory history = ShareHistory.start(first, 0).learn(third, 9000);
+			assertThat(history.past()).extracting((past) -> past.membership().sequence()).containsExactly(1L, 2L);
+			assertThat(history.knownFromMillis()).isZero();
+		}
+
+		@Test
+		void moreChangesThanAreKeptAreTakenAsKnown() {
+			Configuration first = join(Configuration.empty(), "a");
+			Configuration last = first;
+			for (int i = 0; i < 20; i++) {
+				last = join(last, "b" + i);
+			}
+			assertThat(ShareHistory.start(first, 0).learn(last, 9000).knownFromMillis()).isEqualTo(9000);
+		}
+
+	}
+
+	@Nested
+	class Takeover {
+
+		@Test
+		void hostIsForgottenBeforeItIsFencedAndItsLoansHaveEnded() {
+			// Fencing after 3,000 ms and loans of 1,000 ms, each plus 2% and 50 ms.
+			assertThat(ShareHistory.TAKEOVER_MILLIS).isEqualTo(3110 + 1070);
+			Configuration first = join(Configuration.empty(), "a");
+			Configuration second = join(first, "b");
+			ShareHistory history = ShareHistory.start(first, 0).learn(second, 100);
+			assertThat(history.pastAt(100 + 4179)).hasSize(1);
+			assertThat(history.pastAt(100 + 4180)).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class AccountLimits {
+
+		@Test
+		void earlierLimitsAreForgotten() {
+			Configuration first = append(Configuration.empty(), new Change.PutAccount(new ClientAccount("a", 5, 4)));
+			Configuration second = append(first, new Change.PutAccount(new ClientAccount("a", 5, 16)));
+			ShareHistory history = ShareHistory.start(first, 0).learn(second, 100);
+			assertThat(history.pastAccountsAt("a", 4000)).extracting(ShareHistory.PastAccount::account)
+				.containsExactly(new ClientAccount("a", 5, 4));
+		}
+
+	}
+
+}
