--- a/host/src/main/java/org/plantainspur/host/PlatformModule.java
+++ b/host/src/main/java/org/plantainspur/host/PlatformModule.java
@@ -14,6 +14,7 @@
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.configuration.SnapshotStore;
 import org.plantainspur.core.currency.CurrencyRule;
 import org.plantainspur.core.currency.FencingByAge;
 import org.plantainspur.core.membership.HomeHosts;
@@ -56,7 +57,7 @@
 	@Provides
 	@Singleton
 	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, Clock clock) {
-		return new ConfigurationFollower(log, view, clock);
+		return new ConfigurationFollower(log, view, SnapshotStore.none(), clock);
 	}
 
 	@Provides
--- a/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/load/LoadToolTests.java
@@ -66,6 +66,14 @@
 			assertThat(report.seconds()).isBetween(1.9, 4.0);
 		}
 
+		@Test
+		void leavesTheWarmUpOutOfTheReport() throws Exception {
+			LoadReport report = direct("50", "1", "0", "--warm-up", "1");
+			assertThat(report.total().sent()).isEqualTo(50);
+			assertThat(LoadToolTests.this.calls.json("/.control/runs").path("started").asInt()).isEqualTo(100);
+			assertThat(report.seconds()).isBetween(0.9, 3.0);
+		}
+
 		@Test
 		void showsAStallInTheLatencyOfEveryRequestIntendedDuringIt() throws Exception {
 			// One slot and a queue: a closed loop would send few requests during the
@@ -108,6 +116,23 @@
 
 	}
 
+	@Nested
+	class RequestThatCannotConnect {
+
+		@Test
+		void goesToTheNextHost() throws Exception {
+			try (TargetEmulator gone = new TargetEmulator("gone", 0, 1)) {
+				gone.close();
+				LoadReport report = LoadMain.run(settings("--direct",
+						"127.0.0.1:" + gone.port() + "," + LoadToolTests.this.address, "--accounts", "a:k:1", "--rate",
+						"5", "--seconds", "2", "--non-idempotent", "50", "--resend", "3"));
+				assertThat(report.total().answered()).isEqualTo(10);
+				assertThat(report.total().resent()).isPositive();
+			}
+		}
+
+	}
+
 	@Nested
 	class Errors {
 
