--- a/adapters/src/test/java/org/plantainspur/adapters/http/LocateResourceTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/LocateResourceTests.java
@@ -35,8 +35,8 @@
 		for (String host : List.of("pdx-1", "pdx-2", "sea-1", "sea-2")) {
 			apply(new Change.MemberJoined(member(host)));
 		}
-		this.resource = new LocateResource(this.view, new RendezvousHomeHosts(), new ProcessOnceGate("pdx-1", "p"),
-				member("pdx-1"), this.stopping::get);
+		this.resource = new LocateResource(this.view, new RendezvousHomeHosts(),
+				ProcessOnceGate.builder("pdx-1", "p").build(), member("pdx-1"), this.stopping::get);
 	}
 
 	private static Member member(String host) {
