Wire the shared decisions into the host

Cause: the daemon still ran the baselines of the first path: fencing by age, a local bucket, no health evidence, no fair queue.

Change: the host runs the majority rule, the membership keeper, shared rates, pooled health with ejection, the quarantine, the weighted chooser and the fair queue. A new sequence number is passed on by a nudge as well as by heartbeats; each waits for no poll of another task.

--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinators.java
@@ -0,0 +1,70 @@
+package org.plantainspur.core.health;
+
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Function;
+
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.peer.PeerMessage;
+
+/**
+ * The coordinators of all services at this host. Each host has one for every service that
+ * it gets reports on; only the responsible one ejects.
+ */
+public final class HealthCoordinators {
+
+	private final ConfigurationView view;
+
+	private final HomeHosts homeHosts;
+
+	private final Member self;
+
+	private final Function<String, HealthCoordinator> factory;
+
+	private final ConcurrentMap<String, HealthCoordinator> coordinators = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates the registry.
+	 * @param view the configuration in force
+	 * @param homeHosts tells which host is responsible for a service
+	 * @param self this process
+	 * @param factory creates the coordinator of a service
+	 */
+	public HealthCoordinators(ConfigurationView view, HomeHosts homeHosts, Member self,
+			Function<String, HealthCoordinator> factory) {
+		this.view = view;
+		this.homeHosts = homeHosts;
+		this.self = self;
+		this.factory = factory;
+		view.listen(
+				(configuration) -> this.coordinators.forEach((service, coordinator) -> follow(service, coordinator)));
+	}
+
+	/**
+	 * Answers a report.
+	 * @param report the report
+	 * @return the verdicts for the reporter
+	 */
+	public PeerMessage.Verdicts report(PeerMessage.Report report) {
+		return this.coordinators.computeIfAbsent(report.service(), this::create).report(report);
+	}
+
+	private HealthCoordinator create(String service) {
+		HealthCoordinator coordinator = this.factory.apply(service);
+		follow(service, coordinator);
+		return coordinator;
+	}
+
+	private void follow(String service, HealthCoordinator coordinator) {
+		Configuration configuration = this.view.current();
+		boolean responsible = this.homeHosts.coordinator(service, configuration.membership())
+			.stream()
+			.anyMatch((member) -> member.hostId().equals(this.self.hostId())
+					&& member.processId().equals(this.self.processId()));
+		coordinator.follow(configuration.sequence(), configuration.membership(), responsible);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/health/HealthReporter.java
@@ -0,0 +1,91 @@
+package org.plantainspur.core.health;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.peer.PeerLink;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.routing.TargetDirectory;
+
+/**
+ * Reports this host's evidence on each service to the service's coordinator and puts the
+ * verdicts in force. The host calls {@link #tick()} every 500 ms from one thread.
+ */
+public final class HealthReporter {
+
+	private static final long TIMEOUT_MILLIS = 1000;
+
+	private final Member self;
+
+	private final ConfigurationView view;
+
+	private final HomeHosts homeHosts;
+
+	private final AtomicReference<TargetDirectory> directory;
+
+	private final EvidenceCollector collector;
+
+	private final HealthView health;
+
+	private final HealthCoordinators coordinators;
+
+	private final PeerLink link;
+
+	/**
+	 * Creates a reporter.
+	 * @param self this process
+	 * @param view the configuration in force
+	 * @param homeHosts tells which host is responsible for a service
+	 * @param directory the targets, replaced as a whole
+	 * @param collector this host's evidence
+	 * @param health where verdicts are put in force
+	 * @param coordinators the coordinators at this host
+	 * @param link sends to other members
+	 */
+	public HealthReporter(Member self, ConfigurationView view, HomeHosts homeHosts,
+			AtomicReference<TargetDirectory> directory, EvidenceCollector collector, HealthView health,
+			HealthCoordinators coordinators, PeerLink link) {
+		this.self = self;
+		this.view = view;
+		this.homeHosts = homeHosts;
+		this.directory = directory;
+		this.collector = collector;
+		this.health = health;
+		this.coordinators = coordinators;
+		this.link = link;
+	}
+
+	/**
+	 * Sends one report for each service. Answers come on the link's threads.
+	 */
+	public void tick() {
+		Configuration configuration = this.view.current();
+		TargetDirectory targets = this.directory.get();
+		for (String service : targets.services()) {
+			this.collector.retain(service, targets.targets(service));
+			this.homeHosts.coordinator(service, configuration.membership())
+				.forEach((coordinator) -> report(service, coordinator, configuration.sequence()));
+		}
+	}
+
+	private void report(String service, Member coordinator, long sequence) {
+		HealthView.ReportTicket ticket = this.health.reporting(service, coordinator.processId());
+		List<PeerMessage.TargetEvidence> evidence = this.collector.drain(service);
+		PeerMessage.Report report = new PeerMessage.Report(this.self.hostId(), this.self.processId(), sequence, service,
+				evidence, this.health.ejectedHeld(service));
+		if (coordinator.processId().equals(this.self.processId())) {
+			this.health.apply(ticket, this.coordinators.report(report));
+			return;
+		}
+		this.link.ask(coordinator, report, TIMEOUT_MILLIS).whenComplete((answer, failure) -> {
+			if (answer instanceof PeerMessage.Verdicts verdicts) {
+				this.health.apply(ticket, verdicts);
+			}
+		});
+	}
+
+}
--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -7,87 +7,133 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.dropwizard.lifecycle.Managed;
+import jakarta.inject.Inject;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-import org.plantainspur.adapters.http.StopSignal;
 import org.plantainspur.adapters.log.Event;
-import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeLog;
-import org.plantainspur.core.configuration.ConfigurationFollower;
-import org.plantainspur.core.configuration.ConfigurationView;
-import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.configuration.PeerConfiguration;
+import org.plantainspur.core.configuration.SnapshotWriter;
+import org.plantainspur.core.currency.HeartbeatExchange;
+import org.plantainspur.core.health.HealthReporter;
+import org.plantainspur.core.membership.MembershipKeeper;
+import org.plantainspur.core.rate.SharedRateLimiter;
 import org.plantainspur.core.routing.TargetDirectory;
 
 /**
- * Polls the platform and joins the fleet.
+ * Runs what a host does at fixed intervals. Tasks that wait for the platform have threads
+ * of their own, so that a slow platform delays no heartbeat.
  */
 final class BackgroundTasks implements Managed {
 
 	private static final Logger logger = LogManager.getLogger(BackgroundTasks.class);
 
-	private final ConfigurationFollower follower;
+	private static final long HEARTBEAT_INTERVAL_MILLIS = 500;
 
-	private final ChangeLog log;
+	private static final long MEMBERSHIP_INTERVAL_MILLIS = 250;
 
-	private final ConfigurationView view;
+	private static final long DROP_IDLE_INTERVAL_MILLIS = 5000;
 
-	private final TargetSource targets;
+	private final HostSettings settings;
 
-	private final AtomicReference<TargetDirectory> directory;
+	private final ConfigurationUpdates updates;
+
+	private final MembershipKeeper keeper;
 
-	private final Member member;
+	private final SnapshotWriter snapshots;
 
-	private final StopSignal stopSignal;
+	private final HeartbeatExchange heartbeats;
 
-	private final long pollIntervalMillis;
+	private final PeerConfiguration peers;
 
-	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor();
+	private final HealthReporter reporter;
 
-	BackgroundTasks(ConfigurationFollower follower, ChangeLog log, ConfigurationView view, TargetSource targets,
-			AtomicReference<TargetDirectory> directory, Member member, StopSignal stopSignal, long pollIntervalMillis) {
-		this.follower = follower;
-		this.log = log;
-		this.view = view;
+	private final SharedRateLimiter limiter;
+
+	private final TargetSource targets;
+
+	private final AtomicReference<TargetDirectory> directory;
+
+	private final AtomicReference<MembershipKeeper.State> lastState = new AtomicReference<>(
+			MembershipKeeper.State.JOINING);
+
+	private final ScheduledExecutorService messages = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "heartbeats"));
+
+	private final ScheduledExecutorService membership = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "membership"));
+
+	private final ScheduledExecutorService targetList = Executors
+		.newSingleThreadScheduledExecutor((task) -> new Thread(task, "target-list"));
+
+	@Inject
+	BackgroundTasks(HostSettings settings, ConfigurationUpdates updates, MembershipKeeper keeper,
+			SnapshotWriter snapshots, HeartbeatExchange heartbeats, PeerConfiguration peers, HealthReporter reporter,
+			SharedRateLimiter limiter, TargetSource targets, AtomicReference<TargetDirectory> directory) {
+		this.settings = settings;
+		this.updates = updates;
+		this.keeper = keeper;
+		this.snapshots = snapshots;
+		this.heartbeats = heartbeats;
+		this.peers = peers;
+		this.reporter = reporter;
+		this.limiter = limiter;
 		this.targets = targets;
 		this.directory = directory;
-		this.member = member;
-		this.stopSignal = stopSignal;
-		this.pollIntervalMillis = pollIntervalMillis;
 	}
 
 	@Override
 	public void start() {
-		this.executor.scheduleWithFixedDelay(this::poll, 0, this.pollIntervalMillis, TimeUnit.MILLISECONDS);
+		this.updates.start(this.settings.pollIntervalMillis());
+		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "heartbeat", this.heartbeats::tick);
+		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-configuration", this.peers::tick);
+		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "health-report", this.reporter::tick);
+		every(this.messages, DROP_IDLE_INTERVAL_MILLIS, "drop-idle-limits", this.limiter::dropIdle);
+		every(this.membership, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::keepMembership);
+		every(this.membership, DROP_IDLE_INTERVAL_MILLIS, "snapshot", this.snapshots::tick);
+		every(this.targetList, this.settings.pollIntervalMillis(), "target-list", this::readTargets);
 	}
 
 	@Override
 	public void stop() {
-		this.executor.shutdownNow();
+		this.updates.close();
+		this.messages.shutdownNow();
+		this.membership.shutdownNow();
+		this.targetList.shutdownNow();
+	}
+
+	private static void every(ScheduledExecutorService executor, long intervalMillis, String name, Runnable task) {
+		executor.scheduleWithFixedDelay(() -> run(name, task), 0, intervalMillis, TimeUnit.MILLISECONDS);
 	}
 
-	private void poll() {
+	// A periodic task that throws would never run again.
+	private static void run(String name, Runnable task) {
 		try {
-			this.follower.poll();
-			this.directory.set(this.targets.read());
-			if (!this.stopSignal.stopping()
-					&& !this.member.equals(this.view.current().membership().member(this.member.hostId()))) {
-				join();
-			}
+			task.run();
 		}
-		catch (ChangeLog.UnavailableException | IOException ex) {
-			logger.warn(Event.named("platform-unavailable").with("reason", String.valueOf(ex.getMessage())));
+		catch (ChangeLog.UnavailableException ex) {
+			logger.debug(Event.named("task-without-platform").with("task", name));
 		}
 		catch (RuntimeException ex) {
-			logger.error(Event.named("poll-failed"), ex);
+			logger.error(Event.named("task-failed").with("task", name), ex);
+		}
+	}
+
+	private void keepMembership() {
+		MembershipKeeper.State state = this.keeper.tick();
+		if (this.lastState.getAndSet(state) != state) {
+			logger.info(Event.named("membership").with("state", state.name()));
 		}
 	}
 
-	private void join() {
-		long head = this.view.current().sequence();
-		String changeId = "join-" + this.member.processId() + "-" + head;
-		ChangeLog.AppendResult result = this.log.append(head, changeId, new Change.MemberJoined(this.member));
-		logger.info(Event.named("join").with("hostId", this.member.hostId()).with("result", result.toString()));
+	private void readTargets() {
+		try {
+			this.directory.set(this.targets.read());
+		}
+		catch (IOException ex) {
+			logger.debug(Event.named("target-list-unavailable").with("reason", String.valueOf(ex.getMessage())));
+		}
 	}
 
 }
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/FleetModule.java
@@ -0,0 +1,107 @@
+package org.plantainspur.host;
+
+import java.util.Arrays;
+import java.util.List;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.configuration.ConfigurationFollower;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.configuration.PeerConfiguration;
+import org.plantainspur.core.configuration.SnapshotStore;
+import org.plantainspur.core.configuration.SnapshotWriter;
+import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.currency.HeartbeatExchange;
+import org.plantainspur.core.currency.QuorumCurrencyRule;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.MembershipKeeper;
+import org.plantainspur.core.membership.PeerProgress;
+import org.plantainspur.core.peer.PeerLink;
+import org.plantainspur.core.rate.RateLimiter;
+import org.plantainspur.core.rate.SharedRateLimiter;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Wires what the members decide together: currency, membership and rate shares.
+ */
+final class FleetModule extends AbstractModule {
+
+	@Provides
+	@Singleton
+	QuorumCurrencyRule quorumCurrencyRule(Clock clock, Member member, HostSettings settings) {
+		return new QuorumCurrencyRule(clock, member, settings.platformRegion());
+	}
+
+	@Provides
+	CurrencyRule currencyRule(QuorumCurrencyRule rule) {
+		return rule;
+	}
+
+	@Provides
+	@Singleton
+	PeerConfiguration peerConfiguration(ConfigurationView view, ConfigurationFollower follower, PeerLink link,
+			HostSettings settings) {
+		List<Member> seeds = Arrays.stream(settings.seeds().split(","))
+			.map(String::trim)
+			.filter((address) -> !address.isEmpty())
+			.map((address) -> Member.builder("seed-" + address, "").peerAddress(address).build())
+			.toList();
+		return new PeerConfiguration(view, follower, link, seeds);
+	}
+
+	@Provides
+	@Singleton
+	ConfigurationUpdates configurationUpdates(ConfigurationFollower follower, PeerConfiguration peers,
+			ConfigurationView view, PeerLink link, Member member) {
+		return new ConfigurationUpdates(follower, peers, view, link, member);
+	}
+
+	@Provides
+	@Singleton
+	HeartbeatExchange heartbeatExchange(Clock clock, ConfigurationView view, ConfigurationFollower follower,
+			PeerLink link, Member member, QuorumCurrencyRule rule, ConfigurationUpdates updates) {
+		return new HeartbeatExchange(clock, view, follower, link, member, rule, updates::noticed);
+	}
+
+	@Provides
+	PeerProgress peerProgress(HeartbeatExchange heartbeats) {
+		return heartbeats;
+	}
+
+	@Provides
+	@Singleton
+	MembershipKeeper membershipKeeper(ConfigurationView view, ChangeLog log, HeartbeatExchange heartbeats, Clock clock,
+			Member member) {
+		return new MembershipKeeper(view, log, heartbeats, clock, member);
+	}
+
+	@Provides
+	@Singleton
+	SnapshotWriter snapshotWriter(ConfigurationView view, SnapshotStore store, MembershipKeeper keeper) {
+		return new SnapshotWriter(view, store, keeper::coordinates);
+	}
+
+	@Provides
+	@Singleton
+	SharedRateLimiter sharedRateLimiter(Member member, Clock clock, ConfigurationView view, CurrencyRule currency,
+			PeerLink link, HomeHosts homeHosts, PeerProgress progress) {
+		return SharedRateLimiter.builder(member)
+			.clock(clock)
+			.view(view)
+			.currency(currency)
+			.link(link)
+			.homeHosts(homeHosts)
+			.progress(progress)
+			.build();
+	}
+
+	@Provides
+	RateLimiter rateLimiter(SharedRateLimiter limiter) {
+		return limiter;
+	}
+
+}
--- /dev/null
+++ b/host/src/main/java/org/plantainspur/host/HealthModule.java
@@ -0,0 +1,135 @@
+package org.plantainspur.host;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.health.CrashQuarantine;
+import org.plantainspur.core.health.EvidenceCollector;
+import org.plantainspur.core.health.HealthCoordinator;
+import org.plantainspur.core.health.HealthCoordinators;
+import org.plantainspur.core.health.HealthReporter;
+import org.plantainspur.core.health.HealthView;
+import org.plantainspur.core.health.LocalWeights;
+import org.plantainspur.core.health.OutcomeRecorder;
+import org.plantainspur.core.health.OutcomeRecorders;
+import org.plantainspur.core.health.PooledHealthJudge;
+import org.plantainspur.core.health.Quarantine;
+import org.plantainspur.core.membership.HomeHosts;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.peer.PeerLink;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.routing.AdaptiveLimits;
+import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.FairAdmissionQueue;
+import org.plantainspur.core.routing.SharedCapacityLimit;
+import org.plantainspur.core.routing.TargetChooser;
+import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.routing.WeightedTwoChoiceChooser;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * Wires the health of targets and the choice among them.
+ */
+final class HealthModule extends AbstractModule {
+
+	private static final long SUSPECT_TIMEOUT_MILLIS = 1000;
+
+	@Provides
+	@Singleton
+	HealthView healthView(Clock clock) {
+		return new HealthView(clock);
+	}
+
+	@Provides
+	@Singleton
+	LocalWeights localWeights(Clock clock) {
+		return new LocalWeights(clock);
+	}
+
+	@Provides
+	@Singleton
+	AdaptiveLimits adaptiveLimits(Clock clock) {
+		return new AdaptiveLimits(clock);
+	}
+
+	@Provides
+	@Singleton
+	CrashQuarantine crashQuarantine(Clock clock, ConfigurationView view, PeerLink link, Member member) {
+		return new CrashQuarantine(clock, (suspect) -> announce(suspect, view, link, member));
+	}
+
+	// Every member is told, since the caller may send the request again to any of them.
+	// Crashes are rare, so the number of messages does not matter.
+	private static void announce(PeerMessage.Suspect suspect, ConfigurationView view, PeerLink link, Member self) {
+		view.current()
+			.membership()
+			.members()
+			.stream()
+			.filter((member) -> !member.hostId().equals(self.hostId()))
+			.forEach((member) -> link.ask(member, suspect, SUSPECT_TIMEOUT_MILLIS));
+	}
+
+	@Provides
+	Quarantine quarantine(CrashQuarantine quarantine) {
+		return quarantine;
+	}
+
+	@Provides
+	@Singleton
+	EvidenceCollector evidenceCollector(Clock clock, CrashQuarantine quarantine, AdaptiveLimits limits) {
+		return new EvidenceCollector(clock, quarantine, limits::inFlight);
+	}
+
+	@Provides
+	@Singleton
+	OutcomeRecorder outcomeRecorder(CrashQuarantine quarantine, EvidenceCollector collector, LocalWeights weights,
+			AdaptiveLimits limits) {
+		return new OutcomeRecorders(quarantine, collector, weights, limits);
+	}
+
+	@Provides
+	@Singleton
+	HealthCoordinators healthCoordinators(Clock clock, ConfigurationView view, HomeHosts homeHosts, Member member,
+			AtomicReference<TargetDirectory> directory, CurrencyRule currency) {
+		return new HealthCoordinators(view, homeHosts, member,
+				(service) -> new HealthCoordinator(service, clock, new PooledHealthJudge(),
+						() -> directory.get().targets(service), () -> view.current().service(service).capacityFloor(),
+						() -> currency.check() instanceof CurrencyRule.Currency.Current));
+	}
+
+	@Provides
+	@Singleton
+	HealthReporter healthReporter(Member member, ConfigurationView view, HomeHosts homeHosts,
+			AtomicReference<TargetDirectory> directory, EvidenceCollector collector, HealthView health,
+			HealthCoordinators coordinators, PeerLink link) {
+		return new HealthReporter(member, view, homeHosts, directory, collector, health, coordinators, link);
+	}
+
+	@Provides
+	@Singleton
+	TargetChooser targetChooser(Clock clock, AtomicReference<TargetDirectory> directory, ConfigurationView view,
+			HealthView health, LocalWeights weights, AdaptiveLimits limits, EvidenceCollector collector,
+			HostSettings settings) {
+		return WeightedTwoChoiceChooser.builder(settings.region(), clock)
+			.directory(directory)
+			.view(view)
+			.health(health)
+			.localWeights(weights)
+			.limits(limits)
+			.seesLeaving(collector::seesLeaving)
+			.build();
+	}
+
+	@Provides
+	@Singleton
+	AdmissionQueue admissionQueue(Clock clock, AtomicReference<TargetDirectory> directory, ConfigurationView view,
+			HealthView health) {
+		return new FairAdmissionQueue(clock, new SharedCapacityLimit(clock, directory, view, health));
+	}
+
+}
--- a/host/src/main/java/org/plantainspur/host/HostModule.java
+++ b/host/src/main/java/org/plantainspur/host/HostModule.java
@@ -26,6 +26,8 @@
 		bind(Member.class).toInstance(member());
 		install(new PlatformModule());
 		install(new RequestModule());
+		install(new FleetModule());
+		install(new HealthModule());
 		install(new PeerModule());
 		install(new StopModule());
 		install(new StatusModule());
--- a/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
+++ b/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
@@ -1,40 +1,78 @@
 package org.plantainspur.host;
 
-import java.util.function.Function;
-import java.util.function.Supplier;
+import jakarta.inject.Inject;
 
 import org.plantainspur.adapters.http.CallerActivity;
+import org.plantainspur.core.configuration.ConfigurationFollower;
+import org.plantainspur.core.currency.HeartbeatExchange;
+import org.plantainspur.core.health.CrashQuarantine;
+import org.plantainspur.core.health.HealthCoordinators;
 import org.plantainspur.core.peer.PeerHandler;
 import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.rate.SharedRateLimiter;
+import org.plantainspur.core.request.RelayReceiver;
 
 /**
- * Answers heartbeats and relayed requests.
+ * Passes each message to the decision that answers it.
  */
 final class HostPeerHandler implements PeerHandler {
 
-	private final CallerActivity activity;
+	private final HeartbeatExchange heartbeats;
+
+	private final ConfigurationUpdates updates;
+
+	private final ConfigurationFollower follower;
+
+	private final SharedRateLimiter limiter;
 
-	private final Function<PeerMessage.Relay, PeerMessage.Relayed> relays;
+	private final HealthCoordinators coordinators;
+
+	private final CrashQuarantine quarantine;
+
+	private final CallerActivity activity;
 
-	private final Supplier<PeerMessage.Heartbeat> heartbeat;
+	private final RelayReceiver relays;
 
-	HostPeerHandler(CallerActivity activity, Function<PeerMessage.Relay, PeerMessage.Relayed> relays,
-			Supplier<PeerMessage.Heartbeat> heartbeat) {
+	@Inject
+	HostPeerHandler(HeartbeatExchange heartbeats, ConfigurationUpdates updates, ConfigurationFollower follower,
+			SharedRateLimiter limiter, HealthCoordinators coordinators, CrashQuarantine quarantine,
+			CallerActivity activity, RelayReceiver relays) {
+		this.heartbeats = heartbeats;
+		this.updates = updates;
+		this.follower = follower;
+		this.limiter = limiter;
+		this.coordinators = coordinators;
+		this.quarantine = quarantine;
 		this.activity = activity;
 		this.relays = relays;
-		this.heartbeat = heartbeat;
 	}
 
 	@Override
 	public PeerMessage handle(PeerMessage message) {
-		if (message instanceof PeerMessage.Heartbeat) {
-			return this.heartbeat.get();
+		if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			return this.heartbeats.answer(heartbeat);
+		}
+		if (message instanceof PeerMessage.Borrow borrow) {
+			return this.limiter.lend(borrow);
+		}
+		if (message instanceof PeerMessage.Report report) {
+			return this.coordinators.report(report);
 		}
 		if (message instanceof PeerMessage.Relay relay) {
 			return serve(relay);
 		}
-		if (message instanceof PeerMessage.Borrow) {
-			return new PeerMessage.Lent(0);
+		if (message instanceof PeerMessage.ConfigurationRequest request) {
+			return this.follower.answer(request);
+		}
+		return acknowledge(message);
+	}
+
+	private PeerMessage acknowledge(PeerMessage message) {
+		if (message instanceof PeerMessage.Nudge nudge) {
+			this.updates.nudged(nudge.sequence());
+		}
+		else if (message instanceof PeerMessage.Suspect suspect) {
+			this.quarantine.suspect(suspect);
 		}
 		return new PeerMessage.Acknowledged();
 	}
@@ -43,7 +81,7 @@
 	private PeerMessage.Relayed serve(PeerMessage.Relay relay) {
 		this.activity.begin();
 		try {
-			return this.relays.apply(relay);
+			return this.relays.serve(relay);
 		}
 		finally {
 			this.activity.end();
--- a/host/src/main/java/org/plantainspur/host/HostSettings.java
+++ b/host/src/main/java/org/plantainspur/host/HostSettings.java
@@ -48,6 +48,11 @@
 			help = "secret shared by all members, 16 to 256 characters; prefer the variable, since flags are visible to others")
 	private String fleetSecret = "";
 
+	@Setting(flag = "--seeds", variable = "PLANTAINSPUR_SEEDS", defaultValue = "",
+			pattern = "(" + ADDRESS + "(," + ADDRESS + ")*)?", example = "127.0.0.1:8082,127.0.0.1:8092",
+			help = "peer addresses of some members, separated by commas; asked by a host that starts while the platform is unavailable")
+	private String seeds = "";
+
 	@Setting(flag = "--log-level", variable = "PLANTAINSPUR_LOG_LEVEL", defaultValue = "info",
 			pattern = "error|warn|info|debug|trace",
 			help = "least level of log lines: error, warn, info, debug or trace")
@@ -187,6 +192,10 @@
 		return this.fleetSecret;
 	}
 
+	public String seeds() {
+		return this.seeds;
+	}
+
 	public String logLevel() {
 		return this.logLevel;
 	}
--- a/host/src/main/java/org/plantainspur/host/PlatformModule.java
+++ b/host/src/main/java/org/plantainspur/host/PlatformModule.java
@@ -7,7 +7,6 @@
 import com.google.inject.Singleton;
 import com.google.inject.TypeLiteral;
 
-import org.plantainspur.adapters.http.StopSignal;
 import org.plantainspur.adapters.platform.ObjectSnapshotStore;
 import org.plantainspur.adapters.platform.PlatformClient;
 import org.plantainspur.adapters.platform.TableChangeLog;
@@ -15,10 +14,8 @@
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
-import org.plantainspur.core.currency.CurrencyRule;
-import org.plantainspur.core.currency.FencingByAge;
+import org.plantainspur.core.configuration.SnapshotStore;
 import org.plantainspur.core.membership.HomeHosts;
-import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.RendezvousHomeHosts;
 import org.plantainspur.core.routing.TargetDirectory;
 import org.plantainspur.core.time.Clock;
@@ -56,23 +53,14 @@
 
 	@Provides
 	@Singleton
-	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, PlatformClient client, Clock clock) {
-		return new ConfigurationFollower(log, view, new ObjectSnapshotStore(client), clock);
+	SnapshotStore snapshotStore(PlatformClient client) {
+		return new ObjectSnapshotStore(client);
 	}
 
 	@Provides
 	@Singleton
-	CurrencyRule currencyRule(ConfigurationFollower follower) {
-		return new FencingByAge(follower::readAgeMillis);
-	}
-
-	@Provides
-	@Singleton
-	BackgroundTasks backgroundTasks(ConfigurationFollower follower, ChangeLog log, ConfigurationView view,
-			TargetSource targets, AtomicReference<TargetDirectory> directory, Member member, StopSignal stopSignal,
-			HostSettings settings) {
-		return new BackgroundTasks(follower, log, view, targets, directory, member, stopSignal,
-				settings.pollIntervalMillis());
+	ConfigurationFollower follower(ChangeLog log, ConfigurationView view, SnapshotStore snapshots, Clock clock) {
+		return new ConfigurationFollower(log, view, snapshots, clock);
 	}
 
 }
--- a/host/src/main/java/org/plantainspur/host/PlatformResignation.java
+++ b/host/src/main/java/org/plantainspur/host/PlatformResignation.java
@@ -3,6 +3,8 @@
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.MembershipKeeper;
+import org.plantainspur.core.rate.SharedRateLimiter;
 
 /**
  * Writes the resignation to the sequence of changes.
@@ -15,13 +17,21 @@
 
 	private final Member member;
 
-	PlatformResignation(ChangeLog log, Member member) {
+	private final SharedRateLimiter limiter;
+
+	private final MembershipKeeper keeper;
+
+	PlatformResignation(ChangeLog log, Member member, SharedRateLimiter limiter, MembershipKeeper keeper) {
 		this.log = log;
+		this.limiter = limiter;
+		this.keeper = keeper;
 		this.member = member;
 	}
 
 	@Override
 	public void stopUsingShares() {
+		this.limiter.resign();
+		this.keeper.resign();
 	}
 
 	@Override
--- a/host/src/main/java/org/plantainspur/host/RequestModule.java
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -1,7 +1,5 @@
 package org.plantainspur.host;
 
-import java.util.concurrent.atomic.AtomicReference;
-
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
@@ -18,7 +16,6 @@
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.once.OnceGate;
 import org.plantainspur.core.once.ProcessOnceGate;
-import org.plantainspur.core.rate.LocalRateLimiter;
 import org.plantainspur.core.rate.RateLimiter;
 import org.plantainspur.core.request.BudgetedRetryPolicy;
 import org.plantainspur.core.request.RequestPipeline;
@@ -27,11 +24,7 @@
 import org.plantainspur.core.request.StandardRequestPipeline;
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.AdmissionQueue;
-import org.plantainspur.core.routing.LeastInFlightChooser;
-import org.plantainspur.core.routing.OpenAdmissionQueue;
-import org.plantainspur.core.routing.Target;
 import org.plantainspur.core.routing.TargetChooser;
-import org.plantainspur.core.routing.TargetDirectory;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -41,10 +34,7 @@
 
 	@Override
 	protected void configure() {
-		bind(AdmissionQueue.class).toInstance(new OpenAdmissionQueue());
-		bind(Quarantine.class).toInstance((fingerprint) -> false);
 		bind(RetryPolicy.class).toInstance(new BudgetedRetryPolicy());
-		bind(OutcomeRecorder.class).toInstance(new NoRecorder());
 	}
 
 	@Provides
@@ -53,18 +43,6 @@
 		return ProcessOnceGate.builder(member.hostId(), member.processId()).clock(clock).build();
 	}
 
-	@Provides
-	@Singleton
-	RateLimiter rateLimiter(Clock clock) {
-		return new LocalRateLimiter(clock);
-	}
-
-	@Provides
-	@Singleton
-	TargetChooser targetChooser(AtomicReference<TargetDirectory> directory) {
-		return new LeastInFlightChooser(directory);
-	}
-
 	@Provides
 	@Singleton
 	TargetDispatcher targetDispatcher(ConfigurationView view) {
@@ -108,19 +86,4 @@
 		return metrics.measure(pipeline, view);
 	}
 
-	/**
-	 * Keeps no evidence.
-	 */
-	private static final class NoRecorder implements OutcomeRecorder {
-
-		@Override
-		public void record(Outcome outcome) {
-		}
-
-		@Override
-		public void leaving(Target target) {
-		}
-
-	}
-
 }
--- a/host/src/main/java/org/plantainspur/host/StopModule.java
+++ b/host/src/main/java/org/plantainspur/host/StopModule.java
@@ -9,7 +9,9 @@
 import org.plantainspur.adapters.http.StopSignal;
 import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.MembershipKeeper;
 import org.plantainspur.core.once.OnceGate;
+import org.plantainspur.core.rate.SharedRateLimiter;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -24,8 +26,8 @@
 
 	@Provides
 	@Singleton
-	Resignation resignation(ChangeLog log, Member member) {
-		return new PlatformResignation(log, member);
+	Resignation resignation(ChangeLog log, Member member, SharedRateLimiter limiter, MembershipKeeper keeper) {
+		return new PlatformResignation(log, member, limiter, keeper);
 	}
 
 	@Provides
