--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/configuration/AcceptanceTrackerTests.java
@@ -0,0 +1,82 @@
+package org.plantainspur.core.configuration;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.configuration.AcceptanceTracker.Acknowledgement;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a change that is called accepted while a host may serve without it.
+ */
+class AcceptanceTrackerTests {
+
+	private final HandClock clock = new HandClock();
+
+	private static Acknowledgement from(String host, String process) {
+		return new Acknowledgement(host, process, 9);
+	}
+
+	private static Membership members(Change... more) {
+		Membership membership = Membership.empty();
+		long sequence = 0;
+		for (String host : List.of("a", "b", "c")) {
+			Member member = Member.builder(host, "p").peerAddress(host + ":1").build();
+			membership = membership.apply(new Change.MemberJoined(member), ++sequence);
+		}
+		for (Change change : more) {
+			membership = membership.apply(change, ++sequence);
+		}
+		return membership.apply(new Change.SeatsSettled(membership.seatSequence()), ++sequence);
+	}
+
+	@Nested
+	class MajorityOfRounds {
+
+		@Test
+		void doesNotCountAProcessThatWasReplacedBetweenTwoRounds() {
+			AcceptanceTracker tracker = new AcceptanceTracker(AcceptanceTrackerTests.this.clock, members(), 9);
+			tracker.round(List.of(from("a", "p"), from("b", "p")));
+			tracker.round(List.of(from("a", "new"), from("b", "p")));
+			tracker.round(List.of(from("b", "p")));
+			AcceptanceTrackerTests.this.clock.advance(60_000);
+			assertThat(tracker.round(List.of(from("b", "p"))).accepted()).isFalse();
+		}
+
+		@Test
+		void isFollowedByTheWaitForTheOthers() {
+			AcceptanceTracker tracker = new AcceptanceTracker(AcceptanceTrackerTests.this.clock, members(), 9);
+			List<Acknowledgement> two = List.of(from("a", "p"), from("b", "p"));
+			tracker.round(two).round(two);
+			AcceptanceTrackerTests.this.clock.advance(AcceptanceTracker.FENCING_WAIT_MILLIS - 1);
+			assertThat(tracker.round(two).accepted()).isFalse();
+			AcceptanceTrackerTests.this.clock.advance(1);
+			assertThat(tracker.round(two).accepted()).isTrue();
+		}
+
+	}
+
+	@Nested
+	class RemovedMember {
+
+		@Test
+		void delaysAcceptanceUntilItIsFenced() {
+			Member gone = Member.builder("c", "p").peerAddress("c:1").build();
+			Membership unsettled = members().apply(new Change.MembersRemoved(List.of(gone)), 5);
+			List<Acknowledgement> all = List.of(from("a", "p"), from("b", "p"));
+			AcceptanceTracker tracker = new AcceptanceTracker(AcceptanceTrackerTests.this.clock, unsettled, 9);
+			assertThat(tracker.round(all).round(all).accepted()).isFalse();
+			AcceptanceTracker settled = new AcceptanceTracker(AcceptanceTrackerTests.this.clock,
+					members(new Change.MembersRemoved(List.of(gone))), 9);
+			assertThat(settled.round(all).round(all).accepted()).isTrue();
+		}
+
+	}
+
+}
