Run a request with a dispatch token at most once on every route

Cause: an owner that still held an older version of a route, in which the route was idempotent, ran a relayed request without a record, so that a repeat could run it again.

Change: a dispatch token makes a request non-repeatable whatever the route says. The tests of the host's outer parts use the local rate limiter, since a new process holds no share for 4 s; four of them had failed for that.

After: the 2 new pipeline tests and all tests of the host pass.

--- a/core/src/main/java/org/plantainspur/core/once/DispatchToken.java
+++ b/core/src/main/java/org/plantainspur/core/once/DispatchToken.java
@@ -55,6 +55,21 @@
 		return ofToken(idempotencyKey.substring(0, end));
 	}
 
+	/**
+	 * Returns whether a key starts with a well-formed dispatch token.
+	 * @param idempotencyKey the key
+	 * @return whether {@link #ofKey} would read it
+	 */
+	public static boolean startsKey(String idempotencyKey) {
+		try {
+			ofKey(idempotencyKey);
+			return true;
+		}
+		catch (MalformedException ex) {
+			return false;
+		}
+	}
+
 	private static DispatchToken ofToken(String token) throws MalformedException {
 		String[] fields = token.split("~", -1);
 		if (fields.length != FIELDS) {
--- a/core/src/main/java/org/plantainspur/core/request/Passage.java
+++ b/core/src/main/java/org/plantainspur/core/request/Passage.java
@@ -9,6 +9,7 @@
 
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.Route;
+import org.plantainspur.core.once.DispatchToken;
 
 /**
  * One request on its way; confined to the thread that serves it.
@@ -21,6 +22,8 @@
 
 	private final long deadlineMillis;
 
+	private final boolean once;
+
 	private final String requestId = HexFormat.of().toHexDigits(ThreadLocalRandom.current().nextLong());
 
 	private ClientAccount account = StandardRequestPipeline.OPEN_ACCOUNT;
@@ -39,6 +42,8 @@
 		this.request = request;
 		this.route = route;
 		this.deadlineMillis = deadlineMillis;
+		String key = request.headers().first(Headers.IDEMPOTENCY_KEY);
+		this.once = !route.idempotent() || (key != null && DispatchToken.startsKey(key));
 	}
 
 	CallerRequest request() {
@@ -49,6 +54,16 @@
 		return this.route;
 	}
 
+	/**
+	 * Returns whether the request may run at most once. A request with a dispatch token
+	 * says so itself, whatever the route says: hosts may hold different versions of the
+	 * route for a moment.
+	 * @return whether it may run at most once
+	 */
+	boolean once() {
+		return this.once;
+	}
+
 	long deadlineMillis() {
 		return this.deadlineMillis;
 	}
--- a/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
+++ b/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
@@ -102,7 +102,7 @@
 		if (refusal != null) {
 			return refuse(request, refusal);
 		}
-		return route.idempotent() ? run(passage) : runOnce(passage);
+		return passage.once() ? runOnce(passage) : run(passage);
 	}
 
 	// A repeat of a non-idempotent request may be refused although an earlier one with
--- a/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
@@ -202,6 +202,28 @@
 
 	}
 
+	@Nested
+	class DispatchTokenOnARouteThatThisHostTakesForIdempotent {
+
+		@Test
+		void stillRunsTheRequestOnce() {
+			Headers headers = Headers.empty().with(Headers.API_KEY, KEY).with(Headers.IDEMPOTENCY_KEY, newKey());
+			send("GET", headers);
+			send("GET", headers);
+			assertThat(StandardRequestPipelineTests.this.dispatched).hasSize(1);
+		}
+
+		@Test
+		void isNotTriedOnAnotherTargetAfterItMayHaveRun() {
+			StandardRequestPipelineTests.this.outcomes
+				.add(new DispatchOutcome.Unknown(DispatchOutcome.Unknown.Cause.RESET, "closed"));
+			Headers headers = Headers.empty().with(Headers.API_KEY, KEY).with(Headers.IDEMPOTENCY_KEY, newKey());
+			assertRefused(send("GET", headers), Problem.Code.TARGET_FAILED, Problem.Run.UNKNOWN);
+			assertThat(StandardRequestPipelineTests.this.dispatched).hasSize(1);
+		}
+
+	}
+
 	@Nested
 	class RefusalThatSaysNotRun {
 
--- a/host/src/test/java/org/plantainspur/host/RunningHost.java
+++ b/host/src/test/java/org/plantainspur/host/RunningHost.java
@@ -21,12 +21,15 @@
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.configuration.Route;
+import org.plantainspur.core.rate.LocalRateLimiter;
+import org.plantainspur.core.rate.RateLimiter;
 import org.plantainspur.core.request.DispatchOutcome;
 import org.plantainspur.core.request.Headers;
 import org.plantainspur.core.request.KeyHash;
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.Target;
 import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.time.Clock;
 
 /**
  * A whole host in this process, with the sequence of changes in memory and a target that
@@ -128,6 +131,9 @@
 			bind(TargetSource.class).toInstance(() -> TargetDirectory
 				.of(List.of(new Target("booking-1", "booking", "127.0.0.1:1", "pdx", "pdx-a", 4, 400, false))));
 			bind(TargetDispatcher.class).toInstance(this.dispatcher);
+			// A new process holds no share of a rate for the first 4 s, which is tested
+			// elsewhere.
+			bind(RateLimiter.class).toInstance(new LocalRateLimiter(Clock.system()));
 			bind(GracefulStop.Times.class).toInstance(new GracefulStop.Times(300, 1000, 100));
 			bind(StopTrigger.class).toInstance(this.started);
 			requestInjection(this.started);
