--- /dev/null
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/FleetReplay.java
@@ -0,0 +1,270 @@
+package org.plantainspur.benchmarks.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+import org.plantainspur.core.configuration.ServicePolicy;
+import org.plantainspur.core.health.FloorGuard;
+import org.plantainspur.core.health.HealthCoordinator;
+import org.plantainspur.core.health.HealthJudge;
+import org.plantainspur.core.health.HealthView;
+import org.plantainspur.core.health.OutcomeRecorder;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.routing.Target;
+
+/**
+ * Replays a trace through the decision objects of all hosts and of the coordinators. An
+ * outcome is dropped if its host would not have used the target; such a request counts as
+ * served elsewhere.
+ */
+public final class FleetReplay {
+
+	private static final long REPORT_MILLIS = 500;
+
+	/** The one-way delay between regions. */
+	private static final long DELAY_MILLIS = 30;
+
+	/** The platform's list lags by this. */
+	private static final long LIST_LAG_MILLIS = 2000;
+
+	private final Deployment deployment;
+
+	private final Scenario scenario;
+
+	private final List<Target> targets;
+
+	private final List<ReplayHost> hosts = new ArrayList<>();
+
+	private final Map<String, HealthCoordinator> coordinators = new HashMap<>();
+
+	private final Map<String, Set<String>> ejected = new HashMap<>();
+
+	private final Map<Scenario.Fault, Set<Integer>> holders = new HashMap<>();
+
+	private final Set<Scenario.Fault> closed = new HashSet<>();
+
+	private final PriorityQueue<Delayed> delayed = new PriorityQueue<>();
+
+	private final SplittableRandom random = new SplittableRandom(1);
+
+	private final Measures measures = new Measures();
+
+	private final boolean localWeights;
+
+	private long now;
+
+	/**
+	 * Creates a replay.
+	 * @param deployment the deployment
+	 * @param scenario the scenario
+	 * @param judge makes the judge of each service
+	 * @param localWeights whether hosts lower weights on their own evidence
+	 */
+	public FleetReplay(Deployment deployment, Scenario scenario, Supplier<HealthJudge> judge, boolean localWeights) {
+		this.deployment = deployment;
+		this.scenario = scenario;
+		this.localWeights = localWeights;
+		this.targets = deployment.targets();
+		for (int i = 0; i < Deployment.HOSTS; i++) {
+			this.hosts.add(new ReplayHost(i, () -> this.now, this::announce));
+		}
+		for (String service : deployment.services()) {
+			HealthCoordinator coordinator = new HealthCoordinator(service, () -> this.now, judge.get(),
+					() -> listed(service), () -> ServicePolicy.DEFAULT_CAPACITY_FLOOR, () -> true);
+			coordinator.follow(1, deployment.membership(), true);
+			this.coordinators.put(service, coordinator);
+			this.ejected.put(service, Set.of());
+		}
+	}
+
+	/**
+	 * Replays a trace.
+	 * @param trace the entries in order of time
+	 * @return what was measured
+	 */
+	public Measures run(Iterator<TraceEntry> trace) {
+		while (trace.hasNext()) {
+			TraceEntry entry = trace.next();
+			while (this.now < entry.millis()) {
+				this.now++;
+				tick();
+			}
+			replay(entry);
+		}
+		this.scenario.faults()
+			.stream()
+			.filter((fault) -> fault.kind().equals("gray") && fault.from() < this.now && !this.closed.contains(fault))
+			.forEach((fault) -> this.measures.undetected());
+		return this.measures;
+	}
+
+	private void tick() {
+		Delayed due = this.delayed.peek();
+		while (due != null && due.at() <= this.now) {
+			this.delayed.remove().action().run();
+			due = this.delayed.peek();
+		}
+		for (int i = 0; i < Deployment.HOSTS; i++) {
+			if ((this.now + i * REPORT_MILLIS / Deployment.HOSTS) % REPORT_MILLIS == 0) {
+				report(this.hosts.get(i));
+			}
+		}
+	}
+
+	private void replay(TraceEntry entry) {
+		Target target = this.targets.get(entry.target());
+		ReplayHost host = this.hosts.get(entry.host());
+		if (entry.fingerprint().equals("poison")) {
+			if (host.quarantine.holds("poison")) {
+				return;
+			}
+			this.measures.crashed(entry.target());
+		}
+		boolean ordinary = entry.fingerprint().equals("-");
+		if (!uses(host, target)) {
+			if (ordinary) {
+				this.measures.request(entry.account(), true);
+			}
+			return;
+		}
+		if (entry.fingerprint().equals("leaving")) {
+			host.recorder.leaving(target);
+		}
+		else if (ordinary) {
+			this.measures.request(entry.account(), entry.kind() == OutcomeRecorder.Kind.SUCCESS);
+		}
+		String fingerprint = ordinary ? "r" + this.random.nextInt() : entry.fingerprint();
+		host.recorder
+			.record(new OutcomeRecorder.Outcome(target, entry.account(), fingerprint, entry.kind(), entry.latency()));
+	}
+
+	private boolean uses(ReplayHost host, Target target) {
+		HealthView.ServiceHealth health = host.view.service(target.service());
+		if (host.collector.seesLeaving(target.id()) || health.leaving(target.id(), this.now)) {
+			return false;
+		}
+		double weight = health.target(target.id()).weightAt(this.now);
+		if (health.target(target.id()).ejectedAt(this.now)) {
+			weight = FloorGuard.usable(listed(target.service()), health, ServicePolicy.DEFAULT_CAPACITY_FLOOR, this.now)
+				.stream()
+				.filter((usable) -> usable.target().id().equals(target.id()))
+				.mapToDouble(FloorGuard.Usable::weight)
+				.sum();
+		}
+		else if (this.localWeights) {
+			weight = Math.max(FloorGuard.LEAST_WEIGHT, weight * host.weights.weight(target.id()));
+		}
+		return weight >= 1 || this.random.nextDouble() < weight;
+	}
+
+	private void report(ReplayHost host) {
+		String region = this.deployment.region(host.number);
+		boolean cut = this.scenario.faults()
+			.stream()
+			.anyMatch((fault) -> fault.kind().equals("cut") && fault.at(this.now))
+				&& region.equals(this.deployment.regions().get(1));
+		for (String service : this.deployment.services()) {
+			HealthView.ReportTicket ticket = host.view.reporting(service, "p0");
+			PeerMessage.Report report = host.report(service);
+			if (!cut) {
+				PeerMessage.Verdicts verdicts = coordinator(service).report(report);
+				noteEjections(service, verdicts);
+				this.delayed.add(new Delayed(this.now + 2 * DELAY_MILLIS, () -> {
+					host.view.apply(ticket, verdicts);
+					noteHeld(host, service);
+				}));
+			}
+		}
+	}
+
+	private HealthCoordinator coordinator(String service) {
+		HealthCoordinator coordinator = this.coordinators.get(service);
+		if (coordinator == null) {
+			throw new IllegalArgumentException("no service " + service);
+		}
+		return coordinator;
+	}
+
+	private void noteEjections(String service, PeerMessage.Verdicts verdicts) {
+		Set<String> next = new HashSet<>();
+		for (PeerMessage.Verdict verdict : verdicts.verdicts()) {
+			if (verdict.ejected()) {
+				next.add(verdict.targetId());
+			}
+		}
+		Set<String> before = this.ejected.getOrDefault(service, Set.of());
+		next.stream().filter((id) -> !before.contains(id)).forEach((id) -> this.measures.ejected(!faulty(id)));
+		this.ejected.put(service, next);
+	}
+
+	// Evidence of timeouts arrives late, so an ejection soon after a fault is no mistake.
+	private boolean faulty(String targetId) {
+		return this.scenario.faults()
+			.stream()
+			.anyMatch((fault) -> fault.kind().equals("gray") && fault.subject().equals(targetId)
+					&& this.now >= fault.from() && this.now < fault.to() + 5000);
+	}
+
+	private void noteHeld(ReplayHost host, String service) {
+		for (Scenario.Fault fault : this.scenario.faults()) {
+			if (!fault.kind().equals("gray") || !fault.at(this.now) || this.closed.contains(fault)) {
+				continue;
+			}
+			if (host.view.ejectedHeld(service).contains(fault.subject())) {
+				Set<Integer> holding = this.holders.computeIfAbsent(fault, (key) -> new HashSet<>());
+				holding.add(host.number);
+				if (holding.size() * 2 > Deployment.HOSTS) {
+					this.closed.add(fault);
+					// A target that is still ejected from an earlier fault is no
+					// detection.
+					long passed = this.now - fault.from();
+					if (passed > REPORT_MILLIS + 2 * DELAY_MILLIS) {
+						this.measures.detected(passed);
+					}
+				}
+			}
+		}
+	}
+
+	private List<Target> listed(String service) {
+		List<Target> listed = new ArrayList<>();
+		for (Target target : this.targets) {
+			if (target.service().equals(service) && !replacedNow(target.id())) {
+				listed.add(target);
+			}
+		}
+		return listed;
+	}
+
+	private boolean replacedNow(String targetId) {
+		for (Scenario.Fault fault : this.scenario.faults()) {
+			if (fault.is("replaced", targetId, this.now) && this.now >= fault.from() + LIST_LAG_MILLIS) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private void announce(PeerMessage.Suspect suspect) {
+		this.delayed.add(new Delayed(this.now + DELAY_MILLIS,
+				() -> this.hosts.forEach((host) -> host.quarantine.suspect(suspect))));
+	}
+
+	private record Delayed(long at, Runnable action) implements Comparable<Delayed> {
+
+		@Override
+		public int compareTo(Delayed other) {
+			return Long.compare(this.at, other.at);
+		}
+
+	}
+
+}
--- a/core/src/main/java/org/plantainspur/core/health/LatencyComparison.java
+++ b/core/src/main/java/org/plantainspur/core/health/LatencyComparison.java
@@ -18,7 +18,7 @@
 	/** With fewer answers of siblings there is nothing to compare with. */
 	private static final double LEAST_SIBLING_ANSWERS = 20;
 
-	private static final double PRIOR = 20;
+	private static final double PRIOR = 2;
 
 	private final Map<Path, Histogram> paths = new HashMap<>();
 
--- a/core/src/main/java/org/plantainspur/core/health/LogLikelihood.java
+++ b/core/src/main/java/org/plantainspur/core/health/LogLikelihood.java
@@ -6,7 +6,7 @@
 final class LogLikelihood {
 
 	/** Rates are kept away from 0 and 1, where one outcome would decide everything. */
-	static final double LEAST_RATE = 0.01;
+	static final double LEAST_RATE = 0.005;
 
 	static final double LARGEST_RATE = 0.95;
 
--- a/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
+++ b/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
@@ -19,17 +19,20 @@
 public final class PooledHealthJudge implements HealthJudge {
 
 	/**
-	 * At 1% assumed failures, about six failures in close succession. With 0.2% random
-	 * failures and 3 * 10^8 outcomes in ten days, the chance of such a group is below 1%
-	 * (a union bound over all failures).
+	 * At the least assumed rate of 0.5%, five failures among twelve outcomes. Ten days of
+	 * 35 targets with 20 requests/s are 6 * 10^8 outcomes. With 0.2% random failures, the
+	 * expected number of such groups among them is 1.2 * 10^6 * 330 * 0.002^4 = 0.006.
 	 */
-	public static final double THRESHOLD = 20;
+	public static final double THRESHOLD = 18;
 
 	/** Siblings are compared within the same interval. */
 	static final long INTERVAL_MILLIS = 500;
 
-	/** How fast the memory of an account's outcomes and of latencies fades. */
-	private static final double MEMORY_MILLIS = 10_000;
+	/** How fast the memory of paths and latencies fades; a change must show soon. */
+	private static final double RECENT_MILLIS = 2000;
+
+	/** How fast the memory of an account's outcomes fades. */
+	private static final double MEMORY_MILLIS = 30_000;
 
 	private final Map<String, TargetCase> cases = new HashMap<>();
 
@@ -37,6 +40,8 @@
 
 	private final Tally<String> memory = new Tally<>();
 
+	private final Tally<Path> paths = new Tally<>();
+
 	private final LatencyComparison latencies = new LatencyComparison();
 
 	private long intervalStart = Long.MIN_VALUE;
@@ -44,13 +49,16 @@
 	@Override
 	public void observe(Observation observation) {
 		roll(observation.nowMillis());
-		TargetCase target = this.cases.computeIfAbsent(observation.target().id(), (id) -> new TargetCase());
+		TargetCase target = this.cases.computeIfAbsent(observation.target().id(),
+				(id) -> new TargetCase(observation.target().region()));
+		Path path = new Path(observation.group(), observation.target().region());
 		for (PeerMessage.AccountEvidence account : observation.evidence().accounts()) {
 			int unanswered = count(account.unanswered()) + count(account.connectFailures());
 			int failures = count(account.failures());
 			int successes = count(account.successes());
 			target.observe(observation, account.accountId(), successes, failures, unanswered);
 			this.interval.add(account.accountId(), failures + unanswered, successes);
+			this.paths.add(path, failures + unanswered, successes);
 		}
 		if (!observation.cold()) {
 			this.latencies.observe(observation);
@@ -78,11 +86,13 @@
 			target.slow.add(ratios.get(1));
 		});
 		double fade = Math.exp(-passed / MEMORY_MILLIS);
-		this.cases.values().forEach((target) -> target.finishInterval(fade));
+		double recentFade = Math.exp(-passed / RECENT_MILLIS);
+		this.cases.values().forEach((target) -> target.finishInterval(fade, recentFade));
+		this.paths.fade(recentFade);
 		this.memory.addAll(this.interval);
 		this.memory.fade(fade);
 		this.interval.clear();
-		this.latencies.finishInterval(fade);
+		this.latencies.finishInterval(recentFade);
 		this.intervalStart = now;
 	}
 
@@ -113,8 +123,9 @@
 		Map<String, Double> ratios = new HashMap<>();
 		double now = SiblingRates.serviceRate(this.interval, left);
 		target.interval.counts().forEach((cell, counts) -> {
-			double rate = LogLikelihood
-				.clamp(Math.max(now, SiblingRates.accountRate(cell.account(), this.interval, this.memory, left)));
+			double account = SiblingRates.accountRate(cell.account(), this.interval, this.memory, left);
+			double path = SiblingRates.pathRate(new Path(cell.group(), target.region), this.paths, left);
+			double rate = LogLikelihood.clamp(Math.max(now, Math.max(account, path)));
 			ratios.merge(cell.group(),
 					LogLikelihood.ratio(counts[0], counts[1] - counts[0], rate, LogLikelihood.sickRate(rate)),
 					Double::sum);
@@ -175,28 +186,47 @@
 	record Cell(String account, String group) {
 	}
 
+	/**
+	 * The way from a group of reporters to the targets in a region.
+	 *
+	 * @param group the reporters' failure domain
+	 * @param region the targets' region
+	 */
+	record Path(String group, String region) {
+	}
+
 	/**
 	 * The evidence on one target.
 	 */
 	static final class TargetCase {
 
+		final String region;
+
 		final SequentialTest failing = new SequentialTest();
 
 		final SequentialTest slow = new SequentialTest();
 
 		final Tally<Cell> interval = new Tally<>();
 
+		final Tally<Path> byPath = new Tally<>();
+
 		final Tally<String> byAccount = new Tally<>();
 
 		final Tally<String> memory = new Tally<>();
 
+		TargetCase(String region) {
+			this.region = region;
+		}
+
 		void observe(Observation observation, String account, int successes, int failures, int unanswered) {
 			this.interval.add(new Cell(account, observation.group()), failures + unanswered, successes);
+			this.byPath.add(new Path(observation.group(), this.region), failures + unanswered, successes);
 			this.byAccount.add(account, failures + unanswered, successes);
 			this.failing.saw(observation.reporter(), successes + failures, failures, unanswered);
 		}
 
-		void finishInterval(double fade) {
+		void finishInterval(double fade, double recentFade) {
+			this.byPath.fade(recentFade);
 			this.memory.addAll(this.byAccount);
 			this.memory.fade(fade);
 			this.interval.clear();
--- a/core/src/main/java/org/plantainspur/core/routing/FairOrder.java
+++ b/core/src/main/java/org/plantainspur/core/routing/FairOrder.java
@@ -16,7 +16,7 @@
  *
  * @param <E> what waits
  */
-final class FairOrder<E> {
+public final class FairOrder<E> {
 
 	/** An account cannot fill the memory, nor hold more of the host's threads. */
 	static final int MAX_PER_ACCOUNT = 64;
@@ -26,6 +26,8 @@
 
 	private static final double LEAST_RATE = 0.01;
 
+	private static final double LARGEST_CREDIT = 2;
+
 	private final TreeSet<Ticket<E>> tickets = new TreeSet<>(
 			Comparator.comparingDouble((Ticket<E> ticket) -> ticket.start()).thenComparing(Ticket::number));
 
@@ -41,12 +43,12 @@
 	 * @param element the element
 	 * @return its place, or {@code null} if the account has too many waiting
 	 */
-	@Nullable Ticket<E> add(ClientAccount account, E element) {
+	public @Nullable Ticket<E> add(ClientAccount account, E element) {
 		Lane lane = this.lanes.computeIfAbsent(account.id(), (id) -> new Lane());
 		if (lane.waiting >= MAX_PER_ACCOUNT) {
 			return null;
 		}
-		double start = Math.max(this.virtualTime, lane.lastFinish);
+		double start = Math.max(this.virtualTime - credit(account), lane.lastFinish);
 		lane.lastFinish = start + 1 / weight(account);
 		lane.waiting++;
 		Ticket<E> ticket = new Ticket<>(account.id(), start, this.numbers++, element);
@@ -54,6 +56,13 @@
 		return ticket;
 	}
 
+	// An account that sent less than its rate is ahead by at most its burst; without
+	// this,
+	// a small account near its rate queues behind itself.
+	private static double credit(ClientAccount account) {
+		return (account.ratePerSecond() < NO_RATE) ? Math.min(LARGEST_CREDIT, account.burst() / weight(account)) : 0;
+	}
+
 	private static double weight(ClientAccount account) {
 		double rate = account.ratePerSecond();
 		return (rate < NO_RATE) ? Math.max(LEAST_RATE, rate) : 1;
@@ -63,12 +72,12 @@
 	 * Removes the element whose turn it is.
 	 * @return the element, or {@code null} if none waits
 	 */
-	@Nullable E next() {
+	public @Nullable E next() {
 		Ticket<E> first = this.tickets.pollFirst();
 		if (first == null) {
 			return null;
 		}
-		this.virtualTime = first.start();
+		this.virtualTime = Math.max(this.virtualTime, first.start());
 		left(first);
 		return first.element();
 	}
@@ -106,7 +115,7 @@
 	 * @param number breaks ties by arrival
 	 * @param element what waits
 	 */
-	record Ticket<E>(String account, double start, long number, E element) {
+	public record Ticket<E>(String account, double start, long number, E element) {
 	}
 
 	private static final class Lane {
