Shorten loans of tokens and start shares of new processes earlier

Cause of refusals within rate at a burst of 1 s of rate: a loan stayed off the lender's capacity for 1,070 ms, so loans carried at most the burst in that time, and demand at other hosts is 85% of the rate. Loans now last 300 ms (356 ms off the capacity) and are asked for 150 ms of demand in advance at a low water of 100 ms.

The goals now bound the figures for a burst of 1 s too.

A new process waited 4.2 s for its share, since it does not know the earlier holders. If every process that lost its seat is known to be fenced (departure sequence 0), only members of the membership it starts with can be holders. The share then starts once each of them has shown the sequence number, plus the life of loans. A process at another address no longer counts as proof that the earlier one at the host is dead.

The constants in ShareHistoryTests and SharedRateLimiterTests follow the life of loans. RateScheduleTests gets schedules in which home hosts often start again, and its fleet settles seats after 3,110 ms; its bounds are unchanged.

--- a/core/src/main/java/org/plantainspur/core/rate/AccountLimit.java
+++ b/core/src/main/java/org/plantainspur/core/rate/AccountLimit.java
@@ -20,10 +20,10 @@
 	private static final double WAIT_SECONDS = 0.2;
 
 	/** Loans are asked for this much demand in advance, and last longer. */
-	private static final long AHEAD_MILLIS = 250;
+	private static final long AHEAD_MILLIS = 150;
 
 	/** A request for a loan and its answer take up to 62 ms between regions. */
-	private static final long LOW_WATER_MILLIS = 150;
+	private static final long LOW_WATER_MILLIS = 100;
 
 	/** What a lender keeps for the requests that it is about to get itself. */
 	private static final long RESERVE_MILLIS = 50;
--- a/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
+++ b/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
@@ -19,15 +19,21 @@
  * @param past the earlier memberships
  * @param accounts the earlier limits of accounts, by account
  * @param knownFromMillis the instant before which earlier states are not known
+ * @param settled whether at that instant every process that had lost its seat was fenced,
+ * so that only members may act on the earlier states
  * @param changedMillis when the membership last changed here
  */
 record ShareHistory(Configuration current, List<Past> past, Map<String, List<PastAccount>> accounts,
-		long knownFromMillis, long changedMillis) {
+		long knownFromMillis, boolean settled, long changedMillis) {
 
 	private static final long FENCING_MILLIS = 3000;
 
-	/** How long a borrower may spend a loan, counted from before it asked. */
-	static final long LOAN_MILLIS = 1000;
+	/**
+	 * How long a borrower may spend a loan, counted from before it asked. Loans carry at
+	 * most the burst in this time, so it is short for accounts with a small burst; an
+	 * answer from another region takes up to 64 ms of it.
+	 */
+	static final long LOAN_MILLIS = 300;
 
 	/** The same with the margin for clocks that run at different rates. */
 	static final long LOAN_OUT_MILLIS = withMargin(LOAN_MILLIS);
@@ -43,7 +49,7 @@
 	}
 
 	static ShareHistory start(Configuration configuration, long now) {
-		return new ShareHistory(configuration, List.of(), Map.of(), now, now);
+		return new ShareHistory(configuration, List.of(), Map.of(), now, settled(configuration), now);
 	}
 
 	ShareHistory learn(Configuration next, long now) {
@@ -63,7 +69,12 @@
 				.forEach((membership) -> nextPast.add(new Past(membership, now)));
 		}
 		return new ShareHistory(next, List.copyOf(nextPast), changedAccounts(next, now),
-				known ? this.knownFromMillis : now, moved ? now : this.changedMillis);
+				known ? this.knownFromMillis : now, known ? this.settled : settled(next),
+				moved ? now : this.changedMillis);
+	}
+
+	private static boolean settled(Configuration configuration) {
+		return configuration.membership().departureSequence() == 0;
 	}
 
 	private boolean follows(Membership next) {
--- a/core/src/main/java/org/plantainspur/core/rate/SharePlanner.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharePlanner.java
@@ -1,5 +1,6 @@
 package org.plantainspur.core.rate;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -42,11 +43,21 @@
 			}
 		}
 		boolean known = now >= history.knownFromMillis() + ShareHistory.TAKEOVER_MILLIS;
+		if (!known) {
+			addMembers(history, now, search);
+		}
 		long sequence = Math.max(history.current().membership().sequence(),
 				history.current().version("account/" + account.id()));
 		return new SharePlan(history, account, homes.stream().filter((home) -> !isSelf(home)).toList(),
-				known ? search.divisor : 0, divisor(homes), Set.copyOf(search.holders), sequence, known,
-				search.takeoverMillis, Long.MAX_VALUE);
+				known ? search.divisor : 0, divisor(homes), Set.copyOf(search.holders), sequence,
+				known || history.settled(), search.takeoverMillis, Long.MAX_VALUE);
+	}
+
+	// Limits that the account had before this process started may have given a share to
+	// any member.
+	private void addMembers(ShareHistory history, long now, Search search) {
+		search.addHolders(history.current().membership().members());
+		history.pastAt(now).forEach((past) -> search.addHolders(past.membership().members()));
 	}
 
 	private void search(ShareHistory history, ClientAccount account, long now, Search search) {
@@ -61,7 +72,8 @@
 		long sequence = plan.sequence();
 		return (holder) -> {
 			Member present = membership.member(holder.hostId());
-			if (present != null && (!present.processId().equals(holder.processId()) || present.resigned())) {
+			if (present != null && membership.hasSeat(holder)
+					&& (!present.processId().equals(holder.processId()) || present.resigned())) {
 				return true;
 			}
 			return this.progress.released(holder, sequence);
@@ -95,7 +107,11 @@
 		void add(List<Member> homes) {
 			int other = SharePlanner.this.divisor(homes);
 			this.divisor = (this.divisor == 0 || other == 0) ? 0 : Math.max(this.divisor, other);
-			homes.stream().filter((home) -> !isSelf(home)).forEach(this.holders::add);
+			addHolders(homes);
+		}
+
+		void addHolders(Collection<Member> members) {
+			members.stream().filter((member) -> !isSelf(member)).forEach(this.holders::add);
 		}
 
 		void until(long millis) {
--- a/core/src/test/java/org/plantainspur/core/rate/RateScheduleTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/RateScheduleTests.java
@@ -24,6 +24,12 @@
 	@Group
 	class EqualClocks {
 
+		// A new process does not know what its predecessors and the other hosts held.
+		@Property(seed = "20261204", tries = 100)
+		void processesStartAgain(@ForAll long scheduleSeed) {
+			new Schedule(new Random(scheduleSeed), 0, true).startingAgain().run(20_000);
+		}
+
 		// All amounts are whole numbers rounded down, so there is no tolerance.
 		@Property(seed = "20261204", tries = 150)
 		void membershipChanges(@ForAll long scheduleSeed) {
@@ -75,6 +81,8 @@
 
 		private double greed = 1;
 
+		private boolean startingAgain;
+
 		private long limitsSettleAt = -1;
 
 		Schedule(Random random, double drift, boolean changeLimits) {
@@ -95,6 +103,11 @@
 			return new ClientAccount(ACCOUNT, 1 + this.random.nextInt(200), bursts[this.random.nextInt(bursts.length)]);
 		}
 
+		Schedule startingAgain() {
+			this.startingAgain = true;
+			return this;
+		}
+
 		void run(long millis) {
 			for (long now = 0; now < millis; now++) {
 				this.fleet.tick();
@@ -104,6 +117,9 @@
 				if (this.random.nextInt(1500) == 0) {
 					disturb();
 				}
+				if (this.startingAgain && this.random.nextInt(700) == 0) {
+					this.fleet.start(home().member.hostId());
+				}
 				if (now == this.limitsSettleAt) {
 					this.ledger.limits(this.account);
 				}
--- a/core/src/test/java/org/plantainspur/core/rate/ShareHistoryTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/ShareHistoryTests.java
@@ -54,13 +54,13 @@
 
 		@Test
 		void hostIsForgottenBeforeItIsFencedAndItsLoansHaveEnded() {
-			// Fencing after 3,000 ms and loans of 1,000 ms, each plus 2% and 50 ms.
-			assertThat(ShareHistory.TAKEOVER_MILLIS).isEqualTo(3110 + 1070);
+			// Fencing after 3,000 ms and loans of 300 ms, each plus 2% and 50 ms.
+			assertThat(ShareHistory.TAKEOVER_MILLIS).isEqualTo(3110 + 356);
 			Configuration first = join(Configuration.empty(), "a");
 			Configuration second = join(first, "b");
 			ShareHistory history = ShareHistory.start(first, 0).learn(second, 100);
-			assertThat(history.pastAt(100 + 4179)).hasSize(1);
-			assertThat(history.pastAt(100 + 4180)).isEmpty();
+			assertThat(history.pastAt(100 + 3465)).hasSize(1);
+			assertThat(history.pastAt(100 + 3466)).isEmpty();
 		}
 
 	}
@@ -73,7 +73,7 @@
 			Configuration first = append(Configuration.empty(), new Change.PutAccount(new ClientAccount("a", 5, 4)));
 			Configuration second = append(first, new Change.PutAccount(new ClientAccount("a", 5, 16)));
 			ShareHistory history = ShareHistory.start(first, 0).learn(second, 100);
-			assertThat(history.pastAccountsAt("a", 4000)).extracting(ShareHistory.PastAccount::account)
+			assertThat(history.pastAccountsAt("a", 3400)).extracting(ShareHistory.PastAccount::account)
 				.containsExactly(new ClientAccount("a", 5, 4));
 		}
 
--- a/core/src/test/java/org/plantainspur/core/rate/SharedRateLimiterTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SharedRateLimiterTests.java
@@ -106,9 +106,9 @@
 		void unrelatedChangeDelaysTheStart() {
 			SharedRateLimiterTests.this.released.set(true);
 			gain();
-			SharedRateLimiterTests.this.clock.advance(1000);
+			SharedRateLimiterTests.this.clock.advance(300);
 			append(new Change.PutAccount(new ClientAccount("tidewater", 5, 5)));
-			assertThat(millisUntilGranted()).isEqualTo(ShareHistory.LOAN_OUT_MILLIS - 1000 + 1);
+			assertThat(millisUntilGranted()).isEqualTo(ShareHistory.LOAN_OUT_MILLIS - 300 + 1);
 		}
 
 	}
--- a/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
@@ -12,12 +12,15 @@
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
 
 /**
  * A handful of simulated hosts with one sequence of changes.
  */
 final class SimulatedFleet {
 
+	private static final long SETTLED_MILLIS = 3110;
+
 	final SimulatedNetwork network;
 
 	final Map<String, SimulatedHost> hosts = new TreeMap<>();
@@ -30,6 +33,8 @@
 
 	private int processes;
 
+	private long departedMillis;
+
 	SimulatedFleet(SimulatedNetwork network, Supplier<Double> clockRates,
 			BiFunction<SimulatedHost, SimulatedHost.Directory, RateLimiter> limiters) {
 		this.network = network;
@@ -70,7 +75,17 @@
 		return host;
 	}
 
+	// A process that lost its seat is fenced after 3,000 ms, counted on a clock that may
+	// be 1% slow; the margin is the one of the coordinator of membership.
+	private void settle() {
+		Membership membership = this.log.membership();
+		if (membership.departureSequence() != 0 && this.network.now() >= this.departedMillis + SETTLED_MILLIS) {
+			append(new Change.SeatsSettled(membership.seatSequence()));
+		}
+	}
+
 	void remove(String hostId) {
+		this.departedMillis = this.network.now();
 		append(new Change.MembersRemoved(List.of(this.hosts.get(hostId).member)));
 	}
 
@@ -84,6 +99,7 @@
 
 	void tick() {
 		this.network.tick();
+		settle();
 		long now = this.network.now();
 		for (SimulatedHost host : this.hosts.values()) {
 			host.tick();
--- a/core/src/test/java/org/plantainspur/core/rate/SkewedDemandTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SkewedDemandTests.java
@@ -61,10 +61,9 @@
 			assertThat(refusedShare("steady", 2, false)).isLessThan(STEADY_BOUND);
 		}
 
-		// Printed without a bound: a bucket of one second is often empty at this demand.
 		@Test
-		void figureForASmallBurst() {
-			assertThat(refusedShare("steady (no bound)", 1, false)).isLessThan(1);
+		void accountWithASmallBurstIsRefused() {
+			assertThat(refusedShare("steady", 1, false)).isLessThan(STEADY_BOUND);
 		}
 
 	}
@@ -77,13 +76,10 @@
 			assertThat(refusedShare("first minute after a shift", 2, true)).isLessThan(SHIFT_BOUND);
 		}
 
-		// Printed without a bound: demand that comes to other hosts only is carried by
-		// loans,
-		// and a loan stays off the lender's capacity for 1,070 ms, so that loans carry at
-		// most the burst in that time.
+		// Demand that comes to other hosts only is carried by loans.
 		@Test
-		void figureForASmallBurst() {
-			assertThat(refusedShare("first minute after a shift (no bound)", 1, true)).isLessThan(1);
+		void accountWithASmallBurstIsRefusedInTheFirstMinute() {
+			assertThat(refusedShare("first minute after a shift", 1, true)).isLessThan(SHIFT_BOUND);
 		}
 
 	}
