--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/demo/DemoReady.java
@@ -0,0 +1,80 @@
+package org.plantainspur.standins.demo;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import org.plantainspur.adapters.settings.Setting;
+import org.plantainspur.standins.program.Programs;
+
+/**
+ * Waits until every entry host has all hosts as members and may serve keyed requests.
+ * Hosts join one after another, and each gains its shares only when no earlier holder can
+ * use them.
+ */
+public final class DemoReady {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final long INTERVAL_MILLIS = 200;
+
+	private static final long NANOS_PER_SECOND = 1_000_000_000;
+
+	private DemoReady() {
+	}
+
+	/**
+	 * Waits for the hosts; fails after the time of {@code --seconds}.
+	 * @param args the flags, see {@code --help}
+	 * @throws Exception if a host is not ready in time
+	 */
+	public static void main(String[] args) throws Exception {
+		Programs.run("demo-ready", args, Settings::new, (settings) -> {
+			List<String> missing = new ArrayList<>(List.of(settings.admins.split(",")));
+			int hosts = missing.size();
+			long started = System.nanoTime();
+			try (HttpCalls calls = new HttpCalls()) {
+				while (!missing.removeIf((admin) -> ready(calls, admin, hosts)) || !missing.isEmpty()) {
+					if (System.nanoTime() - started > settings.seconds * NANOS_PER_SECOND) {
+						throw new IllegalStateException(
+								"not ready after " + settings.seconds + " s: the hosts with the admin addresses "
+										+ missing + "; see their /status for the reason");
+					}
+					Thread.sleep(INTERVAL_MILLIS);
+				}
+			}
+			System.out.printf("%d hosts are ready after %.1f s%n", hosts,
+					(double) (System.nanoTime() - started) / NANOS_PER_SECOND);
+		});
+	}
+
+	private static boolean ready(HttpCalls calls, String admin, int hosts) {
+		try {
+			JsonNode status = MAPPER.readTree(calls.send("GET", admin, "/status", Map.of(), "").body());
+			return status.path("current").asBoolean() && status.path("members").size() == hosts;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * The settings.
+	 */
+	static final class Settings {
+
+		@Setting(flag = "--admins", variable = "DEMO_ADMINS", example = "127.0.0.1:7412",
+				help = "ip:port of the hosts' admin addresses, comma-separated")
+		private String admins = "";
+
+		@Setting(flag = "--seconds", variable = "DEMO_SECONDS", defaultValue = "60", minimum = 1, maximum = 600,
+				help = "longest wait, in seconds")
+		private long seconds;
+
+	}
+
+}
