Measure added latency, and memory, messages and processor time by fleet size

benchmarks/added-latency runs the load tool against targets directly and through one entry host; benchmarks/slopes prints the tables that the capacity page needs.

--- /dev/null
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/latency/LatencySetup.java
@@ -0,0 +1,83 @@
+package org.plantainspur.benchmarks.latency;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+
+import org.plantainspur.adapters.platform.PlatformClient;
+import org.plantainspur.adapters.platform.TableChangeLog;
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.Route;
+import org.plantainspur.core.request.KeyHash;
+
+/**
+ * Sets up the platform stand-in and the targets for {@code benchmarks/added-latency}: one
+ * account whose rate no run reaches, one service, and targets that answer after 2 ms.
+ */
+public final class LatencySetup {
+
+	private static final String BEHAVIOUR = """
+			{"serviceTime": {"kind": "log-normal", "medianMillis": 2, "p99Millis": 3}, "queueMillis": 1000}""";
+
+	private static final String HOST = """
+			{"id": "%s", "kind": "target", "service": "booking", "address": "%s", "region": "pdx",
+			 "failureDomain": "pdx-a", "slots": 32, "connections": 400, "state": "live"}""";
+
+	private static final double RATE = 100_000;
+
+	private static final long TIMEOUT_MILLIS = 5000;
+
+	private static final int OK = 200;
+
+	private LatencySetup() {
+	}
+
+	/**
+	 * Sets up the stand-ins.
+	 * @param args the address of the platform stand-in and those of the targets
+	 * @throws Exception if a stand-in gives no answer
+	 */
+	public static void main(String[] args) throws Exception {
+		String platform = args[0];
+		StringBuilder hosts = new StringBuilder();
+		for (int i = 1; i < args.length; i++) {
+			put(args[i], "/.control/behaviour", BEHAVIOUR);
+			hosts.append((i > 1) ? "," : "").append(HOST.formatted("booking-" + i, args[i]));
+		}
+		put(platform, "/hosts", "{\"hosts\": [" + hosts + "]}");
+		try (PlatformClient client = new PlatformClient("http://" + platform, TIMEOUT_MILLIS)) {
+			ChangeLog log = new TableChangeLog(client);
+			for (Change change : changes()) {
+				if (!(log.append(log.head(), "latency-" + log.head(),
+						change) instanceof ChangeLog.AppendResult.Appended)) {
+					throw new IOException("the change " + change + " was not accepted; start a new platform stand-in");
+				}
+			}
+		}
+	}
+
+	private static List<Change> changes() {
+		return List.of(new Change.PutAccount(new ClientAccount("bench", RATE, RATE)),
+				new Change.IssueKey(KeyHash.of("latency-benchmark-key"), "bench"),
+				new Change.PutRoute(new Route("booking-read", "GET", "/booking", "booking", true, false, 5000)),
+				new Change.PutRoute(new Route("booking-write", "POST", "/booking", "booking", false, false, 5000)));
+	}
+
+	private static void put(String address, String path, String body) throws IOException, InterruptedException {
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
+			.header("Content-Type", "application/json")
+			.PUT(HttpRequest.BodyPublishers.ofString(body))
+			.build();
+		HttpResponse<String> answer = HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString());
+		if (answer.statusCode() != OK) {
+			throw new IOException(
+					"PUT " + address + path + " was answered " + answer.statusCode() + ": " + answer.body());
+		}
+	}
+
+}
--- /dev/null
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/latency/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The latency that an entry host adds to a request, measured end to end on one machine.
+ */
+@NullMarked
+package org.plantainspur.benchmarks.latency;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/MessageSlopes.java
@@ -0,0 +1,106 @@
+package org.plantainspur.benchmarks.slope;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.plantainspur.adapters.peer.PeerCodec;
+import org.plantainspur.adapters.peer.PeerProtocolException;
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.peer.PeerMessage;
+
+/**
+ * Encoded bytes, and processor time of encoding and decoding, of the peer messages.
+ */
+final class MessageSlopes {
+
+	private static final int ACCOUNTS_REPORTED = 4;
+
+	private static final int BUCKETS = 14;
+
+	private final PeerCodec codec = new PeerCodec();
+
+	void print() {
+		System.out.printf("%nPeer messages; 5 bytes of framing come on top%n");
+		System.out.printf("| message | size | bytes | encode and decode, us |%n| --- | --- | ---: | ---: |%n");
+		for (int silent : new int[] { 0, 17, 64 }) {
+			print("heartbeat", silent + " silent hosts", new PeerMessage.Heartbeat("entry-0001",
+					"process-0000000000001eef", 123_456, 250, false, names("entry-", silent)));
+		}
+		for (int targets : new int[] { 1, 5, 15, 60 }) {
+			print("report", targets + " targets, 4 accounts each", report("entry-0001", targets));
+			print("report", targets + " targets without traffic", emptyReport(targets));
+			print("verdicts", targets + " targets", verdicts(targets));
+		}
+		print("borrow", "1", new PeerMessage.Borrow("entry-0001", SyntheticFleet.account(1), 20_000));
+		print("lent", "1", new PeerMessage.Lent(20_000));
+		print("nudge", "1", new PeerMessage.Nudge(123_456));
+		for (int changes : new int[] { 1, 10, 500 }) {
+			List<ChangeEntry> entries = new ArrayList<>();
+			for (int i = 0; i < changes; i++) {
+				entries.add(new ChangeEntry(100 + i, "change-" + i,
+						new Change.PutAccount(new ClientAccount(SyntheticFleet.account(i), 100, 100))));
+			}
+			print("configuration-changes", changes + " changes", new PeerMessage.ConfigurationChanges(entries));
+		}
+		for (int accounts : new int[] { 1000, 11_000, 44_000 }) {
+			print("whole-configuration", accounts + " accounts, 4,100 routes, 950 members",
+					new PeerMessage.WholeConfiguration(
+							new SyntheticFleet(accounts, 4100, 950, 790, 0).configuration().state()));
+		}
+	}
+
+	private void print(String name, String size, PeerMessage message) {
+		byte[] payload = this.codec.encode(7, message);
+		double micros = Stopwatch.micros(() -> {
+			try {
+				return this.codec.decode(this.codec.encode(7, message));
+			}
+			catch (PeerProtocolException ex) {
+				throw new IllegalStateException("a message that was just encoded is malformed", ex);
+			}
+		});
+		System.out.printf(java.util.Locale.ROOT, "| %s | %s | %d | %.1f |%n", name, size, payload.length, micros);
+	}
+
+	private static List<String> names(String prefix, int count) {
+		List<String> names = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			names.add(prefix + "%04d".formatted(i));
+		}
+		return names;
+	}
+
+	static PeerMessage.Report report(String hostId, int targets) {
+		List<PeerMessage.TargetEvidence> evidence = new ArrayList<>();
+		for (int i = 0; i < targets; i++) {
+			List<PeerMessage.AccountEvidence> accounts = new ArrayList<>();
+			for (int account = 0; account < ACCOUNTS_REPORTED; account++) {
+				accounts.add(new PeerMessage.AccountEvidence(SyntheticFleet.account(account), 3, 0, 0, 0, 0));
+			}
+			List<Integer> latencies = new ArrayList<>(Collections.nCopies(BUCKETS, 0));
+			latencies.set(2, 12);
+			evidence.add(
+					new PeerMessage.TargetEvidence(SyntheticFleet.service(0) + "-" + i, accounts, latencies, 1, false));
+		}
+		return new PeerMessage.Report(hostId, "process-0000000000001eef", 123_456, SyntheticFleet.service(0), evidence,
+				List.of());
+	}
+
+	private static PeerMessage.Report emptyReport(int targets) {
+		PeerMessage.Report full = report("entry-0001", targets);
+		return new PeerMessage.Report(full.hostId(), full.processId(), full.sequence(), full.service(), List.of(),
+				List.of());
+	}
+
+	private static PeerMessage.Verdicts verdicts(int targets) {
+		List<PeerMessage.Verdict> verdicts = new ArrayList<>();
+		for (int i = 0; i < targets; i++) {
+			verdicts.add(new PeerMessage.Verdict(SyntheticFleet.service(0) + "-" + i, false, 1, 3, 0.25, ""));
+		}
+		return new PeerMessage.Verdicts(SyntheticFleet.service(0), verdicts, 2500, false, List.of());
+	}
+
+}
