Let the command line nudge hosts, pause between tries and remove lost members

Cause: after an append the hosts learned of a change only at their next poll. ChangeAuthor repeated a failed try without a pause. After the loss of half or more of the seats nothing could be removed, since MembersRemoved needs a majority of the members before it; an operator had no way out. If the platform failed after the append, the command line said that nothing was done, and a new key was never shown.

Change: POST /nudge on the admin port makes a host read the platform at once; it names no sequence number, and calls while a read is due have no effect. ChangeAuthor pauses 25 to 50 ms before its second try, doubled up to 1,000 ms, randomized, 3,550 ms in all.

--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
@@ -70,6 +70,7 @@
 			@JsonSubTypes.Type(value = Change.MemberJoined.class, name = "member-joined"),
 			@JsonSubTypes.Type(value = Change.MemberResigned.class, name = "member-resigned"),
 			@JsonSubTypes.Type(value = Change.MembersRemoved.class, name = "members-removed"),
+			@JsonSubTypes.Type(value = Change.MembersLost.class, name = "members-lost"),
 			@JsonSubTypes.Type(value = Change.SeatsSettled.class, name = "seats-settled") })
 	private interface ChangeKinds {
 
--- a/adapters/src/main/java/org/plantainspur/adapters/platform/ChangeCodec.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/ChangeCodec.java
@@ -36,6 +36,7 @@
 		types.put("member-joined", Change.MemberJoined.class);
 		types.put("member-resigned", Change.MemberResigned.class);
 		types.put("members-removed", Change.MembersRemoved.class);
+		types.put("members-lost", Change.MembersLost.class);
 		types.put("seats-settled", Change.SeatsSettled.class);
 		return types;
 	}
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -61,6 +61,7 @@
 		Arbitrary<ClientAccount> account = Combinators.combine(TEXT, DOUBLE, DOUBLE).as(ClientAccount::new);
 		Arbitrary<Change> change = Arbitraries.oneOf(account.map(Change.PutAccount::new),
 				member.map(Change.MemberJoined::new), member.list().ofMaxSize(3).map(Change.MembersRemoved::new),
+				member.list().ofMaxSize(3).map(Change.MembersLost::new),
 				Combinators.combine(TEXT, TEXT).as(Change.IssueKey::new), LONG.map(Change.SeatsSettled::new));
 		Arbitrary<ChangeEntry> entry = Combinators.combine(LONG, TEXT, change).as(ChangeEntry::new);
 		Arbitrary<PeerMessage> state = Combinators
--- a/core/src/main/java/org/plantainspur/core/configuration/Change.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/Change.java
@@ -186,6 +186,26 @@
 
 	}
 
+	/**
+	 * Removes members whose processes have certainly ended and will not run again, as an
+	 * operator states. Unlike {@link MembersRemoved}, this needs no majority of the
+	 * members before it, so it is possible after the loss of half or more of the seats.
+	 *
+	 * @param members the lost members
+	 */
+	record MembersLost(List<Member> members) implements Change {
+
+		public MembersLost {
+			members = List.copyOf(members);
+		}
+
+		@Override
+		public List<String> entities() {
+			return this.members.stream().map((member) -> "member/" + member.hostId()).toList();
+		}
+
+	}
+
 	/**
 	 * Records that the last change of seats is known to a majority of the members before
 	 * and after it, and that processes that lost their seat are fenced.
--- a/core/src/main/java/org/plantainspur/core/configuration/ChangeAuthor.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/ChangeAuthor.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.plantainspur.core.time.Pause;
 
 /**
  * Writes changes that are based on the versions of the entities that their author saw.
@@ -20,19 +23,40 @@
 	 */
 	static final int MAXIMUM_TRIES = 8;
 
+	/**
+	 * The longest pause before the first repeated try; doubled at each further one. Two
+	 * operators who write at once are apart after a few reads of the platform, which take
+	 * up to 60 ms from the far region.
+	 */
+	static final long FIRST_PAUSE_MILLIS = 50;
+
+	/**
+	 * The longest pause before any try, so that all tries together pause for at most
+	 * 3,550 ms.
+	 */
+	static final long MAXIMUM_PAUSE_MILLIS = 1000;
+
 	private final ChangeLog log;
 
 	private final Supplier<Configuration> newest;
 
+	private final Pause pause;
+
+	private final RandomGenerator random;
+
 	/**
 	 * Creates an author.
 	 * @param log the sequence of changes
 	 * @param newest reads the newest configuration from the platform; throws
 	 * {@link ChangeLog.UnavailableException}
+	 * @param pause waits between tries
+	 * @param random spreads the tries of several authors
 	 */
-	public ChangeAuthor(ChangeLog log, Supplier<Configuration> newest) {
+	public ChangeAuthor(ChangeLog log, Supplier<Configuration> newest, Pause pause, RandomGenerator random) {
 		this.log = log;
 		this.newest = newest;
+		this.pause = pause;
+		this.random = random;
 	}
 
 	/**
@@ -56,6 +80,7 @@
 		boolean maybeWritten = false;
 		String reason = "the head moved at every one of " + MAXIMUM_TRIES + " tries";
 		for (int i = 0; i < MAXIMUM_TRIES; i++) {
+			pauseBefore(i);
 			try {
 				OptionalLong found = maybeWritten ? this.log.find(changeId) : OptionalLong.empty();
 				if (found.isPresent()) {
@@ -82,6 +107,13 @@
 		return maybeWritten ? new Outcome.Unknown(changeId, reason) : new Outcome.NotWritten(reason);
 	}
 
+	private void pauseBefore(int earlierTries) {
+		if (earlierTries > 0) {
+			long longest = Math.min(MAXIMUM_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << (earlierTries - 1));
+			this.pause.pause(this.random.nextLong(longest / 2, longest + 1));
+		}
+	}
+
 	/**
 	 * Settles an earlier unknown outcome.
 	 * @param changeId the change's identity
@@ -93,8 +125,8 @@
 	}
 
 	// A write whose reply was lost may itself have moved the versions. An append names
-	// the
-	// head it follows, so one that was not found after a newer change can never appear.
+	// the head it follows, so one that was not found after a newer change can never
+	// appear.
 	private Outcome conflictOrWritten(String changeId, List<Conflict> conflicts) {
 		OptionalLong found = this.log.find(changeId);
 		return found.isPresent() ? new Outcome.Written(found.getAsLong()) : new Outcome.Conflicting(conflicts);
--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -163,6 +163,9 @@
 		if (change instanceof Change.SeatsSettled settled) {
 			return (settled.seatSequence() == seatSequence()) ? settle(sequence) : this;
 		}
+		if (change instanceof Change.MembersLost lost) {
+			return lose(lost.members(), sequence);
+		}
 		TreeMap<String, Member> next = new TreeMap<>(this.members);
 		if (change instanceof Change.MemberJoined joined) {
 			next.put(joined.member().hostId(), joined.member());
@@ -177,6 +180,32 @@
 		return new Membership(next, nextState(next, sequence), withThis());
 	}
 
+	// A lost member never answers again, so a majority of the members before this change
+	// consists of survivors only. More than half of the survivors meet each such
+	// majority,
+	// and the members before this change need not be counted. Those before the last
+	// unsettled change are counted without the lost ones, for the same reason.
+	private Membership lose(List<Member> lost, long sequence) {
+		TreeMap<String, Member> next = new TreeMap<>(this.members);
+		lost.forEach((gone) -> remove(next, gone));
+		List<Member> gone = this.members.values()
+			.stream()
+			.filter((member) -> !next.containsKey(member.hostId()))
+			.toList();
+		if (gone.isEmpty()) {
+			return this;
+		}
+		List<Member> previous = previousMembers().stream()
+			.filter((member) -> gone.stream().noneMatch((other) -> sameSeat(member, other)))
+			.toList();
+		return new Membership(next, new State(sequence, List.copyOf(next.values()), sequence, sequence, previous),
+				withThis());
+	}
+
+	private static boolean sameSeat(Member member, Member other) {
+		return member.hostId().equals(other.hostId()) && member.peerAddress().equals(other.peerAddress());
+	}
+
 	private Membership settle(long sequence) {
 		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()),
 				withThis());
--- a/core/src/test/java/org/plantainspur/core/schedule/ChangeAuthorTests.java
+++ b/core/src/test/java/org/plantainspur/core/schedule/ChangeAuthorTests.java
@@ -35,7 +35,8 @@
 	}
 
 	private static ChangeAuthor author(FakeTable.Access access) {
-		return new ChangeAuthor(access, () -> replay(access.read(0)));
+		return new ChangeAuthor(access, () -> replay(access.read(0)), (millis) -> {
+		}, new Random(1));
 	}
 
 	private static Change put(String account) {
@@ -118,13 +119,28 @@
 				Configuration read = replay(access.read(0));
 				reachable[0] = false;
 				return read;
-			});
+			}, (millis) -> {
+			}, new Random(1));
 			assertThat(author.write("c1", put("harbor"), Configuration.empty()))
 				.isEqualTo(new Outcome.Unknown("c1", "no connection"));
 			reachable[0] = true;
 			assertThat(author.find("c1")).isEmpty();
 		}
 
+		@Test
+		void triesArePausedLongerEachTimeWithinABound() {
+			List<Long> pauses = new ArrayList<>();
+			FakeTable.Access access = new FakeTable().access(() -> false);
+			new ChangeAuthor(access, () -> replay(access.read(0)), pauses::add, new Random(1)).write("c1",
+					put("harbor"), Configuration.empty());
+			assertThat(pauses).hasSize(7);
+			long longest = 50;
+			for (long pause : pauses) {
+				assertThat(pause).isBetween(longest / 2, longest);
+				longest = Math.min(1000, 2 * longest);
+			}
+		}
+
 		@Test
 		void platformThatCannotBeReadWritesNothing() {
 			FakeTable table = new FakeTable();
--- a/host/src/main/java/org/plantainspur/host/ConfigurationUpdates.java
+++ b/host/src/main/java/org/plantainspur/host/ConfigurationUpdates.java
@@ -43,6 +43,8 @@
 
 	private final AtomicLong noticed = new AtomicLong();
 
+	private final AtomicBoolean pollDue = new AtomicBoolean();
+
 	private final AtomicBoolean unavailable = new AtomicBoolean();
 
 	private final ScheduledExecutorService executor = Executors
@@ -88,6 +90,20 @@
 		}
 	}
 
+	/**
+	 * Reads the platform without waiting for the interval. While such a read is due,
+	 * further calls have no effect, so calls in quick succession cost the platform
+	 * little.
+	 */
+	void pollSoon() {
+		if (this.pollDue.compareAndSet(false, true)) {
+			this.executor.execute(() -> {
+				this.pollDue.set(false);
+				poll();
+			});
+		}
+	}
+
 	private void poll() {
 		long before = this.view.current().sequence();
 		try {
--- a/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
+++ b/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
@@ -72,6 +72,9 @@
 		environment.admin()
 			.addServlet("status", new StatusServlet(report))
 			.addMapping("/status", "/explain/target/*", "/explain/account/*");
+		environment.admin()
+			.addServlet("nudge", new NudgeServlet(injector.getInstance(ConfigurationUpdates.class)))
+			.addMapping("/nudge");
 		environment.admin()
 			.addServlet("prometheus", new MetricsServlet(injector.getInstance(HostMetrics.class)))
 			.addMapping("/metrics");
--- a/operator/src/main/java/org/plantainspur/operator/ChangeRunner.java
+++ b/operator/src/main/java/org/plantainspur/operator/ChangeRunner.java
@@ -1,6 +1,7 @@
 package org.plantainspur.operator;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -10,9 +11,12 @@
 import org.plantainspur.core.configuration.AcceptanceTracker;
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeAuthor;
+import org.plantainspur.core.configuration.ChangeLog;
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.core.time.Pause;
 
 /**
  * Writes a change and waits until it is accepted.
@@ -47,6 +51,10 @@
 		return this.hosts.ask(read().membership().members(), path);
 	}
 
+	Map<String, JsonNode> ask(Collection<Member> members, String path) {
+		return this.hosts.ask(members, path);
+	}
+
 	Report run(Change change, Configuration base, long waitMillis) {
 		String changeId = this.changeIds.get();
 		ChangeAuthor.Outcome outcome = this.author.write(changeId, change, base);
@@ -71,12 +79,26 @@
 	}
 
 	private Report follow(long sequence, long waitMillis) {
-		AcceptanceTracker tracker = new AcceptanceTracker(this.clock, read().membership(), sequence);
+		Membership membership;
+		try {
+			membership = read().membership();
+		}
+		catch (ChangeLog.UnavailableException ex) {
+			return new Report(Report.UNKNOWN).with("result", "written, acceptance not checked")
+				.with("sequence", sequence)
+				.with("reason", String.valueOf(ex.getMessage()));
+		}
+		return follow(sequence, membership, waitMillis);
+	}
+
+	private Report follow(long sequence, Membership membership, long waitMillis) {
+		AcceptanceTracker tracker = new AcceptanceTracker(this.clock, membership, sequence);
 		long deadline = this.clock.millis() + waitMillis;
-		tracker.round(acknowledgements());
+		this.hosts.nudge(membership.members());
+		tracker.round(acknowledgements(membership));
 		while (!tracker.accepted() && this.clock.millis() < deadline) {
 			this.pause.pause(ROUND_MILLIS);
-			tracker.round(acknowledgements());
+			tracker.round(acknowledgements(membership));
 		}
 		String result = tracker.accepted() ? "accepted" : "written, not yet accepted";
 		return new Report(tracker.accepted() ? Report.DONE : Report.UNKNOWN).with("result", result)
@@ -85,22 +107,12 @@
 			.with("notYet", tracker.missing().stream().map(Member::hostId).toList());
 	}
 
-	private List<AcceptanceTracker.Acknowledgement> acknowledgements() {
+	private List<AcceptanceTracker.Acknowledgement> acknowledgements(Membership membership) {
 		List<AcceptanceTracker.Acknowledgement> all = new ArrayList<>();
-		ask("/status")
+		this.hosts.ask(membership.members(), "/status")
 			.forEach((host, status) -> all.add(new AcceptanceTracker.Acknowledgement(status.path("hostId").asText(),
 					status.path("processId").asText(), status.path("sequence").asLong(-1))));
 		return all;
 	}
 
-	/**
-	 * Waits between rounds.
-	 */
-	@FunctionalInterface
-	interface Pause {
-
-		void pause(long millis);
-
-	}
-
 }
--- a/operator/src/main/java/org/plantainspur/operator/CommandParser.java
+++ b/operator/src/main/java/org/plantainspur/operator/CommandParser.java
@@ -38,6 +38,7 @@
 		Subparsers sheet = group(commands, "sheet", "the planners' sheet");
 		leaf(sheet, "check", FleetActions::checkSheet).addArgument("file").help("CSV file");
 		leaf(sheet, "apply", FleetActions::applySheet).addArgument("file").help("CSV file");
+		members(group(commands, "member", "members of the fleet"));
 		leaf(commands, "status", FleetActions::status);
 		Subparsers explain = group(commands, "explain", "why a target or an account is treated as it is");
 		leaf(explain, "target", FleetActions::explainTarget).addArgument("name").help("target");
@@ -73,6 +74,16 @@
 		leaf(group, "list", EntityActions::listRoutes);
 	}
 
+	private void members(Subparsers group) {
+		Subparser remove = leaf(group, "remove", MemberActions::remove);
+		remove.description("Removes hosts whose processes have certainly ended. Never remove a host that may still run:"
+				+ " it could serve with a withdrawn key.");
+		remove.addArgument("host").nargs("+").help("host");
+		remove.addArgument("--processes-have-ended")
+			.action(Arguments.storeTrue())
+			.help("confirms that none of these processes runs or will run again");
+	}
+
 	private Subparsers group(Subparsers parent, String name, String help) {
 		return parent.addParser(name, true).help(help).addSubparsers().metavar("COMMAND");
 	}
--- a/operator/src/main/java/org/plantainspur/operator/HostAdmin.java
+++ b/operator/src/main/java/org/plantainspur/operator/HostAdmin.java
@@ -20,4 +20,11 @@
 	 */
 	Map<String, JsonNode> ask(Collection<Member> members, String path);
 
+	/**
+	 * Tells members to read the platform at once, without waiting for an answer. A member
+	 * that does not hear of it reads the platform at its next poll.
+	 * @param members the members
+	 */
+	void nudge(Collection<Member> members);
+
 }
--- a/operator/src/main/java/org/plantainspur/operator/HttpHostAdmin.java
+++ b/operator/src/main/java/org/plantainspur/operator/HttpHostAdmin.java
@@ -48,6 +48,17 @@
 		return answers;
 	}
 
+	@Override
+	public void nudge(Collection<Member> members) {
+		for (Member member : members) {
+			HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + member.adminAddress() + "/nudge"))
+				.timeout(TIMEOUT)
+				.POST(HttpRequest.BodyPublishers.noBody())
+				.build();
+			this.client.sendAsync(request, HttpResponse.BodyHandlers.discarding());
+		}
+	}
+
 	private void record(Map<String, JsonNode> answers, Member member, HttpResponse<String> response) {
 		try {
 			if (response.statusCode() == OK) {
--- /dev/null
+++ b/operator/src/main/java/org/plantainspur/operator/MemberActions.java
@@ -0,0 +1,56 @@
+package org.plantainspur.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.finding.Findings;
+import org.plantainspur.core.membership.Member;
+
+/**
+ * The commands on members.
+ */
+final class MemberActions {
+
+	private MemberActions() {
+	}
+
+	static Report remove(Namespace arguments, ChangeRunner runner) {
+		Configuration base = runner.read();
+		Findings findings = new Findings();
+		EntityActions.require(arguments.getBoolean("processes_have_ended"), findings, "--processes-have-ended",
+				"absent", "is missing; a process that still runs could serve with a withdrawn key after its removal",
+				"make sure that these processes have ended or are cut off from callers and members, then add it");
+		List<Member> members = members(arguments, base, findings);
+		findings.throwIfAny();
+		refuseAnswering(members, runner, findings);
+		findings.throwIfAny();
+		return EntityActions.write(new Change.MembersLost(members), base, arguments, runner);
+	}
+
+	private static List<Member> members(Namespace arguments, Configuration base, Findings findings) {
+		List<Member> members = new ArrayList<>();
+		for (String host : new TreeSet<>(arguments.<String>getList("host"))) {
+			Member member = base.membership().member(host);
+			if (member != null) {
+				members.add(member);
+			}
+			EntityActions.require(member != null, findings, "host", host, "is not a member", "take it from 'status'");
+		}
+		return members;
+	}
+
+	private static void refuseAnswering(List<Member> members, ChangeRunner runner, Findings findings) {
+		runner.ask(members, "/status")
+			.keySet()
+			.stream()
+			.sorted()
+			.forEach((host) -> findings.add("host", host, "still answers at its admin address",
+					"stop its process first"));
+	}
+
+}
--- a/operator/src/main/java/org/plantainspur/operator/OperatorMain.java
+++ b/operator/src/main/java/org/plantainspur/operator/OperatorMain.java
@@ -1,7 +1,7 @@
 package org.plantainspur.operator;
 
 import java.util.UUID;
-import java.util.concurrent.locks.LockSupport;
+import java.util.concurrent.ThreadLocalRandom;
 
 import org.plantainspur.adapters.platform.ObjectSnapshotStore;
 import org.plantainspur.adapters.platform.PlatformClient;
@@ -11,6 +11,7 @@
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.core.time.Pause;
 
 /**
  * Starts the operators' command line.
@@ -39,9 +40,8 @@
 		ChangeAuthor author = new ChangeAuthor(log, () -> {
 			follower.poll();
 			return view.current();
-		});
-		return new ChangeRunner(author, new HttpHostAdmin(), clock,
-				(millis) -> LockSupport.parkNanos(millis * 1_000_000), () -> UUID.randomUUID().toString());
+		}, Pause.system(), ThreadLocalRandom.current());
+		return new ChangeRunner(author, new HttpHostAdmin(), clock, Pause.system(), () -> UUID.randomUUID().toString());
 	}
 
 }
--- a/operator/src/test/java/org/plantainspur/operator/CommandLineTests.java
+++ b/operator/src/test/java/org/plantainspur/operator/CommandLineTests.java
@@ -39,6 +39,7 @@
 			JsonNode report = new ObjectMapper().readTree(fleet().output());
 			assertThat(report.path("result").asText()).isEqualTo("accepted");
 			assertThat(report.path("inForce")).hasSize(3);
+			assertThat(fleet().nudges()).as("members told to read the change").isEqualTo(3);
 			assertThat(fleet().clock.millis()).as("wait if all acknowledge").isEqualTo(100);
 		}
 
@@ -88,9 +89,50 @@
 
 	}
 
+	@Nested
+	class Remove {
+
+		@Test
+		void withoutConfirmationWritesNothing() {
+			fleet().end("h1");
+			assertThat(fleet().run("member", "remove", "h1")).isEqualTo(Report.BAD_INPUT);
+			assertThat(fleet().output()).contains("--processes-have-ended").contains("withdrawn key");
+			assertThat(fleet().entries).hasSize(4);
+		}
+
+		@Test
+		void ofAHostThatAnswersWritesNothing() {
+			assertThat(fleet().run("member", "remove", "h1", "h9", "--processes-have-ended"))
+				.isEqualTo(Report.BAD_INPUT);
+			assertThat(fleet().output()).contains("h9").contains("is not a member");
+			assertThat(fleet().run("member", "remove", "h1", "--processes-have-ended")).isEqualTo(Report.BAD_INPUT);
+			assertThat(fleet().output()).contains("still answers at its admin address");
+			assertThat(fleet().entries).hasSize(4);
+		}
+
+		@Test
+		void ofTheLostMajorityIsAcceptedByTheRest() {
+			fleet().end("h1");
+			fleet().end("h2");
+			assertThat(fleet().run(PUT)).as("a change without a majority").isEqualTo(Report.UNKNOWN);
+			assertThat(fleet().run("member", "remove", "h1", "h2", "--processes-have-ended")).isEqualTo(Report.DONE);
+			assertThat(fleet().configuration().membership().members()).extracting("hostId").containsExactly("h0");
+			assertThat(fleet().run(PUT)).isEqualTo(Report.DONE);
+		}
+
+	}
+
 	@Nested
 	class Key {
 
+		@Test
+		void isStillShownIfThePlatformFailsAfterTheWrite() {
+			fleet().run(PUT);
+			fleet().downAfterAppend();
+			assertThat(fleet().run("key", "issue", "harbor")).isEqualTo(Report.UNKNOWN);
+			assertThat(fleet().output()).contains("written, acceptance not checked").contains("key: ");
+		}
+
 		@Test
 		void isShownOnceAndStoredAsAHash() throws IOException {
 			fleet().run(PUT);
--- a/operator/src/test/java/org/plantainspur/operator/FakeFleet.java
+++ b/operator/src/test/java/org/plantainspur/operator/FakeFleet.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -35,6 +38,12 @@
 	private Runnable beforeAppend = () -> {
 	};
 
+	private final Set<String> ended = new TreeSet<>();
+
+	private int nudges;
+
+	private boolean downAfterAppend;
+
 	private boolean down;
 
 	private String output = "";
@@ -58,13 +67,26 @@
 		this.beforeAppend = action;
 	}
 
+	void end(String host) {
+		this.ended.add(host);
+	}
+
+	int nudges() {
+		return this.nudges;
+	}
+
+	void downAfterAppend() {
+		this.downAfterAppend = true;
+	}
+
 	void down() {
 		this.down = true;
 	}
 
 	int run(String... args) {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		ChangeRunner runner = new ChangeRunner(new ChangeAuthor(this, this::configuration), this, this.clock,
+		ChangeRunner runner = new ChangeRunner(
+				new ChangeAuthor(this, this::configuration, this.clock::advance, new Random(1)), this, this.clock,
 				this.clock::advance, () -> "change-" + this.entries.size());
 		int exitCode = new CommandLine(Map.of("PLANTAINSPUR_PLATFORM_URL", "http://127.0.0.1:1"), (url) -> runner,
 				new PrintStream(bytes, true, StandardCharsets.UTF_8))
@@ -89,7 +111,7 @@
 	@Override
 	public Map<String, JsonNode> ask(Collection<Member> members, String path) {
 		Map<String, JsonNode> answers = new HashMap<>();
-		for (Member member : members) {
+		for (Member member : members.stream().filter((all) -> !this.ended.contains(all.hostId())).toList()) {
 			answers.put(member.hostId(),
 					new ObjectMapper().createObjectNode()
 						.put("hostId", member.hostId())
@@ -101,6 +123,11 @@
 		return answers;
 	}
 
+	@Override
+	public void nudge(Collection<Member> members) {
+		this.nudges += members.size();
+	}
+
 	@Override
 	public long head() {
 		if (this.down) {
@@ -127,6 +154,7 @@
 			return new AppendResult.HeadMoved(this.entries.size());
 		}
 		this.entries.add(new ChangeEntry(expectedHead + 1, changeId, change));
+		this.down = this.downAfterAppend;
 		return new AppendResult.Appended(expectedHead + 1);
 	}
 
