Keep refusals true beside repeats, close open routes, test real threads

Reviewed as an attacker: the pipeline, the attempts, the access check and the relay.

Two faults found: - After a not-run refusal the record is removed. A repeat could be dispatched before the refusal, or the one of a joined request, was given. The record is now looked up again and the refusal says unknown if one exists. Open routes are matched again before each dispatch.

The wait for a loan goes through the port LoanWait. The test of the wait no longer measures real time between 200 and 1500 ms, which fails on a stalled machine: a hand clock now shows a wait of exactly 200 ms, and the parked wait is tested by itself.

Tests show the start of a share in a fresh process: after the life of loans as the first member, after fencing beside a silent member, a removed member that is not settled, or a process at another address.

--- a/core/src/main/java/org/plantainspur/core/rate/AccountLimit.java
+++ b/core/src/main/java/org/plantainspur/core/rate/AccountLimit.java
@@ -1,9 +1,6 @@
 package org.plantainspur.core.rate;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -155,24 +152,13 @@
 	}
 
 	/**
-	 * Parks until a loan arrives, the share may have gained a token or a lender may be
-	 * ready.
-	 * @param loan the next loan
+	 * Returns when a waiting request looks again: the share may have gained a token or a
+	 * lender may be ready.
 	 * @param mostMillis the longest time
-	 * @return {@code false} if interrupted
+	 * @return the time, in milliseconds from now
 	 */
-	boolean await(CompletableFuture<Void> loan, long mostMillis) {
-		try {
-			loan.get(Math.max(1, Math.min(mostMillis, untilRefill())), TimeUnit.MILLISECONDS);
-			return true;
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			return true;
-		}
+	long lookAgainAfter(long mostMillis) {
+		return Math.max(1, Math.min(mostMillis, untilRefill()));
 	}
 
 	private long untilRefill() {
--- a/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
@@ -46,6 +46,8 @@
 
 	private final SharePlanner planner;
 
+	private final LoanWait loanWait;
+
 	private final AtomicReference<ShareHistory> history;
 
 	private final AtomicBoolean resigned = new AtomicBoolean();
@@ -58,6 +60,7 @@
 		this.currency = required(builder.currency, "currency");
 		this.link = required(builder.link, "link");
 		this.self = builder.self;
+		this.loanWait = builder.loanWait;
 		this.planner = new SharePlanner(required(builder.homeHosts, "homeHosts"),
 				required(builder.progress, "progress"), builder.self);
 		this.history = new AtomicReference<>(ShareHistory.start(this.view.current(), this.clock.millis()));
@@ -127,7 +130,7 @@
 				if (take(account)) {
 					return true;
 				}
-				if (!limit.await(loan, left)) {
+				if (!this.loanWait.await(loan, limit.lookAgainAfter(left))) {
 					return false;
 				}
 			}
@@ -243,6 +246,8 @@
 
 		private @Nullable PeerProgress progress;
 
+		private LoanWait loanWait = LoanWait.PARKED;
+
 		Builder(Member self) {
 			this.self = self;
 		}
@@ -277,6 +282,12 @@
 			return this;
 		}
 
+		// Only tests set another wait.
+		Builder loanWait(LoanWait loanWait) {
+			this.loanWait = loanWait;
+			return this;
+		}
+
 		public SharedRateLimiter build() {
 			return new SharedRateLimiter(this);
 		}
--- a/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
+++ b/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
@@ -1,5 +1,7 @@
 package org.plantainspur.core.request;
 
+import java.util.function.Predicate;
+
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.configuration.ClientAccount;
@@ -8,7 +10,8 @@
 
 /**
  * Checks the key and the currency of the configuration. Called on arrival and again
- * before each dispatch, since a key may be withdrawn while its request waits.
+ * before each dispatch, since a key may be withdrawn, or a route closed, while its
+ * request waits.
  */
 final class AccessCheck {
 
@@ -18,7 +21,17 @@
 
 	private final CurrencyRule currency;
 
-	AccessCheck(ConfigurationView view, CurrencyRule currency) {
+	private final Predicate<CallerRequest> open;
+
+	/**
+	 * Creates a check.
+	 * @param view the configuration in force
+	 * @param currency tells whether it is current
+	 * @param open tells whether a request's route is open to all in the configuration in
+	 * force
+	 */
+	AccessCheck(ConfigurationView view, CurrencyRule currency, Predicate<CallerRequest> open) {
+		this.open = open;
 		this.view = view;
 		this.currency = currency;
 	}
@@ -30,7 +43,8 @@
 	 */
 	@Nullable Problem check(Passage passage) {
 		if (passage.route().open()) {
-			return null;
+			return this.open.test(passage.request()) ? null : Problem.notRun(Problem.Code.KEY_NOT_VALID,
+					"the route is no longer open to all; send the request again with a key");
 		}
 		if (this.currency.check() instanceof CurrencyRule.Currency.Stale stale) {
 			return Problem.notRun(Problem.Code.CONFIGURATION_NOT_CURRENT, stale.reason())
--- a/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
+++ b/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
@@ -1,9 +1,5 @@
 package org.plantainspur.core.request;
 
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.jspecify.annotations.Nullable;
@@ -36,9 +32,7 @@
 
 	private final ConfigurationView view;
 
-	private final OnceGate onceGate;
-
-	private final RequestRelay relay;
+	private final OnceRuns onceRuns;
 
 	private final RateLimiter rateLimiter;
 
@@ -57,13 +51,13 @@
 	private StandardRequestPipeline(Builder builder) {
 		this.clock = required(builder.clock, "clock");
 		this.view = required(builder.view, "view");
-		this.onceGate = required(builder.onceGate, "onceGate");
-		this.relay = required(builder.relay, "relay");
+		this.onceRuns = new OnceRuns(this.clock, required(builder.onceGate, "onceGate"),
+				required(builder.relay, "relay"));
 		this.rateLimiter = required(builder.rateLimiter, "rateLimiter");
 		this.admissionQueue = required(builder.admissionQueue, "admissionQueue");
 		this.retryPolicy = required(builder.retryPolicy, "retryPolicy");
 		this.quarantine = required(builder.quarantine, "quarantine");
-		this.accessCheck = new AccessCheck(this.view, required(builder.currency, "currency"));
+		this.accessCheck = new AccessCheck(this.view, required(builder.currency, "currency"), this::open);
 		this.attempts = new TargetAttempts(this.clock, this.accessCheck, required(builder.chooser, "chooser"),
 				required(builder.dispatcher, "dispatcher"), this.retryPolicy, required(builder.recorder, "recorder"));
 		this.routing = new AtomicReference<>(Routing.of(Configuration.empty()));
@@ -89,28 +83,25 @@
 		this.retryPolicy.requestArrived();
 		Route route = routing().table().match(request.method(), request.path());
 		if (route == null) {
-			return refuse(request, Problem.notRun(Problem.Code.NO_ROUTE,
+			return this.onceRuns.refuse(request, Problem.notRun(Problem.Code.NO_ROUTE,
 					"no route matches " + request.method() + " " + request.path()));
 		}
 		Long timeout = timeoutMillis(request, route);
 		if (timeout == null) {
-			return refuse(request, Problem.notRun(Problem.Code.BAD_REQUEST,
+			return this.onceRuns.refuse(request, Problem.notRun(Problem.Code.BAD_REQUEST,
 					Headers.DEADLINE + " is not a positive number of milliseconds; send a value such as 2000"));
 		}
 		Passage passage = new Passage(request, route, request.receivedMillis() + timeout);
 		Problem refusal = this.accessCheck.check(passage);
 		if (refusal != null) {
-			return refuse(request, refusal);
+			return this.onceRuns.refuse(request, refusal);
 		}
-		return passage.once() ? runOnce(passage) : run(passage);
+		return passage.once() ? this.onceRuns.serve(passage, this::run) : run(passage);
 	}
 
-	// A repeat of a non-idempotent request may be refused although an earlier one with
-	// the same key ran while the route or the caller's key was still valid.
-	private CallerAnswer refuse(CallerRequest request, Problem problem) {
-		String key = request.headers().first(Headers.IDEMPOTENCY_KEY);
-		boolean notRun = key == null || this.onceGate.certainlyNotRun(key);
-		return (notRun ? problem : problem.mayHaveRun()).refuse();
+	private boolean open(CallerRequest request) {
+		Route route = routing().table().match(request.method(), request.path());
+		return route != null && route.open();
 	}
 
 	private Routing routing() {
@@ -137,59 +128,6 @@
 		}
 	}
 
-	private CallerAnswer runOnce(Passage passage) {
-		String key = passage.request().headers().first(Headers.IDEMPOTENCY_KEY);
-		if (key == null) {
-			return Problem
-				.notRun(Problem.Code.IDEMPOTENCY_KEY_NOT_VALID,
-						"the route " + passage.route().id() + " is not idempotent; send " + Headers.IDEMPOTENCY_KEY
-								+ ": <dispatch token>.<a value of your own>")
-				.refuse();
-		}
-		OnceGate.OnceDecision decision = this.onceGate.enter(passage.account().id(), key,
-				RequestFingerprint.of(passage.request()));
-		if (decision instanceof OnceGate.OnceDecision.Dispatch dispatch) {
-			return runWithTicket(passage, dispatch.ticket());
-		}
-		if (decision instanceof OnceGate.OnceDecision.Join join) {
-			return await(join.answer(), passage);
-		}
-		if (decision instanceof OnceGate.OnceDecision.Relay owner) {
-			return this.relay.relay(owner.hostId(), owner.processId(), passage.request(), passage.deadlineMillis());
-		}
-		return ((OnceGate.OnceDecision.Refuse) decision).refusal();
-	}
-
-	private CallerAnswer runWithTicket(Passage passage, OnceGate.Ticket ticket) {
-		CallerAnswer answer = Problem.unknown(Problem.Code.TARGET_FAILED, "an internal error ended the request")
-			.refuse();
-		try {
-			answer = run(passage);
-			return answer;
-		}
-		finally {
-			if (answer instanceof CallerAnswer.Refused refused && refused.problem().run() == Problem.Run.NOT_RUN) {
-				ticket.notRun(refused);
-			}
-			else {
-				ticket.answered(answer);
-			}
-		}
-	}
-
-	private CallerAnswer await(CompletableFuture<CallerAnswer> answer, Passage passage) {
-		try {
-			return answer.get(Math.max(0, passage.deadlineMillis() - this.clock.millis()), TimeUnit.MILLISECONDS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return Problem.unknown(Problem.Code.TARGET_FAILED, "interrupted while the first request runs").refuse();
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			return Problem.unknown(Problem.Code.TARGET_TIMEOUT, "the first request with this key still runs").refuse();
-		}
-	}
-
 	private CallerAnswer run(Passage passage) {
 		if (this.quarantine.holds(passage.fingerprint())) {
 			return Problem
--- a/core/src/test/java/org/plantainspur/core/rate/SharedRateLimiterTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SharedRateLimiterTests.java
@@ -1,13 +1,16 @@
 package org.plantainspur.core.rate;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeEntry;
@@ -47,6 +50,10 @@
 			new CurrencyRule.Currency.Current());
 
 	private SharedRateLimiter limiter(Clock clock) {
+		return builder(clock).build();
+	}
+
+	private SharedRateLimiter.Builder builder(Clock clock) {
 		return SharedRateLimiter.builder(this.self)
 			.clock(clock)
 			.view(this.view)
@@ -56,8 +63,7 @@
 			.link((member, message, timeout) -> {
 				this.asked.add(new CompletableFuture<>());
 				return this.asked.get(this.asked.size() - 1);
-			})
-			.build();
+			});
 	}
 
 	private void append(Change change) {
@@ -163,22 +169,121 @@
 	@Nested
 	class WaitingRequest {
 
-		@Test
-		void loanDoesNotWakeTheRequest() throws Exception {
+		private final List<Long> waits = new ArrayList<>();
+
+		private RateLimiter.RateDecision acquire(LoanWait wait) {
 			append(new Change.PutAccount(ACCOUNT));
 			append(new Change.MemberJoined(SharedRateLimiterTests.this.other));
-			Clock system = Clock.system();
-			SharedRateLimiter limiter = limiter(system);
-			CompletableFuture<RateLimiter.RateDecision> decision = CompletableFuture
-				.supplyAsync(() -> limiter.acquire(ACCOUNT, system.millis() + 5000));
-			for (int i = 0; i < 5000 && SharedRateLimiterTests.this.asked.isEmpty(); i++) {
-				Thread.sleep(1);
+			return builder(SharedRateLimiterTests.this.clock).loanWait(wait)
+				.build()
+				.acquire(ACCOUNT, SharedRateLimiterTests.this.clock.millis() + 5000);
+		}
+
+		private boolean pass(long millis) {
+			this.waits.add(millis);
+			SharedRateLimiterTests.this.clock.advance(millis);
+			return true;
+		}
+
+		@Test
+		void loanDoesNotEndTheWait() {
+			assertThat(acquire((loan, millis) -> {
+				SharedRateLimiterTests.this.asked.get(0).complete(new PeerMessage.Lent(1000));
+				assertThat(loan).as("the wait that a loan must end").isDone();
+				return pass(0);
+			})).isEqualTo(new RateLimiter.RateDecision.Granted());
+			assertThat(this.waits).hasSize(1);
+		}
+
+		@Test
+		void waitEndsTooEarlyOrTooLate() {
+			assertThat(acquire((loan, millis) -> pass(millis))).isInstanceOf(RateLimiter.RateDecision.Limited.class);
+			assertThat(this.waits.stream().mapToLong(Long::longValue).sum()).isEqualTo(200);
+		}
+
+		@Test
+		void interruptedRequestGoesOnWaiting() {
+			assertThat(acquire((loan, millis) -> {
+				pass(0);
+				return false;
+			})).isInstanceOf(RateLimiter.RateDecision.Limited.class);
+			assertThat(this.waits).hasSize(1);
+		}
+
+		// The longest wait is longer than the time limit of the test, so only the loan
+		// can
+		// end it.
+		@Test
+		@Timeout(60)
+		void loanDoesNotWakeTheParkedThread() throws Exception {
+			CompletableFuture<Void> loan = new CompletableFuture<>();
+			CompletableFuture<Boolean> wait = CompletableFuture
+				.supplyAsync(() -> LoanWait.PARKED.await(loan, Long.MAX_VALUE));
+			loan.complete(null);
+			assertThat(wait.get(30, TimeUnit.SECONDS)).isTrue();
+		}
+
+		@Test
+		@Timeout(60)
+		void parkedThreadWakesTooEarlyOrNever() {
+			long started = System.nanoTime();
+			assertThat(LoanWait.PARKED.await(new CompletableFuture<>(), 200)).isTrue();
+			assertThat(System.nanoTime() - started).isGreaterThanOrEqualTo(TimeUnit.MILLISECONDS.toNanos(200));
+		}
+
+	}
+
+	@Nested
+	class FreshProcess {
+
+		private final Member moved = Member.builder("pdx-2", "p3").peerAddress("127.0.0.1:9").build();
+
+		private long millisUntilGranted(SharedRateLimiter limiter) {
+			for (long waited = 0; waited < 10_000; waited++) {
+				if (limiter.arrive(ACCOUNT)) {
+					return waited;
+				}
+				SharedRateLimiterTests.this.clock.advance(1);
 			}
-			SharedRateLimiterTests.this.asked.get(0).complete(new PeerMessage.Lent(1000));
-			assertThat(decision.get()).isEqualTo(new RateLimiter.RateDecision.Granted());
-			long started = system.millis();
-			assertThat(limiter.acquire(ACCOUNT, started + 5000)).isInstanceOf(RateLimiter.RateDecision.Limited.class);
-			assertThat(system.millis() - started).isBetween(200L, 1500L);
+			return Long.MAX_VALUE;
+		}
+
+		@Test
+		void firstMemberOfAnEmptyFleetWaitsForFencing() {
+			SharedRateLimiter limiter = limiter(SharedRateLimiterTests.this.clock);
+			append(new Change.PutAccount(ACCOUNT));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.self));
+			assertThat(millisUntilGranted(limiter)).isEqualTo(ShareHistory.LOAN_OUT_MILLIS + 1);
+		}
+
+		@Test
+		void silentMemberMayStillHoldAShare() {
+			append(new Change.PutAccount(ACCOUNT));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.other));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.self));
+			assertThat(millisUntilGranted(limiter(SharedRateLimiterTests.this.clock)))
+				.isEqualTo(ShareHistory.TAKEOVER_MILLIS + 1);
+		}
+
+		@Test
+		void removedMemberThatIsNotFencedMayStillHoldAShare() {
+			SharedRateLimiterTests.this.released.set(true);
+			append(new Change.PutAccount(ACCOUNT));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.other));
+			append(new Change.MembersRemoved(List.of(SharedRateLimiterTests.this.other)));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.self));
+			assertThat(millisUntilGranted(limiter(SharedRateLimiterTests.this.clock)))
+				.isEqualTo(ShareHistory.TAKEOVER_MILLIS + 1);
+		}
+
+		@Test
+		void processAtAnotherAddressProvesNothing() {
+			append(new Change.PutAccount(ACCOUNT));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.other));
+			append(new Change.MemberJoined(SharedRateLimiterTests.this.self));
+			SharedRateLimiter limiter = limiter(SharedRateLimiterTests.this.clock);
+			append(new Change.MemberJoined(this.moved));
+			assertThat(millisUntilGranted(limiter)).isGreaterThanOrEqualTo(ShareHistory.TAKEOVER_MILLIS);
 		}
 
 	}
