--- a/host/src/main/java/org/plantainspur/host/ListedStatusSources.java
+++ b/host/src/main/java/org/plantainspur/host/CurrentStatusSources.java
@@ -11,14 +11,18 @@
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.health.EvidenceCollector;
+import org.plantainspur.core.health.HealthView;
 import org.plantainspur.core.membership.HomeHosts;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.routing.Target;
 import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.time.Clock;
 
 /**
- * Tells what the configuration and the platform's list hold, without verdicts on health.
+ * Tells what the configuration, the platform's list and the verdicts on health hold now.
  */
-final class ListedStatusSources implements StatusSources {
+final class CurrentStatusSources implements StatusSources {
 
 	private final AtomicReference<TargetDirectory> directory;
 
@@ -28,12 +32,21 @@
 
 	private final CallerLimits limits;
 
-	ListedStatusSources(AtomicReference<TargetDirectory> directory, ConfigurationView view, HomeHosts homeHosts,
-			CallerLimits limits) {
+	private final HealthView health;
+
+	private final EvidenceCollector collector;
+
+	private final Clock clock;
+
+	CurrentStatusSources(AtomicReference<TargetDirectory> directory, ConfigurationView view, HomeHosts homeHosts,
+			CallerLimits limits, HealthView health, EvidenceCollector collector, Clock clock) {
 		this.directory = directory;
 		this.view = view;
 		this.homeHosts = homeHosts;
 		this.limits = limits;
+		this.health = health;
+		this.collector = collector;
+		this.clock = clock;
 	}
 
 	@Override
@@ -42,11 +55,23 @@
 		return present.services()
 			.stream()
 			.flatMap((service) -> present.targets(service).stream())
-			.map((target) -> new TargetState(target.id(), target.service(), false, 1, "", target.leaving()))
+			.map(this::state)
 			.sorted(Comparator.comparing(TargetState::id))
 			.toList();
 	}
 
+	private TargetState state(Target target) {
+		long now = this.clock.millis();
+		HealthView.ServiceHealth service = this.health.service(target.service());
+		HealthView.TargetHealth held = service.target(target.id());
+		boolean ejected = held.ejectedAt(now);
+		double weight = held.weightAt(now);
+		String reason = (ejected || weight < 1) ? "sickness " + held.sickness() : "";
+		boolean leaving = target.leaving() || service.leaving(target.id(), now)
+				|| this.collector.seesLeaving(target.id());
+		return new TargetState(target.id(), target.service(), ejected, weight, reason, leaving);
+	}
+
 	@Override
 	public Collection<String> accountsInUse() {
 		return this.limits.accountsConnected();
--- a/host/src/main/java/org/plantainspur/host/StatusModule.java
+++ b/host/src/main/java/org/plantainspur/host/StatusModule.java
@@ -8,8 +8,11 @@
 
 import org.plantainspur.adapters.http.CallerLimits;
 import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.health.EvidenceCollector;
+import org.plantainspur.core.health.HealthView;
 import org.plantainspur.core.membership.HomeHosts;
 import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.time.Clock;
 
 /**
  * Wires what operators may ask.
@@ -19,8 +22,8 @@
 	@Provides
 	@Singleton
 	StatusSources statusSources(AtomicReference<TargetDirectory> directory, ConfigurationView view, HomeHosts homeHosts,
-			CallerLimits limits) {
-		return new ListedStatusSources(directory, view, homeHosts, limits);
+			CallerLimits limits, HealthView health, EvidenceCollector collector, Clock clock) {
+		return new CurrentStatusSources(directory, view, homeHosts, limits, health, collector, clock);
 	}
 
 }
