Test gray and draining targets and an account over its rate

The gray target's test comes first: a target that left stays marked for 60 s, and three targets are too few to eject one above the floor of 0.7.

--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/TargetFailureTests.java
@@ -0,0 +1,148 @@
+package org.plantainspur.standins;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.ClassOrderer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestClassOrder;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against sick or leaving targets that go on getting work, and against an account
+ * that gets more than its rate over all hosts.
+ */
+@Timeout(120)
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+@TestClassOrder(ClassOrderer.OrderAnnotation.class)
+class TargetFailureTests {
+
+	private TestFleet fleet;
+
+	@BeforeAll
+	void start() throws Exception {
+		this.fleet = new TestFleet();
+	}
+
+	@AfterAll
+	void stop() {
+		this.fleet.close();
+	}
+
+	private boolean everywhere(String targetId, String field) throws Exception {
+		for (String host : this.fleet.hostIds()) {
+			boolean holds = false;
+			for (JsonNode target : this.fleet.status(host).path("targets")) {
+				holds |= target.path("id").asText().equals(targetId) && target.path(field).asBoolean();
+			}
+			if (!holds) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	@Nested
+	@Order(1)
+	class GrayTarget {
+
+		@Test
+		void isOutAtEveryHostWithinFiveSeconds() throws Exception {
+			TestFleet fleet = TargetFailureTests.this.fleet;
+			try (TestCaller caller = new TestCaller(fleet.callerAddresses(), 8, 10)) {
+				// Verdicts need siblings with traffic to compare with.
+				Thread.sleep(4000);
+				fleet.behave("booking-2",
+						"\"gray\": [{\"kind\": \"fail\", \"fraction\": 0.5, \"status\": 500, \"account\": null}]");
+				TestFleet.await("booking-2 is ejected at every host", 5000, () -> everywhere("booking-2", "ejected"));
+			}
+			finally {
+				fleet.behave("booking-2", "");
+			}
+		}
+
+	}
+
+	// A target that has left stays marked for 60 s. Three targets are too few to eject
+	// one
+	// of them above the floor of 0.7, so this comes after the gray target.
+	@Nested
+	@Order(2)
+	class DrainingTarget {
+
+		@Test
+		void getsNoNewWorkAfterThreeSeconds() throws Exception {
+			TestFleet fleet = TargetFailureTests.this.fleet;
+			try (TestCaller caller = new TestCaller(fleet.callerAddresses(), 8, 10)) {
+				Thread.sleep(1000);
+				assertThat(fleet.started("booking-3")).isPositive();
+				fleet.behave("booking-3", "\"drain\": {\"announceMillis\": 60000}");
+				Thread.sleep(3000);
+				long started = fleet.started("booking-3");
+				long since = System.nanoTime();
+				Thread.sleep(2000);
+				assertThat(caller.since(since)).isNotEmpty();
+				assertThat(fleet.started("booking-3")).isEqualTo(started);
+			}
+		}
+
+	}
+
+	@Nested
+	@Order(3)
+	class AccountOverItsRate {
+
+		private static final long SECONDS = 6;
+
+		@Test
+		void getsNoMoreThanBurstAndRateOverAllHosts() throws Exception {
+			AtomicInteger answered = new AtomicInteger();
+			AtomicInteger sent = new AtomicInteger();
+			long start = System.nanoTime();
+			List<Thread> threads = new ArrayList<>();
+			for (String address : TargetFailureTests.this.fleet.callerAddresses()) {
+				for (int i = 0; i < 5; i++) {
+					Thread thread = new Thread(() -> send(address, start, sent, answered));
+					thread.start();
+					threads.add(thread);
+				}
+			}
+			for (Thread thread : threads) {
+				thread.join();
+			}
+			double seconds = (System.nanoTime() - start) / 1e9;
+			double most = TestFleet.LIMITED_RATE + TestFleet.LIMITED_RATE * seconds;
+			assertThat(sent.get()).as("requests sent").isGreaterThan((int) (2 * most));
+			assertThat((double) answered.get()).as("answers in %s s", seconds).isLessThanOrEqualTo(most);
+		}
+
+		private void send(String address, long start, AtomicInteger sent, AtomicInteger answered) {
+			Calls calls = new Calls(address);
+			try {
+				while (System.nanoTime() - start < SECONDS * 1_000_000_000L) {
+					sent.incrementAndGet();
+					if (calls.send("GET", "/booking/1", "", Map.of("X-Api-Key", TestFleet.LIMITED_KEY), 5000)
+						.statusCode() == 200) {
+						answered.incrementAndGet();
+					}
+					Thread.sleep(20);
+				}
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException("no answer from " + address, ex);
+			}
+		}
+
+	}
+
+}
