--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/OperatorCommand.java
@@ -0,0 +1,50 @@
+package org.plantainspur.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Runs the operators' command line as a process of its own.
+ */
+final class OperatorCommand {
+
+	private final String platform;
+
+	OperatorCommand(String platform) {
+		this.platform = platform;
+	}
+
+	Process begin(String... args) throws Exception {
+		List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java", "-Xmx96m",
+				"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+				"org.plantainspur.operator.OperatorMain"));
+		command.addAll(List.of(args));
+		command.addAll(List.of("--platform-url", "http://" + this.platform, "--output", "json"));
+		return new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+	}
+
+	Result end(Process process) throws Exception {
+		String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+		return new Result(process.waitFor(), output);
+	}
+
+	Result run(String... args) throws Exception {
+		return end(begin(args));
+	}
+
+	/**
+	 * What a command printed, and its exit code.
+	 */
+	record Result(int exitCode, String output) {
+
+		JsonNode json() throws Exception {
+			return new ObjectMapper().readTree(this.output);
+		}
+
+	}
+
+}
