Copy the accounts once for a sheet, and the header fields once for a target

Cause: a sheet copied the map of accounts for each of its lines, and a request to a target copied its fields for each field added.

--- a/core/src/main/java/org/plantainspur/core/configuration/Configuration.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/Configuration.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 import org.jspecify.annotations.Nullable;
 
@@ -244,8 +245,8 @@
 				this.services = with(this.services, put.policy().service(), put.policy());
 			}
 			else if (change instanceof Change.ApplySheet sheet) {
-				sheet.services().forEach((policy) -> this.services = with(this.services, policy.service(), policy));
-				sheet.accounts().forEach((account) -> this.accounts = with(this.accounts, account.id(), account));
+				this.services = withAll(this.services, sheet.services(), ServicePolicy::service);
+				this.accounts = withAll(this.accounts, sheet.accounts(), ClientAccount::id);
 			}
 			else {
 				this.membership = this.membership.apply(change, sequence);
@@ -258,6 +259,13 @@
 			return copy;
 		}
 
+		// Copies the map once, since a sheet may have a line for each account.
+		private static <V> Map<String, V> withAll(Map<String, V> map, Collection<V> values, Function<V, String> key) {
+			Map<String, V> copy = new HashMap<>(map);
+			values.forEach((value) -> copy.put(key.apply(value), value));
+			return copy;
+		}
+
 		private static <V> Map<String, V> without(Map<String, V> map, String key) {
 			Map<String, V> copy = new HashMap<>(map);
 			copy.remove(key);
--- a/core/src/main/java/org/plantainspur/core/request/Headers.java
+++ b/core/src/main/java/org/plantainspur/core/request/Headers.java
@@ -61,15 +61,31 @@
 		return new Headers(Collections.unmodifiableList(copy));
 	}
 
+	/**
+	 * Returns headers with more fields.
+	 * @param more the fields, in order
+	 * @return a copy
+	 */
+	public Headers with(Field... more) {
+		List<Field> copy = new ArrayList<>(this.fields.size() + more.length);
+		copy.addAll(this.fields);
+		Collections.addAll(copy, more);
+		return new Headers(Collections.unmodifiableList(copy));
+	}
+
 	/**
 	 * Returns headers without some fields.
 	 * @param lowerCaseNames the names in lower case
 	 * @return a copy
 	 */
 	public Headers without(Set<String> lowerCaseNames) {
-		return new Headers(this.fields.stream()
-			.filter((field) -> !lowerCaseNames.contains(field.name().toLowerCase(java.util.Locale.ROOT)))
-			.toList());
+		List<Field> copy = new ArrayList<>(this.fields.size());
+		for (Field field : this.fields) {
+			if (!lowerCaseNames.contains(field.name().toLowerCase(java.util.Locale.ROOT))) {
+				copy.add(field);
+			}
+		}
+		return new Headers(Collections.unmodifiableList(copy));
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
+++ b/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
@@ -88,9 +88,9 @@
 		CallerRequest request = passage.request();
 		Headers headers = request.headers()
 			.without(NOT_PASSED_ON)
-			.with(Headers.CLIENT_ACCOUNT, passage.account().id())
-			.with(Headers.REQUEST_ID, passage.requestId())
-			.with(Headers.DEADLINE, Long.toString(left));
+			.with(new Headers.Field(Headers.CLIENT_ACCOUNT, passage.account().id()),
+					new Headers.Field(Headers.REQUEST_ID, passage.requestId()),
+					new Headers.Field(Headers.DEADLINE, Long.toString(left)));
 		return new CallerRequest(request.method(), request.path(), request.query(), headers, request.body(),
 				request.receivedMillis());
 	}
