--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/TaskSlopes.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/TaskSlopes.java
@@ -43,6 +43,14 @@
 			apply.row(accounts, Stopwatch.micros(() -> configuration.apply(entry)));
 		}
 		apply.slope();
+		Table sheet = new Table("Apply a sheet with a line for each account", "accounts", "us");
+		for (int accounts : new int[] { 100, 1000, 4000 }) {
+			Configuration configuration = new SyntheticFleet(accounts, 4100, 950, 790, 0).configuration();
+			ChangeEntry entry = new ChangeEntry(configuration.sequence() + 1, "change",
+					new Change.ApplySheet(List.of(), List.copyOf(configuration.accounts())));
+			sheet.row(accounts, Stopwatch.micros(() -> configuration.apply(entry)));
+		}
+		sheet.slope();
 		Table routes = new Table("Compile the route table, once for each configuration", "routes", "us");
 		for (int count : new int[] { 6, 1000, 4100 }) {
 			Configuration configuration = new SyntheticFleet(8, count, 40, 3, 0).configuration();
