--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/TaskSlopes.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/TaskSlopes.java
@@ -43,14 +43,25 @@
 			apply.row(accounts, Stopwatch.micros(() -> configuration.apply(entry)));
 		}
 		apply.slope();
+		Table sheet = new Table("Apply a sheet with a line for each account", "accounts", "us");
+		for (int accounts : new int[] { 100, 1000, 4000 }) {
+			Configuration configuration = new SyntheticFleet(accounts, 4100, 950, 790, 0).configuration();
+			ChangeEntry entry = new ChangeEntry(configuration.sequence() + 1, "change",
+					new Change.ApplySheet(List.of(), List.copyOf(configuration.accounts())));
+			sheet.row(accounts, Stopwatch.micros(() -> configuration.apply(entry)));
+		}
+		sheet.slope();
 		Table routes = new Table("Compile the route table, once for each configuration", "routes", "us");
 		for (int count : new int[] { 6, 1000, 4100 }) {
 			Configuration configuration = new SyntheticFleet(8, count, 40, 3, 0).configuration();
 			routes.row(count, Stopwatch.micros(() -> RouteTable.of(configuration)));
 		}
 		routes.slope();
-		byMembers("Rank the homes of one account", (fleet) -> new RendezvousHomeHosts()
-			.homes(new ClientAccount("account-1", 100, 100), fleet.configuration().membership()));
+		byMembers("Rank the homes of one account", (fleet) -> fleet.homes());
+		byMembers("Find the coordinators of 790 services, as for each tick of the health reports", (fleet) -> {
+			fleet.coordinators();
+			return fleet;
+		});
 		byMembers("One QuorumCurrencyRule.update", (fleet) -> fleet.update(this.clock));
 		byMembers("One heartbeat tick, with the answers of all other members", (fleet) -> fleet.tick());
 		byMembers("Answer one heartbeat of another member", (fleet) -> fleet.answer());
@@ -106,6 +117,8 @@
 
 		private final HeartbeatExchange exchange;
 
+		private final RendezvousHomeHosts homeHosts = new RendezvousHomeHosts();
+
 		private final Map<String, HeardMember> heard = new HashMap<>();
 
 		MembersOfSize(Clock clock, int members) {
@@ -126,8 +139,14 @@
 					});
 		}
 
-		Configuration configuration() {
-			return this.configuration;
+		Object homes() {
+			return this.homeHosts.homes(new ClientAccount("account-1", 100, 100), this.configuration.membership());
+		}
+
+		void coordinators() {
+			for (int i = 0; i < SyntheticFleet.IN_TWO_YEARS.services(); i++) {
+				this.homeHosts.coordinator(SyntheticFleet.service(i), this.configuration.membership());
+			}
 		}
 
 		Object update(Clock clock) {
