Give a host that starts during an outage its targets from a peer

Cause: the list of targets came from the platform only. A process that started at the same seat during an outage got its configuration from the seeds and became current, but had no target to send to; the test waited 10 s for a served request in vain. Change: the peer messages target-list-request and target-list; PeerTargets asks the members in turn while this host has no list. A list read from the platform always replaces it.

--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
@@ -33,6 +33,8 @@
 		register("configuration-request", PeerMessage.ConfigurationRequest.class);
 		register("configuration-changes", PeerMessage.ConfigurationChanges.class);
 		register("whole-configuration", PeerMessage.WholeConfiguration.class);
+		register("target-list-request", PeerMessage.TargetListRequest.class);
+		register("target-list", PeerMessage.TargetList.class);
 		register("nudge", PeerMessage.Nudge.class);
 		register("borrow", PeerMessage.Borrow.class);
 		register("lent", PeerMessage.Lent.class);
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -21,6 +21,7 @@
 import org.plantainspur.core.request.CallerRequest;
 import org.plantainspur.core.request.Headers;
 import org.plantainspur.core.request.Problem;
+import org.plantainspur.core.routing.Target;
 
 /**
  * Generates messages of every kind.
@@ -49,7 +50,13 @@
 				LONG.map(PeerMessage.Lent::new), reports(), verdicts(), relays(),
 				Arbitraries.oneOf(answered(), refused()).map(PeerMessage.Relayed::new),
 				Combinators.combine(TEXT, TEXT).as(PeerMessage.Suspect::new),
-				Arbitraries.of(new PeerMessage.Acknowledged()), TEXT.map(PeerMessage.Unsupported::new)));
+				Arbitraries.of(new PeerMessage.Acknowledged(), new PeerMessage.TargetListRequest()), targetLists(),
+				TEXT.map(PeerMessage.Unsupported::new)));
+	}
+
+	private static Arbitrary<PeerMessage> targetLists() {
+		Arbitrary<Target> target = Combinators.combine(TEXT, TEXT, TEXT, TEXT, TEXT, INT, INT, FLAG).as(Target::new);
+		return target.list().ofMaxSize(3).map(PeerMessage.TargetList::new);
 	}
 
 	private static Arbitrary<PeerMessage> heartbeats() {
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.plantainspur.core.configuration.ConfigurationState;
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.CallerRequest;
+import org.plantainspur.core.routing.Target;
 
 /**
  * A message between two members.
@@ -60,6 +61,24 @@
 	record WholeConfiguration(ConfigurationState state) implements PeerMessage {
 	}
 
+	/**
+	 * Asks for the list of targets.
+	 */
+	record TargetListRequest() implements PeerMessage {
+	}
+
+	/**
+	 * Returns the list of targets as the sender last had it.
+	 *
+	 * @param targets the targets of all services
+	 */
+	record TargetList(List<Target> targets) implements PeerMessage {
+
+		public TargetList {
+			targets = List.copyOf(targets);
+		}
+	}
+
 	/**
 	 * Tells that a newer sequence number exists.
 	 *
--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -19,6 +19,7 @@
 import org.plantainspur.core.health.HealthReporter;
 import org.plantainspur.core.membership.MembershipKeeper;
 import org.plantainspur.core.rate.SharedRateLimiter;
+import org.plantainspur.core.routing.PeerTargets;
 import org.plantainspur.core.routing.TargetDirectory;
 
 /**
@@ -47,6 +48,8 @@
 
 	private final PeerConfiguration peers;
 
+	private final PeerTargets peerTargets;
+
 	private final HealthReporter reporter;
 
 	private final SharedRateLimiter limiter;
@@ -69,14 +72,16 @@
 
 	@Inject
 	BackgroundTasks(HostSettings settings, ConfigurationUpdates updates, MembershipKeeper keeper,
-			SnapshotWriter snapshots, HeartbeatExchange heartbeats, PeerConfiguration peers, HealthReporter reporter,
-			SharedRateLimiter limiter, TargetSource targets, AtomicReference<TargetDirectory> directory) {
+			SnapshotWriter snapshots, HeartbeatExchange heartbeats, PeerConfiguration peers, PeerTargets peerTargets,
+			HealthReporter reporter, SharedRateLimiter limiter, TargetSource targets,
+			AtomicReference<TargetDirectory> directory) {
 		this.settings = settings;
 		this.updates = updates;
 		this.keeper = keeper;
 		this.snapshots = snapshots;
 		this.heartbeats = heartbeats;
 		this.peers = peers;
+		this.peerTargets = peerTargets;
 		this.reporter = reporter;
 		this.limiter = limiter;
 		this.targets = targets;
@@ -88,6 +93,7 @@
 		this.updates.start(this.settings.pollIntervalMillis());
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "heartbeat", this.heartbeats::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-configuration", this.peers::tick);
+		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-targets", this.peerTargets::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "health-report", this.reporter::tick);
 		every(this.messages, DROP_IDLE_INTERVAL_MILLIS, "drop-idle-limits", this.limiter::dropIdle);
 		every(this.membership, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::keepMembership);
--- a/host/src/main/java/org/plantainspur/host/FleetModule.java
+++ b/host/src/main/java/org/plantainspur/host/FleetModule.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
@@ -23,6 +24,8 @@
 import org.plantainspur.core.peer.PeerLink;
 import org.plantainspur.core.rate.RateLimiter;
 import org.plantainspur.core.rate.SharedRateLimiter;
+import org.plantainspur.core.routing.PeerTargets;
+import org.plantainspur.core.routing.TargetDirectory;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -53,6 +56,13 @@
 		return new PeerConfiguration(view, follower, link, seeds);
 	}
 
+	@Provides
+	@Singleton
+	PeerTargets peerTargets(AtomicReference<TargetDirectory> directory, ConfigurationView view, PeerLink link,
+			Member member) {
+		return new PeerTargets(directory, view, link, member);
+	}
+
 	@Provides
 	@Singleton
 	ConfigurationUpdates configurationUpdates(ConfigurationFollower follower, PeerConfiguration peers,
--- a/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
+++ b/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
@@ -11,6 +11,7 @@
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.rate.SharedRateLimiter;
 import org.plantainspur.core.request.RelayReceiver;
+import org.plantainspur.core.routing.PeerTargets;
 
 /**
  * Passes each message to the decision that answers it.
@@ -33,10 +34,12 @@
 
 	private final RelayReceiver relays;
 
+	private final PeerTargets targets;
+
 	@Inject
 	HostPeerHandler(HeartbeatExchange heartbeats, ConfigurationUpdates updates, ConfigurationFollower follower,
 			SharedRateLimiter limiter, HealthCoordinators coordinators, CrashQuarantine quarantine,
-			CallerActivity activity, RelayReceiver relays) {
+			CallerActivity activity, RelayReceiver relays, PeerTargets targets) {
 		this.heartbeats = heartbeats;
 		this.updates = updates;
 		this.follower = follower;
@@ -45,6 +48,7 @@
 		this.quarantine = quarantine;
 		this.activity = activity;
 		this.relays = relays;
+		this.targets = targets;
 	}
 
 	@Override
@@ -64,6 +68,9 @@
 		if (message instanceof PeerMessage.ConfigurationRequest request) {
 			return this.follower.answer(request);
 		}
+		if (message instanceof PeerMessage.TargetListRequest) {
+			return this.targets.answer();
+		}
 		return acknowledge(message);
 	}
 
