Do not refuse a small body because the reading thread was delayed

Cause: Jetty checks the least data rate of a body from its first byte on, without a time of grace. At 256 bytes/s a body of 2 bytes is refused with 408 when the reading thread runs 8 ms late.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeoutException;
 
 import jakarta.inject.Inject;
 import jakarta.ws.rs.DELETE;
@@ -48,17 +49,21 @@
 
 	private final StopSignal stopSignal;
 
+	private final BodyReader bodies;
+
 	/**
 	 * Creates the resource.
 	 * @param pipeline serves the requests
 	 * @param clock the process clock
 	 * @param stopSignal whether the host is about to stop
+	 * @param bodies reads the requests' bodies
 	 */
 	@Inject
-	public CallerResource(RequestPipeline pipeline, Clock clock, StopSignal stopSignal) {
+	public CallerResource(RequestPipeline pipeline, Clock clock, StopSignal stopSignal, BodyReader bodies) {
 		this.pipeline = pipeline;
 		this.clock = clock;
 		this.stopSignal = stopSignal;
+		this.bodies = bodies;
 	}
 
 	@GET
@@ -110,11 +115,11 @@
 				(query != null) ? query : "", fields(request.getHeaders()), content, received)));
 	}
 
-	private static byte[] body(ContainerRequestContext request) {
+	private byte[] body(ContainerRequestContext request) {
 		try {
-			return request.getEntityStream().readNBytes(MAXIMUM_BODY_BYTES + 1);
+			return this.bodies.read(request.getEntityStream(), MAXIMUM_BODY_BYTES + 1);
 		}
-		catch (IOException | RuntimeException ex) {
+		catch (IOException | TimeoutException | RuntimeException ex) {
 			throw new ProblemExceptionMapper.CallerReadException(ex);
 		}
 	}
--- a/host/src/main/java/org/plantainspur/host/RequestModule.java
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -4,6 +4,7 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 
+import org.plantainspur.adapters.http.BodyReader;
 import org.plantainspur.adapters.http.CallerActivity;
 import org.plantainspur.adapters.http.CallerLimits;
 import org.plantainspur.adapters.http.HttpClientTargetDispatcher;
@@ -55,6 +56,11 @@
 		return new CallerActivity(clock);
 	}
 
+	@Provides
+	BodyReader bodyReader(Clock clock, HostSettings settings) {
+		return new BodyReader(clock, settings.callerDataRate());
+	}
+
 	@Provides
 	@Singleton
 	CallerLimits callerLimits(ConfigurationView view, CallerActivity activity, StopSignal stopSignal,
--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/RollingReplacementTests.java
@@ -0,0 +1,38 @@
+package org.plantainspur.standins;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against requests that a planned stop of an entry host fails or cuts.
+ */
+@Timeout(180)
+class RollingReplacementTests {
+
+	@Nested
+	class EveryHostInTurn {
+
+		@Test
+		void failsNoRequestOfACallerThatFollowsLocateAnswers() throws Exception {
+			try (TestFleet fleet = new TestFleet();
+					TestCaller caller = new TestCaller(fleet.callerAddresses(), 4, 10)) {
+				long began = System.nanoTime();
+				for (String host : fleet.hostIds()) {
+					fleet.signal(host, "TERM");
+					assertThat(fleet.awaitExit(host, 40)).as("exit code of %s", host).isZero();
+					fleet.startHost(host);
+					fleet.awaitReady();
+				}
+				caller.close();
+				assertThat(caller.since(began)).isNotEmpty();
+				assertThat(caller.failures(began)).isEmpty();
+				caller.assertRunAtMostOnce(fleet.runs());
+			}
+		}
+
+	}
+
+}
