Ask all members for reports when a target is suspected

Besides the evidence itself, up to 500 ms passed until a host reported an outcome, and up to 500 ms until a host got the verdict. After a return, a few successes used up the suspicion, so a relapse needed full evidence.

A host answers requests every 50 ms with ordinary reports, so verdicts still expire counted from before the asking. All members are asked, not only those with failures, so that the evidence is not biased.

--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
@@ -36,6 +36,7 @@
 		register("nudge", PeerMessage.Nudge.class);
 		register("borrow", PeerMessage.Borrow.class);
 		register("lent", PeerMessage.Lent.class);
+		register("report-request", PeerMessage.ReportRequest.class);
 		register("report", PeerMessage.Report.class);
 		register("verdicts", PeerMessage.Verdicts.class);
 		register("relay", PeerMessage.Relay.class);
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/Measures.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/Measures.java
@@ -26,6 +26,10 @@
 
 	private int crashes;
 
+	private long reports;
+
+	private long reportRequests;
+
 	private double worstShare = Double.NaN;
 
 	void detected(long millis) {
@@ -36,6 +40,14 @@
 		this.undetected++;
 	}
 
+	void reported() {
+		this.reports++;
+	}
+
+	void requestedReport() {
+		this.reportRequests++;
+	}
+
 	void ejected(boolean falsely) {
 		this.ejections++;
 		this.falseEjections += falsely ? 1 : 0;
@@ -62,6 +74,8 @@
 		this.undetected += other.undetected;
 		this.falseEjections += other.falseEjections;
 		this.ejections += other.ejections;
+		this.reports += other.reports;
+		this.reportRequests += other.reportRequests;
 		this.crashes = Math.max(this.crashes, other.crashes);
 		this.worstShare = Double.isNaN(this.worstShare) ? other.worstServedShare()
 				: Math.min(this.worstShare, other.worstServedShare());
@@ -133,10 +147,10 @@
 	@Override
 	public String toString() {
 		return String.format(
-				"detection p50 %.0f ms p99 %.0f ms (%d of %d), ejections %d, false %d, worst-served share %.4f, crashes %d",
+				"detection p50 %.0f ms p99 %.0f ms (%d of %d), ejections %d, false %d, worst-served share %.4f, crashes %d, reports %d, report requests %d",
 				detectionMillis(0.5), detectionMillis(0.99), this.detections.size(),
 				this.detections.size() + this.undetected, this.ejections, this.falseEjections, worstServedShare(),
-				this.crashes);
+				this.crashes, this.reports, this.reportRequests);
 	}
 
 }
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/ReplayHost.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/ReplayHost.java
@@ -8,6 +8,7 @@
 import org.plantainspur.core.health.LocalWeights;
 import org.plantainspur.core.health.OutcomeRecorder;
 import org.plantainspur.core.health.OutcomeRecorders;
+import org.plantainspur.core.health.RequestedReports;
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.time.Clock;
 
@@ -28,6 +29,8 @@
 
 	final OutcomeRecorder recorder;
 
+	final RequestedReports requested = new RequestedReports();
+
 	ReplayHost(int number, Clock clock, Consumer<PeerMessage.Suspect> announce) {
 		this.number = number;
 		this.quarantine = new CrashQuarantine(clock, announce);
--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -49,6 +49,10 @@
 
 	private final Map<String, Long> leavingUntil = new HashMap<>();
 
+	private final ReportRequestBudget requests = new ReportRequestBudget();
+
+	private boolean requestReports;
+
 	private Membership membership = Membership.empty();
 
 	private boolean wasSettled;
@@ -107,6 +111,18 @@
 		return verdicts(staying, (group != null) ? group : "", settled, now);
 	}
 
+	/**
+	 * Returns whether the members should be asked to report at once, since a target is
+	 * suspected or was just ejected, and forgets the request. All members are asked, not
+	 * those with failures only, so that early reports do not bias the evidence.
+	 * @return whether to ask them; the requests are bounded
+	 */
+	public synchronized boolean takeReportRequest() {
+		boolean taken = this.requestReports;
+		this.requestReports = false;
+		return taken;
+	}
+
 	private @Nullable String group(PeerMessage.Report report) {
 		Member member = this.membership.member(report.hostId());
 		return (member != null && member.processId().equals(report.processId())) ? member.failureDomain() : null;
@@ -183,14 +199,18 @@
 		sickest.sort(Comparator.comparingDouble(
 				(Target target) -> -assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY).sickness())
 			.thenComparing(Target::id));
+		boolean urgent = false;
 		for (Target target : sickest) {
+			urgent |= !state(target.id()).ejected() && this.judge.suspects(target.id());
 			HealthJudge.Assessment assessment = assessments.get(target.id());
 			if (assessment != null && assessment.sick() && !state(target.id()).ejected()
 					&& this.ledger.permits(target, staying, this.floor.getAsDouble(), now)) {
 				state(target.id()).eject(now, assessment.reason());
 				this.ledger.charge(List.of(target.id()), now);
+				urgent = true;
 			}
 		}
+		this.requestReports |= urgent && this.requests.take(now);
 	}
 
 	// Takes over the ejections that an earlier coordinator issued and that hosts hold.
--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinators.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinators.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import org.plantainspur.core.configuration.Configuration;
@@ -24,6 +25,8 @@
 
 	private final Function<String, HealthCoordinator> factory;
 
+	private final Consumer<String> requestReports;
+
 	private final ConcurrentMap<String, HealthCoordinator> coordinators = new ConcurrentHashMap<>();
 
 	/**
@@ -32,13 +35,16 @@
 	 * @param homeHosts tells which host is responsible for a service
 	 * @param self this process
 	 * @param factory creates the coordinator of a service
+	 * @param requestReports asks all members, this one too, to report on a service at
+	 * once; must not block
 	 */
 	public HealthCoordinators(ConfigurationView view, HomeHosts homeHosts, Member self,
-			Function<String, HealthCoordinator> factory) {
+			Function<String, HealthCoordinator> factory, Consumer<String> requestReports) {
 		this.view = view;
 		this.homeHosts = homeHosts;
 		this.self = self;
 		this.factory = factory;
+		this.requestReports = requestReports;
 		view.listen(
 				(configuration) -> this.coordinators.forEach((service, coordinator) -> follow(service, coordinator)));
 	}
@@ -49,7 +55,12 @@
 	 * @return the verdicts for the reporter
 	 */
 	public PeerMessage.Verdicts report(PeerMessage.Report report) {
-		return this.coordinators.computeIfAbsent(report.service(), this::create).report(report);
+		HealthCoordinator coordinator = this.coordinators.computeIfAbsent(report.service(), this::create);
+		PeerMessage.Verdicts verdicts = coordinator.report(report);
+		if (coordinator.takeReportRequest()) {
+			this.requestReports.accept(report.service());
+		}
+		return verdicts;
 	}
 
 	private HealthCoordinator create(String service) {
--- a/core/src/main/java/org/plantainspur/core/health/HealthJudge.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthJudge.java
@@ -25,6 +25,15 @@
 	 */
 	Assessment assess(String targetId);
 
+	/**
+	 * Returns whether further evidence on a target should be collected at once.
+	 * @param targetId the target
+	 * @return whether it is sick or may soon be found so
+	 */
+	default boolean suspects(String targetId) {
+		return assess(targetId).sick();
+	}
+
 	/**
 	 * Notes that a target gets work again after an ejection.
 	 * @param targetId the target
--- a/core/src/main/java/org/plantainspur/core/health/HealthReporter.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthReporter.java
@@ -1,6 +1,7 @@
 package org.plantainspur.core.health;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.plantainspur.core.configuration.Configuration;
@@ -13,7 +14,8 @@
 
 /**
  * Reports this host's evidence on each service to the service's coordinator and puts the
- * verdicts in force. The host calls {@link #tick()} every 500 ms from one thread.
+ * verdicts in force. The host calls {@link #tick()} every 500 ms and
+ * {@link #tickRequested()} every 50 ms from one thread.
  */
 public final class HealthReporter {
 
@@ -35,6 +37,8 @@
 
 	private final PeerLink link;
 
+	private final RequestedReports requested;
+
 	/**
 	 * Creates a reporter.
 	 * @param self this process
@@ -45,10 +49,11 @@
 	 * @param health where verdicts are put in force
 	 * @param coordinators the coordinators at this host
 	 * @param link sends to other members
+	 * @param requested the services whose coordinators wait for reports
 	 */
 	public HealthReporter(Member self, ConfigurationView view, HomeHosts homeHosts,
 			AtomicReference<TargetDirectory> directory, EvidenceCollector collector, HealthView health,
-			HealthCoordinators coordinators, PeerLink link) {
+			HealthCoordinators coordinators, PeerLink link, RequestedReports requested) {
 		this.self = self;
 		this.view = view;
 		this.homeHosts = homeHosts;
@@ -57,6 +62,7 @@
 		this.health = health;
 		this.coordinators = coordinators;
 		this.link = link;
+		this.requested = requested;
 	}
 
 	/**
@@ -72,6 +78,23 @@
 		}
 	}
 
+	/**
+	 * Sends a report for each service whose coordinator asked for one since the last
+	 * call.
+	 */
+	public void tickRequested() {
+		List<String> services = this.requested.take();
+		if (services.isEmpty()) {
+			return;
+		}
+		Configuration configuration = this.view.current();
+		Set<String> listed = Set.copyOf(this.directory.get().services());
+		services.stream()
+			.filter(listed::contains)
+			.forEach((service) -> this.homeHosts.coordinator(service, configuration.membership())
+				.forEach((coordinator) -> report(service, coordinator, configuration.sequence())));
+	}
+
 	private void report(String service, Member coordinator, long sequence) {
 		HealthView.ReportTicket ticket = this.health.reporting(service, coordinator.processId());
 		List<PeerMessage.TargetEvidence> evidence = this.collector.drain(service);
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -86,6 +86,14 @@
 	record Lent(long milliTokens) implements PeerMessage {
 	}
 
+	/**
+	 * Asks a member to report on a service at once.
+	 *
+	 * @param service the service
+	 */
+	record ReportRequest(String service) implements PeerMessage {
+	}
+
 	/**
 	 * Reports the outcomes that one host saw since its last report.
 	 *
--- a/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
@@ -71,6 +71,48 @@
 		}
 	}
 
+	/** Guards against slow detection, and against requests without bound. */
+	@Nested
+	class ReportRequests {
+
+		private boolean requestedAfterReport() {
+			report(0, 1);
+			return HealthCoordinatorTests.this.coordinator.takeReportRequest();
+		}
+
+		@Test
+		void areNotMadeWhileNothingIsSuspected() {
+			assertThat(requestedAfterReport()).isFalse();
+		}
+
+		@Test
+		void areMadeOnceAfterANewEjection() {
+			sick("t1");
+			assertThat(requestedAfterReport()).isTrue();
+			HealthCoordinatorTests.this.clock.advance(1000);
+			assertThat(requestedAfterReport()).isFalse();
+		}
+
+		@Test
+		void areNotMadeByAProcessThatMayNotEject() {
+			HealthCoordinatorTests.this.current = false;
+			sick("t1");
+			assertThat(requestedAfterReport()).isFalse();
+		}
+
+		@Test
+		void areBoundedWhileSickTargetsExceedTheBudget() {
+			sick("t0", "t1", "t2", "t3", "t4", "t5", "t6", "t7");
+			int requests = 0;
+			for (int millis = 0; millis < 60_000; millis += 10) {
+				HealthCoordinatorTests.this.clock.advance(10);
+				requests += requestedAfterReport() ? 1 : 0;
+			}
+			assertThat(requests).isBetween(2, 60_000 / 500 + ReportRequestBudget.BURST);
+		}
+
+	}
+
 	@Nested
 	class NewCoordinator {
 
--- a/core/src/test/java/org/plantainspur/core/health/PooledHealthJudgeTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/PooledHealthJudgeTests.java
@@ -65,6 +65,44 @@
 		return new PeerMessage.TargetEvidence(target.id(), List.of(good("large")), counts, 0, false);
 	}
 
+	@Nested
+	class Relapse {
+
+		private static final Rule GOOD = (host, target, account) -> good(account);
+
+		private void failures(int count) {
+			observe(0, PooledHealthJudgeTests.this.targets.get(3),
+					HealthFixtures.evidence("t3", HealthFixtures.account("large", 0, count)));
+		}
+
+		@Test
+		void isFoundWithFourFailuresLongAfterTheReturn() {
+			rounds(20, GOOD);
+			PooledHealthJudgeTests.this.judge.readmitted("t3");
+			rounds(40, GOOD);
+			failures(4);
+			assertThat(sick()).containsExactly("t3");
+		}
+
+		@Test
+		void isNotFoundWithThreeFailures() {
+			rounds(20, GOOD);
+			PooledHealthJudgeTests.this.judge.readmitted("t3");
+			rounds(40, GOOD);
+			failures(3);
+			assertThat(sick()).isEmpty();
+			assertThat(PooledHealthJudgeTests.this.judge.suspects("t3")).isTrue();
+		}
+
+		@Test
+		void needsTheFullEvidenceOfATargetThatWasNotEjected() {
+			rounds(60, GOOD);
+			failures(4);
+			assertThat(sick()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class Sick {
 
--- a/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
+++ b/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
@@ -7,6 +7,7 @@
 import org.plantainspur.core.currency.HeartbeatExchange;
 import org.plantainspur.core.health.CrashQuarantine;
 import org.plantainspur.core.health.HealthCoordinators;
+import org.plantainspur.core.health.RequestedReports;
 import org.plantainspur.core.peer.PeerHandler;
 import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.rate.SharedRateLimiter;
@@ -33,10 +34,12 @@
 
 	private final RelayReceiver relays;
 
+	private final RequestedReports requestedReports;
+
 	@Inject
 	HostPeerHandler(HeartbeatExchange heartbeats, ConfigurationUpdates updates, ConfigurationFollower follower,
 			SharedRateLimiter limiter, HealthCoordinators coordinators, CrashQuarantine quarantine,
-			CallerActivity activity, RelayReceiver relays) {
+			CallerActivity activity, RelayReceiver relays, RequestedReports requestedReports) {
 		this.heartbeats = heartbeats;
 		this.updates = updates;
 		this.follower = follower;
@@ -45,6 +48,7 @@
 		this.quarantine = quarantine;
 		this.activity = activity;
 		this.relays = relays;
+		this.requestedReports = requestedReports;
 	}
 
 	@Override
@@ -74,6 +78,9 @@
 		else if (message instanceof PeerMessage.Suspect suspect) {
 			this.quarantine.suspect(suspect);
 		}
+		else if (message instanceof PeerMessage.ReportRequest request) {
+			this.requestedReports.add(request.service());
+		}
 		return new PeerMessage.Acknowledged();
 	}
 
