--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -51,7 +51,7 @@
 				Arbitraries.oneOf(answered(), refused()).map(PeerMessage.Relayed::new),
 				Combinators.combine(TEXT, TEXT).as(PeerMessage.Suspect::new),
 				Arbitraries.of(new PeerMessage.Acknowledged(), new PeerMessage.TargetListRequest()), targetLists(),
-				TEXT.map(PeerMessage.Unsupported::new)));
+				TEXT.map(PeerMessage.Unsupported::new), TEXT.map(PeerMessage.ReportRequest::new)));
 	}
 
 	private static Arbitrary<PeerMessage> targetLists() {
