Admit several waiting hosts in one change of seats

Change: a process without a seat writes JoinRequested, which changes no seat; the coordinator of membership admits as many as keep the present members a majority. MembersLost also drops lost members that are only among the earlier members.

Failed try: a request that was repeated although its process was already a member stayed in the list and blocked all later admissions. The schedule search found this; such a request now has no effect.

--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerMapper.java
@@ -68,6 +68,8 @@
 			@JsonSubTypes.Type(value = Change.PutService.class, name = "put-service"),
 			@JsonSubTypes.Type(value = Change.ApplySheet.class, name = "apply-sheet"),
 			@JsonSubTypes.Type(value = Change.MemberJoined.class, name = "member-joined"),
+			@JsonSubTypes.Type(value = Change.JoinRequested.class, name = "join-requested"),
+			@JsonSubTypes.Type(value = Change.MembersAdmitted.class, name = "members-admitted"),
 			@JsonSubTypes.Type(value = Change.MemberResigned.class, name = "member-resigned"),
 			@JsonSubTypes.Type(value = Change.MembersRemoved.class, name = "members-removed"),
 			@JsonSubTypes.Type(value = Change.MembersLost.class, name = "members-lost"),
--- a/adapters/src/main/java/org/plantainspur/adapters/platform/ChangeCodec.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/ChangeCodec.java
@@ -34,6 +34,8 @@
 		types.put("put-service", Change.PutService.class);
 		types.put("apply-sheet", Change.ApplySheet.class);
 		types.put("member-joined", Change.MemberJoined.class);
+		types.put("join-requested", Change.JoinRequested.class);
+		types.put("members-admitted", Change.MembersAdmitted.class);
 		types.put("member-resigned", Change.MemberResigned.class);
 		types.put("members-removed", Change.MembersRemoved.class);
 		types.put("members-lost", Change.MembersLost.class);
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -61,7 +61,8 @@
 		Arbitrary<ClientAccount> account = Combinators.combine(TEXT, DOUBLE, DOUBLE).as(ClientAccount::new);
 		Arbitrary<Change> change = Arbitraries.oneOf(account.map(Change.PutAccount::new),
 				member.map(Change.MemberJoined::new), member.list().ofMaxSize(3).map(Change.MembersRemoved::new),
-				member.list().ofMaxSize(3).map(Change.MembersLost::new),
+				member.list().ofMaxSize(3).map(Change.MembersLost::new), member.map(Change.JoinRequested::new),
+				member.list().ofMaxSize(3).map(Change.MembersAdmitted::new),
 				Combinators.combine(TEXT, TEXT).as(Change.IssueKey::new), LONG.map(Change.SeatsSettled::new));
 		Arbitrary<ChangeEntry> entry = Combinators.combine(LONG, TEXT, change).as(ChangeEntry::new);
 		Arbitrary<PeerMessage> state = Combinators
@@ -69,7 +70,7 @@
 			.as((sequence, accounts, members,
 					key) -> new PeerMessage.WholeConfiguration(new ConfigurationState(sequence, accounts,
 							Map.of(key, key), List.of(), List.of(ServicePolicy.defaults(key)),
-							new Membership.State(sequence, members, 1, 2, members), Map.of(key, sequence))));
+							new Membership.State(sequence, members, 1, 2, members, members), Map.of(key, sequence))));
 		return Arbitraries.oneOf(LONG.map(PeerMessage.ConfigurationRequest::new), state,
 				entry.list().ofMaxSize(3).map(PeerMessage.ConfigurationChanges::new));
 	}
--- a/core/src/main/java/org/plantainspur/core/configuration/Change.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/Change.java
@@ -153,6 +153,39 @@
 
 	}
 
+	/**
+	 * Asks for a seat of its own for a process, which is no member until
+	 * {@link MembersAdmitted}.
+	 *
+	 * @param member the process
+	 */
+	record JoinRequested(Member member) implements Change {
+
+		@Override
+		public List<String> entities() {
+			return List.of("waiting/" + this.member.hostId());
+		}
+
+	}
+
+	/**
+	 * Gives seats to several waiting processes at once.
+	 *
+	 * @param members the new members
+	 */
+	record MembersAdmitted(List<Member> members) implements Change {
+
+		public MembersAdmitted {
+			members = List.copyOf(members);
+		}
+
+		@Override
+		public List<String> entities() {
+			return this.members.stream().map((member) -> "member/" + member.hostId()).toList();
+		}
+
+	}
+
 	/**
 	 * Records that a member has stopped using its shares and is about to stop.
 	 *
--- a/core/src/main/java/org/plantainspur/core/membership/Membership.java
+++ b/core/src/main/java/org/plantainspur/core/membership/Membership.java
@@ -21,8 +21,8 @@
 	 */
 	private static final int MAXIMUM_EARLIER = 16;
 
-	private static final Membership EMPTY = new Membership(new TreeMap<>(), new State(0, List.of(), 0, 0, List.of()),
-			List.of());
+	private static final Membership EMPTY = new Membership(new TreeMap<>(),
+			new State(0, List.of(), 0, 0, List.of(), List.of()), List.of());
 
 	private final TreeMap<String, Member> members;
 
@@ -74,6 +74,15 @@
 		return this.state.previousMembers();
 	}
 
+	/**
+	 * Returns the processes that wait for a seat. They are no members.
+	 * @return an unmodifiable list, ordered by host
+	 */
+	public List<Member> waiting() {
+		List<Member> waiting = this.state.waiting();
+		return (waiting != null) ? waiting : List.of();
+	}
+
 	/**
 	 * Returns the sequence number of the last change that took a seat away while the
 	 * process that lost it may not be fenced yet.
@@ -163,6 +172,9 @@
 		if (change instanceof Change.SeatsSettled settled) {
 			return (settled.seatSequence() == seatSequence()) ? settle(sequence) : this;
 		}
+		if (change instanceof Change.JoinRequested requested) {
+			return await(requested.member());
+		}
 		if (change instanceof Change.MembersLost lost) {
 			return lose(lost.members(), sequence);
 		}
@@ -170,6 +182,9 @@
 		if (change instanceof Change.MemberJoined joined) {
 			next.put(joined.member().hostId(), joined.member());
 		}
+		else if (change instanceof Change.MembersAdmitted admitted) {
+			admitted.members().forEach((member) -> next.put(member.hostId(), member));
+		}
 		else if (change instanceof Change.MemberResigned resigned) {
 			next.computeIfPresent(resigned.hostId(),
 					(id, member) -> member.processId().equals(resigned.processId()) ? member.resign() : member);
@@ -180,6 +195,35 @@
 		return new Membership(next, nextState(next, sequence), withThis());
 	}
 
+	// A waiting process changes neither seats nor shares, so the sequence number of the
+	// membership stays.
+	private Membership await(Member member) {
+		if (isMember(this.members, member)) {
+			return this;
+		}
+		TreeMap<String, Member> waiting = new TreeMap<>();
+		waiting().forEach((other) -> waiting.put(other.hostId(), other));
+		waiting.put(member.hostId(), member);
+		State next = new State(sequence(), this.state.members(), seatSequence(), departureSequence(), previousMembers(),
+				List.copyOf(waiting.values()));
+		return new Membership(this.members, next, this.earlier);
+	}
+
+	// A process stops waiting once its host has a new process, which it could otherwise
+	// displace after its own end. A living one asks again.
+	private List<Member> stillWaiting(TreeMap<String, Member> next) {
+		return waiting().stream().filter((member) -> {
+			Member present = next.get(member.hostId());
+			boolean unchanged = present == null || present.equals(this.members.get(member.hostId()));
+			return unchanged && !isMember(next, member);
+		}).toList();
+	}
+
+	private static boolean isMember(Map<String, Member> members, Member member) {
+		Member present = members.get(member.hostId());
+		return present != null && present.processId().equals(member.processId());
+	}
+
 	// A lost member never answers again, so a majority of the members before this change
 	// consists of survivors only. More than half of the survivors meet each such
 	// majority,
@@ -188,17 +232,14 @@
 	private Membership lose(List<Member> lost, long sequence) {
 		TreeMap<String, Member> next = new TreeMap<>(this.members);
 		lost.forEach((gone) -> remove(next, gone));
-		List<Member> gone = this.members.values()
-			.stream()
-			.filter((member) -> !next.containsKey(member.hostId()))
-			.toList();
-		if (gone.isEmpty()) {
-			return this;
-		}
 		List<Member> previous = previousMembers().stream()
-			.filter((member) -> gone.stream().noneMatch((other) -> sameSeat(member, other)))
+			.filter((member) -> next.containsKey(member.hostId())
+					|| lost.stream().noneMatch((other) -> sameSeat(member, other)))
 			.toList();
-		return new Membership(next, new State(sequence, List.copyOf(next.values()), sequence, sequence, previous),
+		boolean seatsChanged = next.size() != this.members.size();
+		return new Membership(next,
+				new State(sequence, List.copyOf(next.values()), seatsChanged ? sequence : seatSequence(),
+						seatsChanged ? sequence : departureSequence(), previous, waiting()),
 				withThis());
 	}
 
@@ -207,8 +248,8 @@
 	}
 
 	private Membership settle(long sequence) {
-		return new Membership(this.members, new State(sequence, this.state.members(), seatSequence(), 0, List.of()),
-				withThis());
+		return new Membership(this.members,
+				new State(sequence, this.state.members(), seatSequence(), 0, List.of(), waiting()), withThis());
 	}
 
 	private State nextState(TreeMap<String, Member> next, long sequence) {
@@ -218,7 +259,7 @@
 		boolean seatsChanged = departed || next.size() != this.members.size();
 		return new State(sequence, members, seatsChanged ? sequence : seatSequence(),
 				departed ? sequence : departureSequence(),
-				seatsChanged ? List.copyOf(this.members.values()) : previousMembers());
+				seatsChanged ? List.copyOf(this.members.values()) : previousMembers(), stillWaiting(next));
 	}
 
 	private List<Membership> withThis() {
@@ -228,8 +269,7 @@
 	}
 
 	private static void remove(Map<String, Member> members, Member gone) {
-		Member present = members.get(gone.hostId());
-		if (present != null && present.processId().equals(gone.processId())) {
+		if (isMember(members, gone)) {
 			members.remove(gone.hostId());
 		}
 	}
@@ -243,13 +283,16 @@
 	 * @param departureSequence the sequence number of the last change that took a seat
 	 * away
 	 * @param previousMembers the members before the last change of seats
+	 * @param waiting the processes that wait for a seat; absent in a state of an earlier
+	 * version
 	 */
 	public record State(long sequence, List<Member> members, long seatSequence, long departureSequence,
-			List<Member> previousMembers) {
+			List<Member> previousMembers, @Nullable List<Member> waiting) {
 
 		public State {
 			members = List.copyOf(members);
 			previousMembers = List.copyOf(previousMembers);
+			waiting = (waiting != null) ? List.copyOf(waiting) : List.of();
 		}
 
 	}
--- a/core/src/main/java/org/plantainspur/core/membership/MembershipKeeper.java
+++ b/core/src/main/java/org/plantainspur/core/membership/MembershipKeeper.java
@@ -23,6 +23,9 @@
 
 	private static final String COORDINATED = "membership";
 
+	/** The most appends of one request for a seat at one tick. */
+	private static final int REQUEST_TRIES = 5;
+
 	private final ConfigurationView view;
 
 	private final ChangeLog log;
@@ -123,16 +126,52 @@
 		if (this.resigning.get() && !present.resigned()) {
 			append(configuration, "resign", new Change.MemberResigned(this.self.hostId(), this.self.processId()));
 		}
-		else if (coordinates() && !removeSilent(configuration)) {
+		else if (coordinates() && !removeSilent(configuration) && !admit(configuration)) {
 			settle(configuration);
 		}
 	}
 
 	private void join(Configuration configuration) {
 		Membership membership = configuration.membership();
-		if (membership.hasSeat(this.self) || settled(membership)) {
+		boolean first = membership.size() == 0 && settled(membership);
+		if (membership.hasSeat(this.self) || first) {
 			append(configuration, "join", new Change.MemberJoined(this.self));
 		}
+		else if (!membership.waiting().contains(this.self)) {
+			requestSeat(configuration);
+		}
+		else if (membership.waiting().get(0).equals(this.self)) {
+			// The coordinator may be unable to reach the platform.
+			admit(configuration);
+		}
+	}
+
+	// The request depends on no other change, so it may follow any head. Many hosts that
+	// start together would otherwise wait for each other's polls.
+	private void requestSeat(Configuration configuration) {
+		String changeId = changeId(configuration, "wait");
+		long head = configuration.sequence();
+		for (int i = 0; i < REQUEST_TRIES; i++) {
+			ChangeLog.AppendResult result = this.log.append(head, changeId, new Change.JoinRequested(this.self));
+			if (!(result instanceof ChangeLog.AppendResult.HeadMoved moved)) {
+				return;
+			}
+			head = moved.head();
+		}
+	}
+
+	// The present members stay a majority, so new members that end at once cannot keep a
+	// change from being accepted; a single member admits one. The number of members
+	// doubles with each change of seats.
+	private boolean admit(Configuration configuration) {
+		Membership membership = configuration.membership();
+		int most = Math.max(1, membership.size() - 1);
+		List<Member> next = membership.waiting().stream().limit(most).toList();
+		boolean due = !next.isEmpty() && settled(membership);
+		if (due) {
+			append(configuration, "admit", new Change.MembersAdmitted(next));
+		}
+		return due;
 	}
 
 	private boolean removeSilent(Configuration configuration) {
@@ -202,8 +241,11 @@
 	}
 
 	private void append(Configuration configuration, String what, Change change) {
-		String changeId = what + "-" + this.self.processId() + "-" + configuration.sequence();
-		this.log.append(configuration.sequence(), changeId, change);
+		this.log.append(configuration.sequence(), changeId(configuration, what), change);
+	}
+
+	private String changeId(Configuration configuration, String what) {
+		return what + "-" + this.self.processId() + "-" + configuration.sequence();
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/schedule/Fleet.java
+++ b/core/src/test/java/org/plantainspur/core/schedule/Fleet.java
@@ -48,6 +48,8 @@
 
 	private final Set<String> slowReaders = new HashSet<>();
 
+	private boolean steadyLinks;
+
 	private long order;
 
 	private long accepted;
@@ -155,12 +157,19 @@
 		});
 	}
 
+	void steadyLinks() {
+		this.steadyLinks = true;
+	}
+
 	private long delay() {
+		if (this.steadyLinks) {
+			return 2;
+		}
 		return (this.random.nextInt(10) == 0) ? this.random.nextInt(450) : 1 + this.random.nextInt(30);
 	}
 
 	private boolean carries(String from, String to) {
-		return !this.cuts.contains(from + ">" + to) && this.random.nextInt(50) != 0;
+		return !this.cuts.contains(from + ">" + to) && (this.steadyLinks || this.random.nextInt(50) != 0);
 	}
 
 	void cut(int from, int to) {
@@ -261,14 +270,14 @@
 
 	private void acknowledge(String hostId, List<Acknowledgement> answers) {
 		FakeHost host = this.hosts.get(hostId);
-		if (!this.frozen.contains(hostId) && this.random.nextInt(20) != 0) {
+		if (!host.stopped() && !this.frozen.contains(hostId) && this.random.nextInt(20) != 0) {
 			answers.add(host.acknowledgement());
 		}
 	}
 
 	private void checkNoneServesOlder() {
 		for (FakeHost host : this.hosts.values()) {
-			if (host.current() && host.sequence() < this.accepted) {
+			if (!host.stopped() && host.current() && host.sequence() < this.accepted) {
 				throw new AssertionError(host.id() + " serves with " + host.sequence() + " after " + this.accepted
 						+ " was accepted, at " + now());
 			}
--- a/operator/src/main/java/org/plantainspur/operator/MemberActions.java
+++ b/operator/src/main/java/org/plantainspur/operator/MemberActions.java
@@ -5,11 +5,13 @@
 import java.util.TreeSet;
 
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.finding.Findings;
 import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
 
 /**
  * The commands on members.
@@ -35,7 +37,7 @@
 	private static List<Member> members(Namespace arguments, Configuration base, Findings findings) {
 		List<Member> members = new ArrayList<>();
 		for (String host : new TreeSet<>(arguments.<String>getList("host"))) {
-			Member member = base.membership().member(host);
+			Member member = find(base.membership(), host);
 			if (member != null) {
 				members.add(member);
 			}
@@ -44,6 +46,18 @@
 		return members;
 	}
 
+	// A host that is no member any more may still be counted until the last change of
+	// seats is settled.
+	private static @Nullable Member find(Membership membership, String host) {
+		Member member = membership.member(host);
+		return (member != null) ? member
+				: membership.previousMembers()
+					.stream()
+					.filter((previous) -> previous.hostId().equals(host))
+					.findFirst()
+					.orElse(null);
+	}
+
 	private static void refuseAnswering(List<Member> members, ChangeRunner runner, Findings findings) {
 		runner.ask(members, "/status")
 			.keySet()
--- a/standins/src/test/java/org/plantainspur/standins/OperatedFleet.java
+++ b/standins/src/test/java/org/plantainspur/standins/OperatedFleet.java
@@ -1,8 +1,8 @@
 package org.plantainspur.standins;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -13,12 +13,15 @@
 
 	final String platform;
 
-	final List<String> callers = new ArrayList<>();
+	final List<String> callers = new CopyOnWriteArrayList<>();
 
-	final List<String> admins = new ArrayList<>();
+	final List<String> admins = new CopyOnWriteArrayList<>();
 
 	private final Processes processes = new Processes();
 
+	// One for each host, since hosts may be started by several threads.
+	private final List<Processes> hosts = new CopyOnWriteArrayList<>();
+
 	OperatedFleet() throws Exception {
 		this.platform = "127.0.0.1:" + Processes.freePort();
 		String target = "127.0.0.1:" + Processes.freePort();
@@ -36,7 +39,9 @@
 		String admin = "127.0.0.1:" + Processes.freePort();
 		this.callers.add(caller);
 		this.admins.add(admin);
-		return this.processes.start("org.plantainspur.host.EntryHostMain", "--host-id", hostId, "--region", region,
+		Processes own = new Processes();
+		this.hosts.add(own);
+		return own.start("org.plantainspur.host.EntryHostMain", "--host-id", hostId, "--region", region,
 				"--failure-domain", region + "-a", "--caller-address", caller, "--admin-address", admin,
 				"--peer-address", "127.0.0.1:" + Processes.freePort(), "--platform-url", "http://" + this.platform,
 				"--platform-region", "pdx", "--fleet-secret", "the-fleet-secret-of-these-tests", "--poll-interval",
@@ -73,6 +78,7 @@
 
 	@Override
 	public void close() {
+		this.hosts.forEach(Processes::close);
 		this.processes.close();
 	}
 
