--- a/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/WholePathTests.java
@@ -56,6 +56,7 @@
 		startHost("entry-1", "pdx", platform);
 		startHost("entry-2", "sea", platform);
 		waitForTwoHosts();
+		waitForShares();
 	}
 
 	@AfterAll
@@ -117,6 +118,21 @@
 		throw new IllegalStateException("the two hosts did not join within 10 seconds: " + locate());
 	}
 
+	// A share that a host has just gained starts only when its earlier holders have
+	// stopped using it. Until then the host may refuse as rate-limited with Retry-After,
+	// which a caller follows.
+	private void waitForShares() throws Exception {
+		for (String address : this.callerAddresses) {
+			HttpResponse<String> answer = send("GET", address, "/booking/ready", Map.of("X-Api-Key", KEY));
+			for (int i = 0; answer.statusCode() == 429 && i < 10; i++) {
+				assertThat(mapper.readTree(answer.body()).path("run").asText()).isEqualTo("not-run");
+				Thread.sleep(1000 * Long.parseLong(answer.headers().firstValue("Retry-After").orElseThrow()));
+				answer = send("GET", address, "/booking/ready", Map.of("X-Api-Key", KEY));
+			}
+			assertThat(answer.statusCode()).isEqualTo(200);
+		}
+	}
+
 	private JsonNode locate() throws Exception {
 		return mapper.readTree(
 				send("GET", this.callerAddresses.get(0), "/.plantainspur/locate", Map.of("X-Api-Key", KEY)).body());
