Keep rate shares while a process waits for a seat

Cause: a request to join gives a new membership object with the same sequence number. The rate limiter took it for a change that skipped the memberships between, treated all earlier holders as unknown, and every host gave up its shares for 3.5 s. Seen in the rolling replacement: about 60 requests refused as rate-limited although within their rate.

Change: only a new sequence number of the membership counts as a change.

Before: RollingReplacementTests failed, and the new test of ShareHistory failed. After: both pass, one run each.

--- a/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
+++ b/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
@@ -56,7 +56,9 @@
 		if (next.sequence() <= this.current.sequence()) {
 			return this;
 		}
-		boolean moved = next.membership() != this.current.membership();
+		// A process that waits for a seat changes neither the sequence number of the
+		// membership nor any share.
+		boolean moved = next.membership().sequence() != this.current.membership().sequence();
 		boolean known = !moved || follows(next.membership());
 		List<Past> nextPast = new ArrayList<>(
 				this.past.stream().filter((item) -> now < item.untilMillis() + TAKEOVER_MILLIS).toList());
--- a/core/src/test/java/org/plantainspur/core/rate/ShareHistoryTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/ShareHistoryTests.java
@@ -49,6 +49,21 @@
 
 	}
 
+	@Nested
+	class WaitingProcess {
+
+		@Test
+		void requestToJoinTakesAllSharesAway() {
+			Configuration first = join(Configuration.empty(), "a");
+			Configuration second = append(first,
+					new Change.JoinRequested(Member.builder("b", "p-b").peerAddress("127.0.0.1:1").build()));
+			ShareHistory history = ShareHistory.start(first, 0).learn(second, 9000);
+			assertThat(history.knownFromMillis()).isZero();
+			assertThat(history.past()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class Takeover {
 
