--- a/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
+++ b/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
@@ -38,25 +38,25 @@
 
 	/**
 	 * Checks a request and notes the account that it runs for.
-	 * @param passage the request
+	 * @param context the request
 	 * @return the reason for a refusal, or {@code null} if the request may run
 	 */
-	@Nullable Problem check(Passage passage) {
-		if (passage.route().open()) {
-			return this.open.test(passage.request()) ? null : Problem.notRun(Problem.Code.KEY_NOT_VALID,
+	@Nullable Problem check(RequestContext context) {
+		if (context.route().open()) {
+			return this.open.test(context.request()) ? null : Problem.notRun(Problem.Code.KEY_NOT_VALID,
 					"the route is no longer open to all; send the request again with a key");
 		}
 		if (this.currency.check() instanceof CurrencyRule.Currency.Stale stale) {
 			return Problem.notRun(Problem.Code.CONFIGURATION_NOT_CURRENT, stale.reason())
 				.retryAfter(STALE_RETRY_MILLIS);
 		}
-		String keyHash = passage.keyHash();
+		String keyHash = context.keyHash();
 		ClientAccount account = (keyHash != null) ? this.view.current().accountOfKey(keyHash) : null;
 		if (account == null) {
 			return Problem.notRun(Problem.Code.KEY_NOT_VALID,
 					"the key in " + Headers.API_KEY + " is missing, unknown or withdrawn");
 		}
-		return passage.runFor(account) ? null
+		return context.runFor(account) ? null
 				: Problem.notRun(Problem.Code.KEY_NOT_VALID, "the key now belongs to another client account");
 	}
 
--- a/core/src/main/java/org/plantainspur/core/request/Headers.java
+++ b/core/src/main/java/org/plantainspur/core/request/Headers.java
@@ -24,7 +24,7 @@
 	/** The client account, set by the system for the target. */
 	public static final String CLIENT_ACCOUNT = "X-Client-Account";
 
-	/** The identity of this passage of a request, set by the system for the target. */
+	/** The identity of this handling of a request, set by the system for the target. */
 	public static final String REQUEST_ID = "X-Request-Id";
 
 	/** Set to {@code true} by a target that did not run the request. */
--- a/core/src/main/java/org/plantainspur/core/request/OnceRuns.java
+++ b/core/src/main/java/org/plantainspur/core/request/OnceRuns.java
@@ -43,46 +43,47 @@
 
 	/**
 	 * Serves a request that may run at most once.
-	 * @param passage the request
+	 * @param context the request
 	 * @param run runs it, called at most once
 	 * @return the answer
 	 */
-	CallerAnswer serve(Passage passage, Function<Passage, CallerAnswer> run) {
-		String key = passage.request().headers().first(Headers.IDEMPOTENCY_KEY);
+	CallerAnswer serve(RequestContext context, Function<RequestContext, CallerAnswer> run) {
+		String key = context.request().headers().first(Headers.IDEMPOTENCY_KEY);
 		if (key == null) {
 			return Problem
 				.notRun(Problem.Code.IDEMPOTENCY_KEY_NOT_VALID,
-						"the route " + passage.route().id() + " is not idempotent; send " + Headers.IDEMPOTENCY_KEY
+						"the route " + context.route().id() + " is not idempotent; send " + Headers.IDEMPOTENCY_KEY
 								+ ": <dispatch token>.<a value of your own>")
 				.refuse();
 		}
-		OnceGate.OnceDecision decision = this.onceGate.enter(passage.account().id(), key,
-				RequestFingerprint.of(passage.request()));
+		OnceGate.OnceDecision decision = this.onceGate.enter(context.account().id(), key,
+				RequestFingerprint.of(context.request()));
 		if (decision instanceof OnceGate.OnceDecision.Dispatch dispatch) {
-			return truthful(passage, runWithTicket(passage, dispatch.ticket(), run));
+			return truthful(context, runWithTicket(context, dispatch.ticket(), run));
 		}
 		if (decision instanceof OnceGate.OnceDecision.Join join) {
-			return truthful(passage, await(join.answer(), passage));
+			return truthful(context, await(join.answer(), context));
 		}
 		if (decision instanceof OnceGate.OnceDecision.Relay owner) {
-			return this.relay.relay(owner.hostId(), owner.processId(), passage.request(), passage.deadlineMillis());
+			return this.relay.relay(owner.hostId(), owner.processId(), context.request(), context.deadlineMillis());
 		}
-		return truthful(passage, ((OnceGate.OnceDecision.Refuse) decision).refusal());
+		return truthful(context, ((OnceGate.OnceDecision.Refuse) decision).refusal());
 	}
 
 	// The record of a request that did not run is removed, after which a repeat with the
 	// same key may be dispatched before the refusal is given.
-	private CallerAnswer truthful(Passage passage, CallerAnswer answer) {
+	private CallerAnswer truthful(RequestContext context, CallerAnswer answer) {
 		boolean notRun = answer instanceof CallerAnswer.Refused refused
 				&& refused.problem().run() == Problem.Run.NOT_RUN;
-		return notRun ? refuse(passage.request(), ((CallerAnswer.Refused) answer).problem()) : answer;
+		return notRun ? refuse(context.request(), ((CallerAnswer.Refused) answer).problem()) : answer;
 	}
 
-	private CallerAnswer runWithTicket(Passage passage, OnceGate.Ticket ticket, Function<Passage, CallerAnswer> run) {
+	private CallerAnswer runWithTicket(RequestContext context, OnceGate.Ticket ticket,
+			Function<RequestContext, CallerAnswer> run) {
 		CallerAnswer answer = Problem.unknown(Problem.Code.TARGET_FAILED, "an internal error ended the request")
 			.refuse();
 		try {
-			answer = run.apply(passage);
+			answer = run.apply(context);
 			return answer;
 		}
 		finally {
@@ -95,9 +96,9 @@
 		}
 	}
 
-	private CallerAnswer await(CompletableFuture<CallerAnswer> answer, Passage passage) {
+	private CallerAnswer await(CompletableFuture<CallerAnswer> answer, RequestContext context) {
 		try {
-			return answer.get(Math.max(0, passage.deadlineMillis() - this.clock.millis()), TimeUnit.MILLISECONDS);
+			return answer.get(Math.max(0, context.deadlineMillis() - this.clock.millis()), TimeUnit.MILLISECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/core/src/main/java/org/plantainspur/core/request/Passage.java
+++ b/core/src/main/java/org/plantainspur/core/request/RequestContext.java
@@ -14,7 +14,7 @@
 /**
  * One request on its way; confined to the thread that serves it.
  */
-final class Passage {
+final class RequestContext {
 
 	private final CallerRequest request;
 
@@ -38,7 +38,7 @@
 
 	private @Nullable String fingerprint;
 
-	Passage(CallerRequest request, Route route, long deadlineMillis) {
+	RequestContext(CallerRequest request, Route route, long deadlineMillis) {
 		this.request = request;
 		this.route = route;
 		this.deadlineMillis = deadlineMillis;
--- a/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
+++ b/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
@@ -91,12 +91,12 @@
 			return this.onceRuns.refuse(request, Problem.notRun(Problem.Code.BAD_REQUEST,
 					Headers.DEADLINE + " is not a positive number of milliseconds; send a value such as 2000"));
 		}
-		Passage passage = new Passage(request, route, request.receivedMillis() + timeout);
-		Problem refusal = this.accessCheck.check(passage);
+		RequestContext context = new RequestContext(request, route, request.receivedMillis() + timeout);
+		Problem refusal = this.accessCheck.check(context);
 		if (refusal != null) {
 			return this.onceRuns.refuse(request, refusal);
 		}
-		return passage.once() ? this.onceRuns.serve(passage, this::run) : run(passage);
+		return context.once() ? this.onceRuns.serve(context, this::run) : run(context);
 	}
 
 	private boolean open(CallerRequest request) {
@@ -128,26 +128,26 @@
 		}
 	}
 
-	private CallerAnswer run(Passage passage) {
-		if (this.quarantine.holds(passage.fingerprint())) {
+	private CallerAnswer run(RequestContext context) {
+		if (this.quarantine.holds(context.fingerprint())) {
 			return Problem
 				.unknown(Problem.Code.REQUEST_QUARANTINED, "this request has crashed the targets that ran it before")
 				.refuse();
 		}
-		if (!passage.route().open() && this.rateLimiter.acquire(passage.account(),
-				passage.deadlineMillis()) instanceof RateLimiter.RateDecision.Limited limited) {
+		if (!context.route().open() && this.rateLimiter.acquire(context.account(),
+				context.deadlineMillis()) instanceof RateLimiter.RateDecision.Limited limited) {
 			return Problem
-				.notRun(Problem.Code.RATE_LIMITED, "client account " + passage.account().id() + " is over its rate")
+				.notRun(Problem.Code.RATE_LIMITED, "client account " + context.account().id() + " is over its rate")
 				.retryAfter(limited.retryAfterMillis())
 				.refuse();
 		}
-		AdmissionQueue.Admission admission = this.admissionQueue.admit(passage.route().service(), passage.account(),
-				passage.deadlineMillis());
+		AdmissionQueue.Admission admission = this.admissionQueue.admit(context.route().service(), context.account(),
+				context.deadlineMillis());
 		if (admission instanceof AdmissionQueue.Admission.Rejected rejected) {
-			return passage.noCapacity(rejected.retryAfterMillis()).refuse();
+			return context.noCapacity(rejected.retryAfterMillis()).refuse();
 		}
 		try (AdmissionQueue.Permit permit = ((AdmissionQueue.Admission.Admitted) admission).permit()) {
-			return this.attempts.run(passage);
+			return this.attempts.run(context);
 		}
 	}
 
--- a/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
+++ b/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
@@ -49,55 +49,56 @@
 		this.recorder = recorder;
 	}
 
-	CallerAnswer run(Passage passage) {
+	CallerAnswer run(RequestContext context) {
 		Set<String> tried = new HashSet<>();
 		while (true) {
-			Problem refusal = this.accessCheck.check(passage);
+			Problem refusal = this.accessCheck.check(context);
 			if (refusal != null) {
-				return passage.refuse(refusal);
+				return context.refuse(refusal);
 			}
-			TargetChooser.TargetLease lease = this.chooser.choose(passage.route().service(), tried);
+			TargetChooser.TargetLease lease = this.chooser.choose(context.route().service(), tried);
 			if (lease == null) {
-				return passage.lastAnswer(passage.noCapacity(FULL_RETRY_MILLIS));
+				return context.lastAnswer(context.noCapacity(FULL_RETRY_MILLIS));
 			}
-			DispatchOutcome outcome = dispatch(passage, lease);
+			DispatchOutcome outcome = dispatch(context, lease);
 			tried.add(lease.target().id());
-			passage.note(outcome);
-			if (!this.retryPolicy.retry(!passage.once(), outcome, passage.attempts())
-					|| this.clock.millis() >= passage.deadlineMillis()) {
-				return passage.lastAnswer(passage.noCapacity(FULL_RETRY_MILLIS));
+			context.note(outcome);
+			if (!this.retryPolicy.retry(!context.once(), outcome, context.attempts())
+					|| this.clock.millis() >= context.deadlineMillis()) {
+				return context.lastAnswer(context.noCapacity(FULL_RETRY_MILLIS));
 			}
 		}
 	}
 
-	private DispatchOutcome dispatch(Passage passage, TargetChooser.TargetLease lease) {
+	private DispatchOutcome dispatch(RequestContext context, TargetChooser.TargetLease lease) {
 		try (lease) {
 			long started = this.clock.millis();
-			long left = passage.deadlineMillis() - started;
+			long left = context.deadlineMillis() - started;
 			if (left <= 0) {
 				return new DispatchOutcome.NotSent("the deadline has passed");
 			}
-			DispatchOutcome outcome = this.dispatcher.dispatch(lease.target(), targetRequest(passage, left),
-					!passage.once(), left);
-			record(passage, lease, outcome, this.clock.millis() - started);
+			DispatchOutcome outcome = this.dispatcher.dispatch(lease.target(), targetRequest(context, left),
+					!context.once(), left);
+			record(context, lease, outcome, this.clock.millis() - started);
 			return outcome;
 		}
 	}
 
-	private CallerRequest targetRequest(Passage passage, long left) {
-		CallerRequest request = passage.request();
+	private CallerRequest targetRequest(RequestContext context, long left) {
+		CallerRequest request = context.request();
 		Headers headers = request.headers()
 			.without(NOT_PASSED_ON)
-			.with(new Headers.Field(Headers.CLIENT_ACCOUNT, passage.account().id()),
-					new Headers.Field(Headers.REQUEST_ID, passage.requestId()),
+			.with(new Headers.Field(Headers.CLIENT_ACCOUNT, context.account().id()),
+					new Headers.Field(Headers.REQUEST_ID, context.requestId()),
 					new Headers.Field(Headers.DEADLINE, Long.toString(left)));
 		return new CallerRequest(request.method(), request.path(), request.query(), headers, request.body(),
 				request.receivedMillis());
 	}
 
-	private void record(Passage passage, TargetChooser.TargetLease lease, DispatchOutcome outcome, long latency) {
+	private void record(RequestContext context, TargetChooser.TargetLease lease, DispatchOutcome outcome,
+			long latency) {
 		OutcomeRecorder.Kind kind = kind(outcome);
-		this.recorder.record(new OutcomeRecorder.Outcome(lease.target(), passage.account().id(), passage.fingerprint(),
+		this.recorder.record(new OutcomeRecorder.Outcome(lease.target(), context.account().id(), context.fingerprint(),
 				kind, latency));
 		if (saysLeaving(outcome)) {
 			this.recorder.leaving(lease.target());
