Give processes under test ports that outgoing connections cannot take

The test chose a free port from the range that the system also uses for outgoing connections, and one took it before the host did.

Change: ports for processes under test lie below that range and are given once.

Checked by: FleetStartTests, WholePathTests, CallerProtocolTests, HostProcessTests, PlatformStandInTests and ScenarioTests pass, one run.

--- a/host/src/test/java/org/plantainspur/host/HostProcessTests.java
+++ b/host/src/test/java/org/plantainspur/host/HostProcessTests.java
@@ -1,7 +1,6 @@
 package org.plantainspur.host;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +15,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
+import org.plantainspur.core.testing.FreePorts;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -43,9 +44,7 @@
 	}
 
 	private static String freeAddress() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return "127.0.0.1:" + socket.getLocalPort();
-		}
+		return "127.0.0.1:" + FreePorts.next();
 	}
 
 	@Nested
--- a/host/src/test/java/org/plantainspur/host/RunningHost.java
+++ b/host/src/test/java/org/plantainspur/host/RunningHost.java
@@ -1,7 +1,6 @@
 package org.plantainspur.host;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -29,6 +28,7 @@
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.Target;
 import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.testing.FreePorts;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -74,9 +74,7 @@
 	}
 
 	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
+		return FreePorts.next();
 	}
 
 	GracefulStop gracefulStop() {
--- a/standins/src/test/java/org/plantainspur/standins/Processes.java
+++ b/standins/src/test/java/org/plantainspur/standins/Processes.java
@@ -3,13 +3,14 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.plantainspur.core.testing.FreePorts;
+
 /**
  * Starts the programs under test as processes of their own and ends them all on close.
  */
@@ -55,9 +56,7 @@
 	}
 
 	public static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
-		}
+		return FreePorts.next();
 	}
 
 	@Override
