Keep the margin for clock rates in one place

Cause: rate and health each had their own copy of the 2% and 50 ms that two processes' clocks may differ by; both safety arguments rest on it.

Change: ClockMargin.lengthen replaces both. Values are unchanged.

Checked by: core compiles with all checks; ShareHistoryTests, SharedRateLimiterTests and HealthCoordinatorTests pass.

--- a/core/src/main/java/org/plantainspur/core/health/EjectionLedger.java
+++ b/core/src/main/java/org/plantainspur/core/health/EjectionLedger.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 
 import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.time.ClockMargin;
 
 /**
  * The ejections that some host may still hold. Each is charged against the budget until
@@ -19,17 +20,8 @@
 
 	private final Map<String, Long> chargedUntil = new HashMap<>();
 
-	/**
-	 * Returns a duration lengthened by the margin for clock rates.
-	 * @param millis the duration on another process's clock
-	 * @return a duration on this process's clock that is surely not shorter
-	 */
-	static long withMargin(long millis) {
-		return millis + millis / 50 + 50;
-	}
-
 	void charge(Collection<String> targetIds, long nowMillis) {
-		long until = nowMillis + withMargin(LIFETIME_MILLIS);
+		long until = nowMillis + ClockMargin.lengthen(LIFETIME_MILLIS);
 		targetIds.forEach((id) -> this.chargedUntil.merge(id, until, Math::max));
 	}
 
--- a/core/src/main/java/org/plantainspur/core/health/Settlement.java
+++ b/core/src/main/java/org/plantainspur/core/health/Settlement.java
@@ -8,6 +8,7 @@
 
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.Membership;
+import org.plantainspur.core.time.ClockMargin;
 
 /**
  * Tells when a coordinator may eject: when no host can hold a verdict that this
@@ -23,7 +24,7 @@
 
 	private static final long PRESENT = Long.MAX_VALUE;
 
-	private static final long WAIT_MILLIS = EjectionLedger.withMargin(FENCING_MILLIS + EjectionLedger.LIFETIME_MILLIS);
+	private static final long WAIT_MILLIS = ClockMargin.lengthen(FENCING_MILLIS + EjectionLedger.LIFETIME_MILLIS);
 
 	/** Members, and removed ones that may still hold a verdict. */
 	private final Map<String, Long> removedAt = new HashMap<>();
--- a/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
+++ b/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
@@ -10,6 +10,7 @@
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.membership.Membership;
+import org.plantainspur.core.time.ClockMargin;
 
 /**
  * The configuration in force at this host, and the earlier states that another host which
@@ -36,17 +37,13 @@
 	static final long LOAN_MILLIS = 300;
 
 	/** The same with the margin for clocks that run at different rates. */
-	static final long LOAN_OUT_MILLIS = withMargin(LOAN_MILLIS);
+	static final long LOAN_OUT_MILLIS = ClockMargin.lengthen(LOAN_MILLIS);
 
 	/**
 	 * After this time every host that missed a change is fenced, and the loans that it
 	 * gave before have ended.
 	 */
-	static final long TAKEOVER_MILLIS = withMargin(FENCING_MILLIS) + LOAN_OUT_MILLIS;
-
-	private static long withMargin(long millis) {
-		return millis + millis / 50 + 50;
-	}
+	static final long TAKEOVER_MILLIS = ClockMargin.lengthen(FENCING_MILLIS) + LOAN_OUT_MILLIS;
 
 	static ShareHistory start(Configuration configuration, long now) {
 		return new ShareHistory(configuration, List.of(), Map.of(), now, settled(configuration), now);
