Pass the waiting processes to the membership of the slope benchmark

The record of a membership's state has had a sixth component since hosts are admitted in batches, and the benchmark still passed five, so the module did not compile and the whole script failed at its last module.

Before: compilation error in SyntheticFleet. After: test-compile of all modules passes.

--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/SyntheticFleet.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/SyntheticFleet.java
@@ -66,7 +66,7 @@
 			.toList();
 		long sequence = 2L * this.accounts + this.routes + this.services + this.members;
 		return Configuration.restore(new ConfigurationState(sequence, accountList, keys, routeList, policies,
-				new Membership.State(sequence, memberList(), sequence, 0, List.of()), versions));
+				new Membership.State(sequence, memberList(), sequence, 0, List.of(), List.of()), versions));
 	}
 
 	/**
