Check pooled connections to targets without waiting, and refuse stray input

Cause: HttpClient's check of a pooled connection reads one socket with a timeout of 1 ms, so each live connection cost 1 ms before a non-idempotent request, and idempotent requests were checked only after 500 ms of idle time. The check also took input that no request had asked for as a live connection: a target that sends two answers to one request had the second one delivered to the next caller, possibly of another client account.

Change: sockets to targets are opened with channels, and the check reads without blocking. A connection with end of stream, an error, or any input is closed. It now runs before every request of either class.

Two new tests send a second answer, in the same segment and 100 ms later. Before: both next requests received the body 'stray'.

Ruled out: available() of the socket, which does not report the end of the stream.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
@@ -93,7 +93,7 @@
 		HttpHost host = host(target);
 		HttpUriRequestBase message = message(target, request, timeoutMillis);
 		HttpClientContext context = HttpClientContext.create();
-		this.connections.prepare(target, host, idempotent);
+		this.connections.prepare(target, host);
 		ScheduledFuture<?> deadline = this.deadlines.schedule(message::cancel, timeoutMillis, TimeUnit.MILLISECONDS);
 		try {
 			return this.client.execute(host, message, context, (response) -> outcome(message, response));
--- a/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnections.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnections.java
@@ -1,14 +1,22 @@
 package org.plantainspur.adapters.http;
 
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 
+import org.apache.hc.client5.http.DnsResolver;
 import org.apache.hc.client5.http.HttpRoute;
+import org.apache.hc.client5.http.SchemePortResolver;
 import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.impl.io.DefaultHttpClientConnectionOperator;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.io.HttpClientConnectionOperator;
+import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.RegistryBuilder;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -24,15 +32,15 @@
 	private static final Timeout CONNECT_TIMEOUT = Timeout.ofMilliseconds(1000);
 
 	/**
-	 * The check of an idle connection blocks for 1 ms when the connection is alive, which
-	 * is a third of the latency budget. Only a non-idempotent request pays it each time;
-	 * its outcome would be unknown if the target had just closed the connection.
+	 * Every connection is checked before each use: the outcome of a request would be
+	 * unknown if the target had just closed the connection.
 	 */
-	private static final ConnectionConfig CHECKED_ALWAYS = config(TimeValue.ZERO_MILLISECONDS);
+	private static final ConnectionConfig CONFIG = ConnectionConfig.custom()
+		.setConnectTimeout(CONNECT_TIMEOUT)
+		.setValidateAfterInactivity(TimeValue.ZERO_MILLISECONDS)
+		.build();
 
-	private static final ConnectionConfig CHECKED_WHEN_IDLE = config(TimeValue.ofMilliseconds(500));
-
-	private final ThreadLocal<ConnectionConfig> config = ThreadLocal.withInitial(() -> CHECKED_WHEN_IDLE);
+	private final AtomicLong created = new AtomicLong();
 
 	private final ConcurrentMap<HttpHost, Integer> limits = new ConcurrentHashMap<>();
 
@@ -46,18 +54,12 @@
 	 */
 	TargetConnections(IntSupplier members) {
 		this.members = members;
-		this.manager = PoolingHttpClientConnectionManagerBuilder.create()
+		this.manager = new ChannelConnections()
+			.setConnectionFactory((socket) -> new TargetConnection("target-" + this.created.incrementAndGet()))
 			.setMaxConnPerRoute(1)
 			.setMaxConnTotal(Integer.MAX_VALUE)
 			.setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
-			.setConnectionConfigResolver((route) -> this.config.get())
-			.build();
-	}
-
-	private static ConnectionConfig config(TimeValue validateAfter) {
-		return ConnectionConfig.custom()
-			.setConnectTimeout(CONNECT_TIMEOUT)
-			.setValidateAfterInactivity(validateAfter)
+			.setDefaultConnectionConfig(CONFIG)
 			.build();
 	}
 
@@ -69,10 +71,8 @@
 	 * Prepares the pool for a request of the calling thread.
 	 * @param target the target
 	 * @param host the target's address
-	 * @param idempotent whether the request may run more than once
 	 */
-	void prepare(Target target, HttpHost host, boolean idempotent) {
-		this.config.set(idempotent ? CHECKED_WHEN_IDLE : CHECKED_ALWAYS);
+	void prepare(Target target, HttpHost host) {
 		int limit = limit(target);
 		Integer present = this.limits.get(host);
 		if (present == null || present != limit) {
@@ -85,4 +85,18 @@
 		return Math.max(1, target.connections() / Math.max(1, this.members.getAsInt()));
 	}
 
+	/**
+	 * Opens sockets with channels, which {@link ProbedSocket} needs.
+	 */
+	private static final class ChannelConnections extends PoolingHttpClientConnectionManagerBuilder {
+
+		@Override
+		protected HttpClientConnectionOperator createConnectionOperator(SchemePortResolver ports, DnsResolver names,
+				TlsSocketStrategy tls) {
+			return new DefaultHttpClientConnectionOperator((proxy) -> SocketChannel.open().socket(), ports, names,
+					RegistryBuilder.<TlsSocketStrategy>create().build());
+		}
+
+	}
+
 }
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -58,6 +58,11 @@
 				(unknown) -> assertThat(unknown.cause()).isEqualTo(cause));
 	}
 
+	private static void assertAnsweredOk(DispatchOutcome outcome) {
+		assertThat(outcome).isInstanceOfSatisfying(DispatchOutcome.Answered.class,
+				(answered) -> assertThat(answered.body()).asString().isEqualTo("ok"));
+	}
+
 	private static void answerAll(ScriptedTarget.Exchange exchange) throws IOException {
 		while (true) {
 			exchange.readHead();
@@ -108,6 +113,44 @@
 			}
 		}
 
+		/**
+		 * Guards against an answer that belongs to no request reaching the next caller.
+		 */
+		@Test
+		void thatCarriesASecondAnswerIsReplaced() throws Exception {
+			CountDownLatch written = new CountDownLatch(1);
+			try (ScriptedTarget target = new ScriptedTarget((exchange) -> {
+				exchange.readHead();
+				exchange.write(OK);
+				if (exchange.number() == 1) {
+					Thread.sleep(100);
+					exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+					written.countDown();
+					Thread.sleep(1000);
+				}
+			})) {
+				dispatch(target.address(), true, 2000);
+				assertThat(written.await(2, TimeUnit.SECONDS)).isTrue();
+				assertAnsweredOk(dispatch(target.address(), false, 2000));
+			}
+		}
+
+		/**
+		 * Guards against the same fault when both answers arrive in one segment.
+		 */
+		@Test
+		void thatBroughtTwoAnswersAtOnceIsReplaced() throws Exception {
+			try (ScriptedTarget target = new ScriptedTarget((exchange) -> {
+				exchange.readHead();
+				exchange
+					.write(OK + ((exchange.number() == 1) ? "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray" : ""));
+				Thread.sleep(1000);
+			})) {
+				dispatch(target.address(), true, 2000);
+				assertAnsweredOk(dispatch(target.address(), true, 2000));
+			}
+		}
+
 		@Test
 		void isUsedAgainAfterAWholeAnswer() throws Exception {
 			try (ScriptedTarget target = new ScriptedTarget(HttpClientTargetDispatcherTests::answerAll)) {
