Send the whole configuration between hosts in parts

Cause: a host that starts while the platform is unavailable gets the state from a peer in one message. It has 11.0 MB at 44,000 client accounts and a frame holds 4 MiB, so above about 14,500 accounts no host could start in an outage.

Change: a state is cut into parts of at most 5,000 entities, which the starting host asks for one after the other. The sending host keeps the parts of one state for 30 s, since parts of different states cannot be joined; a fetch that meets another state starts again. Only one whole state is fetched at a time, so that heartbeats of newer hosts do not start more.

Ruled out: a larger frame, since a frame is held in memory whole and the limit guards against a faulty length; one part for each change, which would need a history of all changes.

--- a/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/peer/PeerCodec.java
@@ -32,7 +32,8 @@
 		register("heartbeat", PeerMessage.Heartbeat.class);
 		register("configuration-request", PeerMessage.ConfigurationRequest.class);
 		register("configuration-changes", PeerMessage.ConfigurationChanges.class);
-		register("whole-configuration", PeerMessage.WholeConfiguration.class);
+		register("configuration-part-request", PeerMessage.ConfigurationPartRequest.class);
+		register("configuration-part", PeerMessage.PartOfConfiguration.class);
 		register("target-list-request", PeerMessage.TargetListRequest.class);
 		register("target-list", PeerMessage.TargetList.class);
 		register("nudge", PeerMessage.Nudge.class);
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerCodecTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerCodecTests.java
@@ -6,7 +6,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -18,7 +21,14 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.ConfigurationPart;
+import org.plantainspur.core.configuration.ConfigurationParts;
+import org.plantainspur.core.configuration.ConfigurationState;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.request.KeyHash;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
@@ -46,6 +56,45 @@
 		}
 	}
 
+	/**
+	 * Guards against a state that no peer can send: at 44,000 accounts it has 11 MB.
+	 */
+	@Group
+	class StateOfTheLargestFleet {
+
+		@Example
+		void fitsInFramesPartByPart() {
+			List<ClientAccount> accounts = new ArrayList<>();
+			Map<String, String> keys = new HashMap<>();
+			Map<String, Long> versions = new HashMap<>();
+			for (int i = 0; i < 44_000; i++) {
+				String account = "client-account-%06d".formatted(i);
+				String hash = KeyHash.of(account);
+				accounts.add(new ClientAccount(account, 1e9 / 3, 1e9 / 3));
+				keys.put(hash, account);
+				versions.put("account/" + account, (long) i);
+				versions.put("key/" + hash, (long) i);
+			}
+			List<Member> members = IntStream.range(0, 950)
+				.mapToObj((i) -> Member.builder("entry-host-%04d".formatted(i), "process-%016x".formatted(i))
+					.region("nordeste-norte")
+					.failureDomain("nordeste-norte-b")
+					.callerAddress("192.168.100.100:18080")
+					.peerAddress("192.168.100.100:18081")
+					.adminAddress("192.168.100.100:18082")
+					.build())
+				.toList();
+			ConfigurationState state = new ConfigurationState(88_000, accounts, keys, List.of(), List.of(),
+					new Membership.State(1, members, 1, 0, members, members), versions);
+			List<ConfigurationPart> parts = ConfigurationParts.split(state);
+			assertThat(parts).allSatisfy((part) -> assertThat(
+					PeerCodecTests.this.codec.encode(1, new PeerMessage.PartOfConfiguration(part)).length)
+				.isLessThan(PeerFrames.MAXIMUM_BYTES / 2));
+			assertThat(ConfigurationParts.join(parts)).isEqualTo(state);
+		}
+
+	}
+
 	@Group
 	class WholeMessage {
 
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -12,6 +12,7 @@
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeEntry;
 import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.ConfigurationPart;
 import org.plantainspur.core.configuration.ConfigurationState;
 import org.plantainspur.core.configuration.ServicePolicy;
 import org.plantainspur.core.membership.Member;
@@ -75,10 +76,11 @@
 		Arbitrary<PeerMessage> state = Combinators
 			.combine(LONG, account.list().ofMaxSize(3), member.list().ofMaxSize(3), TEXT)
 			.as((sequence, accounts, members,
-					key) -> new PeerMessage.WholeConfiguration(new ConfigurationState(sequence, accounts,
-							Map.of(key, key), List.of(), List.of(ServicePolicy.defaults(key)),
-							new Membership.State(sequence, members, 1, 2, members, members), Map.of(key, sequence))));
+					key) -> new PeerMessage.PartOfConfiguration(new ConfigurationPart(1, 3, new ConfigurationState(
+							sequence, accounts, Map.of(key, key), List.of(), List.of(ServicePolicy.defaults(key)),
+							new Membership.State(sequence, members, 1, 2, members, members), Map.of(key, sequence)))));
 		return Arbitraries.oneOf(LONG.map(PeerMessage.ConfigurationRequest::new), state,
+				Combinators.combine(LONG, INT).as(PeerMessage.ConfigurationPartRequest::new),
 				entry.list().ofMaxSize(3).map(PeerMessage.ConfigurationChanges::new));
 	}
 
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/MessageSlopes.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/MessageSlopes.java
@@ -9,6 +9,8 @@
 import org.plantainspur.core.configuration.Change;
 import org.plantainspur.core.configuration.ChangeEntry;
 import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.ConfigurationPart;
+import org.plantainspur.core.configuration.ConfigurationParts;
 import org.plantainspur.core.peer.PeerMessage;
 
 /**
@@ -46,9 +48,12 @@
 			print("configuration-changes", changes + " changes", new PeerMessage.ConfigurationChanges(entries));
 		}
 		for (int accounts : new int[] { 1000, 11_000, 44_000 }) {
-			print("whole-configuration", accounts + " accounts, 4,100 routes, 950 members",
-					new PeerMessage.WholeConfiguration(
-							new SyntheticFleet(accounts, 4100, 950, 790, 0).configuration().state()));
+			List<ConfigurationPart> parts = ConfigurationParts
+				.split(new SyntheticFleet(accounts, 4100, 950, 790, 0).configuration().state());
+			for (ConfigurationPart part : List.of(parts.get(0), parts.get(parts.size() - 1))) {
+				print("configuration-part", "part %d of %d, %d accounts, 4,100 routes, 950 members"
+					.formatted(part.number(), part.count(), accounts), new PeerMessage.PartOfConfiguration(part));
+			}
 		}
 	}
 
--- a/core/src/main/java/org/plantainspur/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/ConfigurationFollower.java
@@ -38,6 +38,8 @@
 
 	private final AtomicReference<List<ChangeEntry>> history = new AtomicReference<>(List.of());
 
+	private final ConfigurationOffer offer;
+
 	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
 	/**
@@ -52,6 +54,7 @@
 		this.view = view;
 		this.snapshots = snapshots;
 		this.clock = clock;
+		this.offer = new ConfigurationOffer(clock);
 	}
 
 	/**
@@ -85,17 +88,24 @@
 		if (answer instanceof PeerMessage.ConfigurationChanges changes) {
 			advance(changes.entries());
 		}
-		else if (answer instanceof PeerMessage.WholeConfiguration whole
-				&& whole.state().sequence() > this.view.current().sequence()) {
-			start(Configuration.restore(whole.state()));
+	}
+
+	/**
+	 * Puts a peer's whole state in force if it is newer. What holds for changes of a peer
+	 * holds for its state.
+	 * @param state the peer's state
+	 */
+	void adopt(ConfigurationState state) {
+		if (state.sequence() > this.view.current().sequence()) {
+			start(Configuration.restore(state));
 		}
 	}
 
 	/**
 	 * Answers a peer that asks for changes.
 	 * @param request the peer's request
-	 * @return the changes after its sequence number, or the whole state if they are no
-	 * longer kept
+	 * @return the changes after its sequence number, or the first part of the whole state
+	 * if they are no longer kept
 	 */
 	public PeerMessage answer(PeerMessage.ConfigurationRequest request) {
 		List<ChangeEntry> kept = this.history.get();
@@ -104,12 +114,22 @@
 			return new PeerMessage.ConfigurationChanges(List.of());
 		}
 		if (kept.isEmpty() || kept.get(0).sequence() > request.after() + 1) {
-			return new PeerMessage.WholeConfiguration(current.state());
+			return new PeerMessage.PartOfConfiguration(this.offer.first(request.after(), current));
 		}
 		return new PeerMessage.ConfigurationChanges(
 				kept.stream().filter((entry) -> entry.sequence() > request.after()).toList());
 	}
 
+	/**
+	 * Answers a peer that fetches the whole state.
+	 * @param request the peer's request
+	 * @return the part, or the first part of a newer state
+	 */
+	public PeerMessage answer(PeerMessage.ConfigurationPartRequest request) {
+		return new PeerMessage.PartOfConfiguration(
+				this.offer.part(request.sequence(), request.number(), this.view.current()));
+	}
+
 	/**
 	 * Returns the age of the last complete read, counted from before the platform was
 	 * asked.
--- a/core/src/main/java/org/plantainspur/core/configuration/PeerConfiguration.java
+++ b/core/src/main/java/org/plantainspur/core/configuration/PeerConfiguration.java
@@ -1,6 +1,8 @@
 package org.plantainspur.core.configuration;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.plantainspur.core.membership.Member;
@@ -25,6 +27,8 @@
 
 	private final AtomicInteger next = new AtomicInteger();
 
+	private final AtomicBoolean fetchingState = new AtomicBoolean();
+
 	/**
 	 * Creates the fetcher.
 	 * @param view the configuration in force
@@ -51,16 +55,51 @@
 	}
 
 	/**
-	 * Asks a member for the changes that this host does not have.
+	 * Asks a member for the changes that this host does not have. Has no effect while a
+	 * whole state is being fetched.
 	 * @param member the member
 	 */
 	public void fetch(Member member) {
+		if (this.fetchingState.get()) {
+			return;
+		}
 		this.link.ask(member, new PeerMessage.ConfigurationRequest(this.view.current().sequence()), TIMEOUT_MILLIS)
 			.whenComplete((answer, failure) -> {
-				if (answer != null) {
+				if (answer instanceof PeerMessage.PartOfConfiguration first) {
+					start(member, first.part());
+				}
+				else if (answer != null) {
 					this.follower.adopt(answer);
 				}
 			});
 	}
 
+	private void start(Member member, ConfigurationPart first) {
+		if (first.number() == 0 && first.sequence() > this.view.current().sequence()
+				&& this.fetchingState.compareAndSet(false, true)) {
+			fetchNext(member, List.of(first));
+		}
+	}
+
+	private void fetchNext(Member member, List<ConfigurationPart> parts) {
+		ConfigurationPart first = parts.get(0);
+		if (parts.size() >= first.count()) {
+			this.fetchingState.set(false);
+			this.follower.adopt(ConfigurationParts.join(parts));
+			return;
+		}
+		this.link.ask(member, new PeerMessage.ConfigurationPartRequest(first.sequence(), parts.size()), TIMEOUT_MILLIS)
+			.whenComplete((answer, failure) -> {
+				if (answer instanceof PeerMessage.PartOfConfiguration found
+						&& found.part().sequence() == first.sequence() && found.part().number() == parts.size()) {
+					List<ConfigurationPart> more = new ArrayList<>(parts);
+					more.add(found.part());
+					fetchNext(member, more);
+				}
+				else {
+					this.fetchingState.set(false);
+				}
+			});
+	}
+
 }
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 import org.plantainspur.core.configuration.ChangeEntry;
-import org.plantainspur.core.configuration.ConfigurationState;
+import org.plantainspur.core.configuration.ConfigurationPart;
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.CallerRequest;
 import org.plantainspur.core.routing.Target;
@@ -54,11 +54,20 @@
 	}
 
 	/**
-	 * Returns the whole state, if the requested changes are no longer kept.
+	 * Asks for a part of the whole state.
 	 *
-	 * @param state the state
+	 * @param sequence the sequence number of the state
+	 * @param number the number of the part, from 0
 	 */
-	record WholeConfiguration(ConfigurationState state) implements PeerMessage {
+	record ConfigurationPartRequest(long sequence, int number) implements PeerMessage {
+	}
+
+	/**
+	 * Returns a part of the whole state, if the requested changes are no longer kept.
+	 *
+	 * @param part the part
+	 */
+	record PartOfConfiguration(ConfigurationPart part) implements PeerMessage {
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/schedule/FakeHost.java
+++ b/core/src/test/java/org/plantainspur/core/schedule/FakeHost.java
@@ -124,6 +124,9 @@
 		if (message instanceof PeerMessage.ConfigurationRequest request) {
 			return this.follower.answer(request);
 		}
+		if (message instanceof PeerMessage.ConfigurationPartRequest request) {
+			return this.follower.answer(request);
+		}
 		return new PeerMessage.Unsupported(message.getClass().getSimpleName());
 	}
 
--- a/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
+++ b/host/src/main/java/org/plantainspur/host/HostPeerHandler.java
@@ -72,6 +72,9 @@
 		if (message instanceof PeerMessage.ConfigurationRequest request) {
 			return this.follower.answer(request);
 		}
+		if (message instanceof PeerMessage.ConfigurationPartRequest request) {
+			return this.follower.answer(request);
+		}
 		if (message instanceof PeerMessage.TargetListRequest) {
 			return this.targets.answer();
 		}
