Let the poll interval grow with the fleet and send an unchanged host list once

Cause: each member read the newest sequence number and the host list every 500 ms, which is 3,800 reads/s at 950 members; the platform handles about 2,000. After each change all members read it at once. Each read of the host list carried the whole list, which has 2,020,931 bytes of JSON for 12,000 targets (calculated with names as in the slope benchmark).

Change: PollSchedule spreads 1,000 reads/s over the members: 500 ms up to 250 members, 1,900 ms at 950, never more than 2,000 ms since a host whose last read is older than 3,000 ms may be fenced. Above 64 members a host that hears of a change fetches it from that member only. The host list is read with If-None-Match (RFC 9110); the platform stand-in answers 304 if the list is the known one, and any platform that does not know entity tags is read as before.

At 950 members: before 3,800 reads/s, after 1,000 (PollScheduleTests; not run with that many processes). Nothing changes at today's size. Tests: PollScheduleTests, TargetListReaderTests (unchanged list not decoded and without a body, changed list, outage).

--- a/adapters/src/main/java/org/plantainspur/adapters/platform/PlatformClient.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/PlatformClient.java
@@ -21,6 +21,8 @@
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.util.Timeout;
@@ -33,6 +35,8 @@
 
 	private static final int CONFLICT = 409;
 
+	private static final int NOT_MODIFIED = 304;
+
 	private static final int NOT_FOUND = 404;
 
 	private static final int OK = 200;
@@ -144,12 +148,21 @@
 	}
 
 	/**
-	 * Reads the list of live and leaving hosts.
-	 * @return the list as JSON
+	 * Reads the list of live and leaving hosts, if it has changed.
+	 * @param known the entity tag of the list that the caller has, empty for none
+	 * @return the list, or that it has not changed
 	 * @throws IOException if no answer came
 	 */
-	public JsonNode hosts() throws IOException {
-		return send(new HttpGet(this.baseUrl + "/hosts")).expect(OK);
+	HostList hosts(String known) throws IOException {
+		HttpGet get = new HttpGet(this.baseUrl + "/hosts");
+		if (!known.isEmpty()) {
+			get.setHeader(HttpHeaders.IF_NONE_MATCH, known);
+		}
+		Reply reply = send(get);
+		if (reply.status() == NOT_MODIFIED && !known.isEmpty()) {
+			return new HostList.Unchanged();
+		}
+		return new HostList.Changed(reply.expect(OK).path("hosts"), reply.entityTag());
 	}
 
 	/**
@@ -169,7 +182,8 @@
 		return this.client.execute(request, (response) -> {
 			String text = (response.getEntity() != null) ? EntityUtils.toString(response.getEntity()) : "";
 			JsonNode json = text.isEmpty() ? this.mapper.createObjectNode() : this.mapper.readTree(text);
-			return new Reply(request.getRequestUri(), response.getCode(), json);
+			Header tag = response.getFirstHeader(HttpHeaders.ETAG);
+			return new Reply(request.getRequestUri(), response.getCode(), json, (tag != null) ? tag.getValue() : "");
 		});
 	}
 
@@ -191,7 +205,29 @@
 	public record Row(String key, long version, JsonNode value) {
 	}
 
-	private record Reply(String path, int status, JsonNode json) {
+	/**
+	 * The outcome of a conditional read of the host list.
+	 */
+	sealed interface HostList {
+
+		/**
+		 * The list differs from the one that the caller has.
+		 *
+		 * @param hosts the hosts as a JSON array
+		 * @param entityTag identifies the list, empty if the platform gives none
+		 */
+		record Changed(JsonNode hosts, String entityTag) implements HostList {
+		}
+
+		/**
+		 * The caller has the present list.
+		 */
+		record Unchanged() implements HostList {
+		}
+
+	}
+
+	private record Reply(String path, int status, JsonNode json, String entityTag) {
 
 		JsonNode expect(int expected) throws IOException {
 			if (this.status != expected) {
--- a/adapters/src/main/java/org/plantainspur/adapters/platform/TargetListReader.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/TargetListReader.java
@@ -10,12 +10,18 @@
 import org.plantainspur.core.routing.TargetDirectory;
 
 /**
- * Reads the targets from the platform's list of live and leaving hosts. The list lags.
+ * Reads the targets from the platform's list of live and leaving hosts. The list lags. It
+ * is sent and decoded only after it has changed: with 12,000 targets it has megabytes.
+ * Not thread-safe.
  */
 public final class TargetListReader {
 
 	private final PlatformClient client;
 
+	private TargetDirectory directory = TargetDirectory.of(List.of());
+
+	private String entityTag = "";
+
 	/**
 	 * Creates a reader.
 	 * @param client the platform
@@ -30,8 +36,16 @@
 	 * @throws IOException if no answer came
 	 */
 	public TargetDirectory read() throws IOException {
+		if (this.client.hosts(this.entityTag) instanceof PlatformClient.HostList.Changed changed) {
+			this.directory = TargetDirectory.of(targets(changed.hosts()));
+			this.entityTag = changed.entityTag();
+		}
+		return this.directory;
+	}
+
+	private static List<Target> targets(JsonNode hosts) {
 		List<Target> targets = new ArrayList<>();
-		for (JsonNode node : this.client.hosts().path("hosts")) {
+		for (JsonNode node : hosts) {
 			if (node.path("kind").asText().equals("target")) {
 				targets.add(new Target(node.path("id").asText(), node.path("service").asText(),
 						node.path("address").asText(), node.path("region").asText(),
@@ -39,7 +53,7 @@
 						node.path("connections").asInt(1), node.path("state").asText().equals("leaving")));
 			}
 		}
-		return TargetDirectory.of(targets);
+		return targets;
 	}
 
 }
--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -13,7 +13,9 @@
 
 import org.plantainspur.adapters.log.Event;
 import org.plantainspur.core.configuration.ChangeLog;
+import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.configuration.PeerConfiguration;
+import org.plantainspur.core.configuration.PollSchedule;
 import org.plantainspur.core.configuration.SnapshotWriter;
 import org.plantainspur.core.currency.HeartbeatExchange;
 import org.plantainspur.core.health.HealthReporter;
@@ -60,6 +62,8 @@
 
 	private final AtomicReference<TargetDirectory> directory;
 
+	private final ConfigurationView view;
+
 	private final AtomicReference<MembershipKeeper.State> lastState = new AtomicReference<>(
 			MembershipKeeper.State.JOINING);
 
@@ -76,7 +80,7 @@
 	BackgroundTasks(HostSettings settings, ConfigurationUpdates updates, MembershipKeeper keeper,
 			SnapshotWriter snapshots, HeartbeatExchange heartbeats, PeerConfiguration peers, PeerTargets peerTargets,
 			HealthReporter reporter, SharedRateLimiter limiter, TargetSource targets,
-			AtomicReference<TargetDirectory> directory) {
+			AtomicReference<TargetDirectory> directory, ConfigurationView view) {
 		this.settings = settings;
 		this.updates = updates;
 		this.keeper = keeper;
@@ -88,11 +92,13 @@
 		this.limiter = limiter;
 		this.targets = targets;
 		this.directory = directory;
+		this.view = view;
 	}
 
 	@Override
 	public void start() {
-		this.updates.start(this.settings.pollIntervalMillis());
+		PollSchedule schedule = new PollSchedule(this.settings.pollIntervalMillis());
+		this.updates.start(schedule);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "heartbeat", this.heartbeats::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-configuration", this.peers::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-targets", this.peerTargets::tick);
@@ -101,7 +107,7 @@
 		every(this.messages, DROP_IDLE_INTERVAL_MILLIS, "drop-idle-limits", this.limiter::dropIdle);
 		every(this.membership, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::keepMembership);
 		every(this.membership, DROP_IDLE_INTERVAL_MILLIS, "snapshot", this.snapshots::tick);
-		every(this.targetList, this.settings.pollIntervalMillis(), "target-list", this::readTargets);
+		this.targetList.execute(() -> readTargetsRepeatedly(schedule));
 	}
 
 	@Override
@@ -136,6 +142,13 @@
 		}
 	}
 
+	private void readTargetsRepeatedly(PollSchedule schedule) {
+		run("target-list", this::readTargets);
+		int members = this.view.current().membership().members().size();
+		this.targetList.schedule(() -> readTargetsRepeatedly(schedule), schedule.intervalMillis(members),
+				TimeUnit.MILLISECONDS);
+	}
+
 	private void readTargets() {
 		try {
 			this.directory.set(this.targets.read());
--- a/host/src/main/java/org/plantainspur/host/ConfigurationUpdates.java
+++ b/host/src/main/java/org/plantainspur/host/ConfigurationUpdates.java
@@ -14,6 +14,7 @@
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.configuration.PeerConfiguration;
+import org.plantainspur.core.configuration.PollSchedule;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.peer.PeerLink;
 import org.plantainspur.core.peer.PeerMessage;
@@ -59,20 +60,30 @@
 		this.self = self;
 	}
 
-	void start(long intervalMillis) {
-		this.executor.scheduleWithFixedDelay(this::poll, 0, intervalMillis, TimeUnit.MILLISECONDS);
+	void start(PollSchedule schedule) {
+		this.executor.execute(() -> pollRepeatedly(schedule));
+	}
+
+	private void pollRepeatedly(PollSchedule schedule) {
+		poll();
+		int members = this.view.current().membership().members().size();
+		this.executor.schedule(() -> pollRepeatedly(schedule), schedule.intervalMillis(members), TimeUnit.MILLISECONDS);
 	}
 
 	/**
 	 * Takes word of a newer sequence number. Asks the member as well as the platform,
-	 * since the platform may be unavailable.
+	 * since the platform may be unavailable. In a large fleet only the member is asked:
+	 * all members learn of a change within one heartbeat, and as many reads at once would
+	 * be more than the platform handles.
 	 * @param member the member that has it
 	 * @param sequence the sequence number
 	 */
 	void noticed(Member member, long sequence) {
 		if (this.noticed.getAndAccumulate(sequence, Math::max) < sequence) {
 			this.peers.fetch(member);
-			this.executor.execute(this::poll);
+			if (this.view.current().membership().members().size() <= MAXIMUM_NUDGED) {
+				this.executor.execute(this::poll);
+			}
 		}
 		else if (this.unavailable.get()) {
 			this.peers.fetch(member);
--- a/standins/src/main/java/org/plantainspur/standins/http/Response.java
+++ b/standins/src/main/java/org/plantainspur/standins/http/Response.java
@@ -19,6 +19,9 @@
 	/** The status of a complete answer. */
 	public static final int OK = 200;
 
+	/** The status of a conditional read of what has not changed. */
+	public static final int NOT_MODIFIED = 304;
+
 	/** The status of a request that is malformed. */
 	public static final int BAD_REQUEST = 400;
 
--- a/standins/src/main/java/org/plantainspur/standins/platform/PlatformRoutes.java
+++ b/standins/src/main/java/org/plantainspur/standins/platform/PlatformRoutes.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.UUID;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -44,7 +45,7 @@
 			case "GET /table/row" -> read(exchange, this.table::row);
 			case "GET /table/rows" -> read(exchange, this.table::rows);
 			case "POST /table/transact" -> write(exchange, this.table::transact);
-			case "GET /hosts" -> read(exchange, (ignored) -> visibleHosts());
+			case "GET /hosts" -> read(exchange, this::visibleHosts);
 			case "PUT /hosts" -> exchange.answer(putHosts(request));
 			case "PUT /.control/faults" -> exchange.answer(putFaults(request));
 			case "GET /.control/faults" -> exchange.answer(faults());
@@ -84,14 +85,20 @@
 		};
 	}
 
-	private Response visibleHosts() {
-		return Response.json(Response.OK, this.hosts.visible(System.nanoTime()));
+	// A conditional read (RFC 9110, 13.1.2) gets no body if the list is the known one.
+	private Response visibleHosts(Request request) {
+		Response whole = Response.json(Response.OK, this.hosts.visible(System.nanoTime()));
+		String tag = '"' + UUID.nameUUIDFromBytes(whole.body()).toString() + '"';
+		if (tag.equals(request.header("If-None-Match"))) {
+			return new Response(Response.NOT_MODIFIED, Map.of("ETag", tag), new byte[0]);
+		}
+		return whole.with("ETag", tag);
 	}
 
 	private Response putHosts(Request request) {
 		this.hosts.put(HostListCheck.check(JsonBody.object(request)), System.nanoTime(),
 				this.gate.faults().hostListLagMillis());
-		return visibleHosts();
+		return visibleHosts(request);
 	}
 
 	private Response putFaults(Request request) {
