Keep a caller's key inside the HTTP adapter

Cause: a relayed request carried the caller's key to another host in plain TCP. A key that a caller also put into the path, the query or the body reached the target, although no target may see it; only header fields were searched for it.

Change: the HTTP adapter replaces the key by its hash, which is what the configuration holds, so the pipeline, the relay and the metrics never see the key. A request whose path, query (as it is or percent-encoded) or body holds the key is refused with 400 and not-run. The hash is computed once for the pipeline and its metrics instead of twice; the benchmark of the whole decision path no longer includes it.

Before: the four requests of CallerProtocolTests KeyInAnotherPlace with the key in the path, the query or the body were answered with 200. After: each is refused and no target is reached.

One run of the host module ended with exit code 1 while a host started; its log was not kept, and the next run of the same tests passed. Other builds were running; two processes that choose the same free port are the likely reason.

Not covered: a key inside a compressed or otherwise encoded body.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/CallerResource.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeoutException;
 
@@ -19,7 +17,6 @@
 import jakarta.ws.rs.Path;
 import jakarta.ws.rs.container.ContainerRequestContext;
 import jakarta.ws.rs.core.Context;
-import jakarta.ws.rs.core.MultivaluedMap;
 import jakarta.ws.rs.core.Response;
 
 import org.plantainspur.core.request.CallerAnswer;
@@ -111,8 +108,16 @@
 		}
 		URI uri = request.getUriInfo().getRequestUri();
 		String query = uri.getRawQuery();
+		PresentedKey key = PresentedKey.of(request.getHeaders());
+		if (key.isInEncoded(uri.getRawPath()) || key.isInEncoded(query) || key.isIn(content)) {
+			return response(Problem
+				.notRun(Problem.Code.BAD_REQUEST,
+						"the path, the query or the body holds the key, which no target may see; send it only in "
+								+ Headers.API_KEY)
+				.refuse());
+		}
 		return response(this.pipeline.serve(new CallerRequest(request.getMethod(), uri.getRawPath(),
-				(query != null) ? query : "", fields(request.getHeaders()), content, received)));
+				(query != null) ? query : "", key.without(request.getHeaders()), content, key.hash(), received)));
 	}
 
 	private byte[] body(ContainerRequestContext request) {
@@ -124,21 +129,6 @@
 		}
 	}
 
-	// A field that repeats the key under another name would carry the key to the target.
-	private static Headers fields(MultivaluedMap<String, String> received) {
-		Headers fields = Headers.empty();
-		String key = received.getFirst(Headers.API_KEY);
-		for (Map.Entry<String, List<String>> entry : received.entrySet()) {
-			boolean isKey = entry.getKey().equalsIgnoreCase(Headers.API_KEY);
-			for (String value : entry.getValue()) {
-				if (isKey || key == null || key.isEmpty() || !value.contains(key)) {
-					fields = fields.with(entry.getKey(), value);
-				}
-			}
-		}
-		return fields;
-	}
-
 	private Response response(CallerAnswer answer) {
 		Response.ResponseBuilder builder = builder(answer);
 		if (this.stopSignal.stopping()) {
--- a/adapters/src/main/java/org/plantainspur/adapters/metrics/MeasuredPipeline.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/metrics/MeasuredPipeline.java
@@ -11,8 +11,6 @@
 import org.plantainspur.core.configuration.Route;
 import org.plantainspur.core.request.CallerAnswer;
 import org.plantainspur.core.request.CallerRequest;
-import org.plantainspur.core.request.Headers;
-import org.plantainspur.core.request.KeyHash;
 import org.plantainspur.core.request.RequestPipeline;
 import org.plantainspur.core.routing.RouteTable;
 
@@ -63,8 +61,7 @@
 	}
 
 	private String account(CallerRequest request) {
-		String key = request.headers().first(Headers.API_KEY);
-		ClientAccount account = (key != null) ? this.view.current().accountOfKey(KeyHash.of(key)) : null;
+		ClientAccount account = this.view.current().accountOfKey(request.keyHash());
 		return (account != null) ? account.id() : NONE;
 	}
 
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -44,7 +44,7 @@
 
 	private static CallerRequest request(String method, byte[] body) {
 		return new CallerRequest(method, "/booking/17", "day=2", Headers.empty().with("X-Client-Account", "a"), body,
-				0);
+				"", 0);
 	}
 
 	private DispatchOutcome dispatch(ScriptedTarget.Script script, long timeoutMillis) throws IOException {
@@ -323,7 +323,7 @@
 		void isSentOnceWithItsRawPathAndWithoutExpectContinue() throws Exception {
 			try (ScriptedTarget target = new ScriptedTarget(HttpClientTargetDispatcherTests::answerAll)) {
 				CallerRequest odd = new CallerRequest("POST", "/a%2Fb/{x}|y", "q=a|b%zz", Headers.empty(),
-						"0123456789".getBytes(), 0);
+						"0123456789".getBytes(), "", 0);
 				HttpClientTargetDispatcherTests.this.dispatcher.dispatch(target(target.address(), 40), odd, false,
 						2000);
 				assertThat(target.requests()).hasSize(1);
--- a/adapters/src/test/java/org/plantainspur/adapters/metrics/HostMetricsTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/metrics/HostMetricsTests.java
@@ -28,7 +28,7 @@
 	private final HostMetrics metrics = new HostMetrics();
 
 	private static CallerRequest request(String key, String path) {
-		return new CallerRequest("GET", path, "", Headers.empty().with(Headers.API_KEY, key), new byte[0], 0);
+		return new CallerRequest("GET", path, "", Headers.empty(), new byte[0], KeyHash.of(key), 0);
 	}
 
 	private long series(String name, String tag) {
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -105,7 +105,7 @@
 	}
 
 	private static Arbitrary<PeerMessage> relays() {
-		Arbitrary<CallerRequest> request = Combinators.combine(TEXT, TEXT, TEXT, headers(), BODY, LONG)
+		Arbitrary<CallerRequest> request = Combinators.combine(TEXT, TEXT, TEXT, headers(), BODY, TEXT, LONG)
 			.as(CallerRequest::new);
 		return Combinators.combine(TEXT, request, LONG).as(PeerMessage.Relay::new);
 	}
--- a/adapters/src/test/java/org/plantainspur/adapters/peer/TcpPeerTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/TcpPeerTests.java
@@ -71,7 +71,8 @@
 	}
 
 	private static PeerMessage relay(String path) {
-		return new PeerMessage.Relay("p2", new CallerRequest("POST", path, "", Headers.empty(), new byte[0], 0), 5000);
+		return new PeerMessage.Relay("p2", new CallerRequest("POST", path, "", Headers.empty(), new byte[0], "", 0),
+				5000);
 	}
 
 	private Socket authenticated(int port) throws IOException {
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/path/RequestPath.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/path/RequestPath.java
@@ -94,6 +94,8 @@
 
 	private List<ClientAccount> accounts = List.of();
 
+	private List<String> keys = List.of();
+
 	/**
 	 * Builds one host's decisions.
 	 */
@@ -120,6 +122,7 @@
 			.limits(this.limits)
 			.build();
 		this.pipeline = pipeline();
+		this.keys = IntStream.range(0, REQUESTS).mapToObj((i) -> SyntheticFleet.key(i % fleet.accounts())).toList();
 		this.accounts = IntStream.range(0, REQUESTS)
 			.mapToObj((i) -> Objects
 				.requireNonNull(this.view.current().account(SyntheticFleet.account(i % fleet.accounts()))))
@@ -167,10 +170,9 @@
 			.with("User-Agent", "benchmark")
 			.with("Accept", "application/json")
 			.with("Accept-Encoding", "gzip")
-			.with("Connection", "keep-alive")
-			.with(Headers.API_KEY, SyntheticFleet.key(account));
+			.with("Connection", "keep-alive");
 		return new CallerRequest("GET", "/v1/area-" + route + "/items/" + account, "", headers, new byte[0],
-				this.clock.millis() + 1_000_000_000);
+				KeyHash.of(SyntheticFleet.key(account)), this.clock.millis() + 1_000_000_000);
 	}
 
 	private static <T> T any(List<T> list) {
@@ -193,8 +195,7 @@
 	 */
 	@Benchmark
 	public @Nullable ClientAccount keyLookup() {
-		String key = Objects.requireNonNull(any(this.requests).headers().first(Headers.API_KEY));
-		return this.view.current().accountOfKey(KeyHash.of(key));
+		return this.view.current().accountOfKey(KeyHash.of(any(this.keys)));
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
+++ b/core/src/main/java/org/plantainspur/core/request/AccessCheck.java
@@ -50,8 +50,7 @@
 			return Problem.notRun(Problem.Code.CONFIGURATION_NOT_CURRENT, stale.reason())
 				.retryAfter(STALE_RETRY_MILLIS);
 		}
-		String keyHash = context.keyHash();
-		ClientAccount account = (keyHash != null) ? this.view.current().accountOfKey(keyHash) : null;
+		ClientAccount account = this.view.current().accountOfKey(context.request().keyHash());
 		if (account == null) {
 			return Problem.notRun(Problem.Code.KEY_NOT_VALID,
 					"the key in " + Headers.API_KEY + " is missing, unknown or withdrawn");
--- a/core/src/main/java/org/plantainspur/core/request/RelayReceiver.java
+++ b/core/src/main/java/org/plantainspur/core/request/RelayReceiver.java
@@ -67,7 +67,7 @@
 			.without(Set.of(Headers.DEADLINE.toLowerCase(Locale.ROOT)))
 			.with(Headers.DEADLINE, Long.toString(Math.max(1, relay.deadlineMillis())));
 		return new CallerRequest(request.method(), request.path(), request.query(), headers, request.body(),
-				this.clock.millis());
+				request.keyHash(), this.clock.millis());
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/request/RequestContext.java
+++ b/core/src/main/java/org/plantainspur/core/request/RequestContext.java
@@ -34,8 +34,6 @@
 
 	private @Nullable DispatchOutcome last;
 
-	private @Nullable String keyHash;
-
 	private @Nullable String fingerprint;
 
 	RequestContext(CallerRequest request, Route route, long deadlineMillis) {
@@ -94,14 +92,6 @@
 		return this.attempts;
 	}
 
-	@Nullable String keyHash() {
-		if (this.keyHash == null) {
-			String key = this.request.headers().first(Headers.API_KEY);
-			this.keyHash = (key != null) ? KeyHash.of(key) : null;
-		}
-		return this.keyHash;
-	}
-
 	String fingerprint() {
 		if (this.fingerprint == null) {
 			MessageDigest digest = KeyHash.digest();
--- a/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
+++ b/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
@@ -91,7 +91,7 @@
 			.with(new Headers.Field(Headers.CLIENT_ACCOUNT, context.account().id()),
 					new Headers.Field(Headers.REQUEST_ID, context.requestId()),
 					new Headers.Field(Headers.DEADLINE, Long.toString(left)));
-		return new CallerRequest(request.method(), request.path(), request.query(), headers, request.body(),
+		return new CallerRequest(request.method(), request.path(), request.query(), headers, request.body(), "",
 				request.receivedMillis());
 	}
 
--- a/core/src/test/java/org/plantainspur/core/request/AttackFixture.java
+++ b/core/src/test/java/org/plantainspur/core/request/AttackFixture.java
@@ -106,9 +106,8 @@
 	}
 
 	CallerRequest write(String idempotencyKey) {
-		return new CallerRequest("POST", "/offers/1", "",
-				Headers.empty().with(Headers.API_KEY, KEY).with(Headers.IDEMPOTENCY_KEY, idempotencyKey), new byte[0],
-				this.clock.millis());
+		return new CallerRequest("POST", "/offers/1", "", Headers.empty().with(Headers.IDEMPOTENCY_KEY, idempotencyKey),
+				new byte[0], KeyHash.of(KEY), this.clock.millis());
 	}
 
 	static Problem.Run run(CallerAnswer answer) {
--- a/core/src/test/java/org/plantainspur/core/request/AttackScheduleTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/AttackScheduleTests.java
@@ -227,7 +227,7 @@
 
 		@Test
 		void openRouteNeedsAKeyBeforeTheQueuedRequestIsDispatched() {
-			CallerRequest hint = new CallerRequest("POST", "/hints/1", "", Headers.empty(), new byte[0],
+			CallerRequest hint = new CallerRequest("POST", "/hints/1", "", Headers.empty(), new byte[0], "",
 					AttackScheduleTests.this.fixture.clock.millis());
 			assertThat(AttackScheduleTests.this.fixture.ownerPipeline().serve(hint))
 				.isInstanceOf(CallerAnswer.Answered.class);
--- a/core/src/test/java/org/plantainspur/core/request/PeerRequestRelayTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/PeerRequestRelayTests.java
@@ -31,7 +31,8 @@
 
 	private final Member owner = Member.builder("pdx-1", "p1").build();
 
-	private final CallerRequest request = new CallerRequest("POST", "/bookings", "", Headers.empty(), new byte[0], 5);
+	private final CallerRequest request = new CallerRequest("POST", "/bookings", "", Headers.empty(), new byte[0], "",
+			5);
 
 	private final List<PeerMessage> sent = new ArrayList<>();
 
@@ -91,7 +92,8 @@
 		private CallerRequest keyed(String hostId, String processId) {
 			String key = ProcessOnceGate.builder(hostId, processId).build().mint("a") + ".x";
 			return new CallerRequest("POST", "/bookings", "",
-					Headers.empty().with(Headers.IDEMPOTENCY_KEY, key).with(Headers.DEADLINE, "9999"), new byte[0], 5);
+					Headers.empty().with(Headers.IDEMPOTENCY_KEY, key).with(Headers.DEADLINE, "9999"), new byte[0], "",
+					5);
 		}
 
 		@Test
--- a/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
@@ -108,8 +108,9 @@
 	}
 
 	private CallerAnswer send(String method, Headers headers) {
-		return this.pipeline
-			.serve(new CallerRequest(method, "/booking/17", "", headers, new byte[0], this.clock.millis()));
+		String key = headers.first(Headers.API_KEY);
+		return this.pipeline.serve(new CallerRequest(method, "/booking/17", "", headers, new byte[0],
+				(key != null) ? KeyHash.of(key) : "", this.clock.millis()));
 	}
 
 	private CallerAnswer read() {
--- a/host/src/test/java/org/plantainspur/host/CallerProtocolTests.java
+++ b/host/src/test/java/org/plantainspur/host/CallerProtocolTests.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.plantainspur.core.request.CallerRequest;
 import org.plantainspur.core.request.Headers;
@@ -69,6 +71,47 @@
 		assertThat(document.path("status").asInt()).isEqualTo(status);
 	}
 
+	/**
+	 * Guards against a key that reaches a target outside its own field.
+	 */
+	@Nested
+	class KeyInAnotherPlace {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "/booking/" + RunningHost.KEY, "/booking?key=" + RunningHost.KEY,
+				"/booking?key=%74he-secret-key-of-harbor-clinic" })
+		void ofTheRequestLineIsRefused(String path) throws Exception {
+			int before = CallerProtocolTests.this.dispatched.size();
+			assertProblem(CallerProtocolTests.this.host.exchange("GET " + path + " HTTP/1.1\r\n" + KEYED + CLOSE), 400,
+					"bad-request", "not-run");
+			assertThat(CallerProtocolTests.this.dispatched).hasSize(before);
+		}
+
+		@Test
+		void ofTheBodyIsRefused() throws Exception {
+			int before = CallerProtocolTests.this.dispatched.size();
+			String body = "{\"key\": \"" + RunningHost.KEY + "\"}";
+			assertProblem(CallerProtocolTests.this.host.exchange(
+					"PUT /booking HTTP/1.1\r\n" + KEYED + "Content-Length: " + body.length() + "\r\n" + CLOSE + body),
+					400, "bad-request", "not-run");
+			assertThat(CallerProtocolTests.this.dispatched).hasSize(before);
+		}
+
+		@Test
+		void ofAnotherFieldIsDropped() throws Exception {
+			CallerProtocolTests.this.host
+				.exchange("GET /booking/other-field HTTP/1.1\r\nX-Copy: " + RunningHost.KEY + "\r\n" + KEYED + CLOSE);
+			assertThat(CallerProtocolTests.this.dispatched)
+				.filteredOn((request) -> request.path().equals("/booking/other-field"))
+				.singleElement()
+				.satisfies((request) -> {
+					assertThat(request.headers().first("X-Copy")).isNull();
+					assertThat(request.keyHash()).isEmpty();
+				});
+		}
+
+	}
+
 	@Nested
 	class Refusal {
 
