--- a/standins/src/test/java/org/plantainspur/standins/target/TargetEmulatorTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/target/TargetEmulatorTests.java
@@ -4,25 +4,19 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class TargetEmulatorTests {
 
-	private RunningTarget target;
+	@RegisterExtension
+	private final RunningTarget target = new RunningTarget();
 
-	@BeforeEach
-	void start() throws Exception {
-		this.target = new RunningTarget();
-	}
-
-	@AfterEach
-	void stop() {
-		this.target.close();
+	private RunningTarget target() {
+		return this.target;
 	}
 
 	@Nested
@@ -30,27 +24,26 @@
 
 		@Test
 		void thatAreAllTakenMakeItShedWithoutRunning() throws Exception {
-			TargetEmulatorTests.this.target.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 500}}");
-			var first = TargetEmulatorTests.this.target.workInBackground();
-			var second = TargetEmulatorTests.this.target.workInBackground();
-			TargetEmulatorTests.this.target.waitForLoad(2);
-			HttpResponse<String> third = TargetEmulatorTests.this.target.work();
+			target().behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 500}}");
+			var first = target().workInBackground();
+			var second = target().workInBackground();
+			target().waitForLoad(2);
+			HttpResponse<String> third = target().work();
 			assertThat(third.statusCode()).isEqualTo(503);
 			assertThat(third.headers().firstValue("X-Not-Run")).hasValue("true");
 			assertThat(first.join().statusCode()).isEqualTo(200);
 			assertThat(second.join().statusCode()).isEqualTo(200);
-			assertThat(TargetEmulatorTests.this.target.calls().json("/.control/runs").path("started").asInt())
-				.isEqualTo(2);
+			assertThat(target().calls().json("/.control/runs").path("started").asInt()).isEqualTo(2);
 		}
 
 		@Test
 		void areWaitedForWithinTheQueueTime() throws Exception {
 			TargetEmulatorTests.this.target
 				.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 200}, \"queueMillis\": 5000}");
-			var first = TargetEmulatorTests.this.target.workInBackground();
-			var second = TargetEmulatorTests.this.target.workInBackground();
-			TargetEmulatorTests.this.target.waitForLoad(2);
-			assertThat(TargetEmulatorTests.this.target.work().statusCode()).isEqualTo(200);
+			var first = target().workInBackground();
+			var second = target().workInBackground();
+			target().waitForLoad(2);
+			assertThat(target().work().statusCode()).isEqualTo(200);
 			assertThat(first.join().statusCode() + second.join().statusCode()).isEqualTo(400);
 		}
 
@@ -63,8 +56,8 @@
 		void areAnsweredWellWhileRealWorkFails() throws Exception {
 			TargetEmulatorTests.this.target
 				.behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 1, \"status\": 500}]}");
-			assertThat(TargetEmulatorTests.this.target.work().statusCode()).isEqualTo(500);
-			assertThat(TargetEmulatorTests.this.target.calls().get("/health").statusCode()).isEqualTo(200);
+			assertThat(target().work().statusCode()).isEqualTo(500);
+			assertThat(target().calls().get("/health").statusCode()).isEqualTo(200);
 		}
 
 		@Test
@@ -72,7 +65,7 @@
 			TargetEmulatorTests.this.target
 				.behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 1, \"status\": 500}],"
 						+ " \"health\": {\"report\": \"honest\", \"lagMillis\": 0}}");
-			assertThat(TargetEmulatorTests.this.target.calls().get("/health").statusCode()).isEqualTo(503);
+			assertThat(target().calls().get("/health").statusCode()).isEqualTo(503);
 		}
 
 		@Test
@@ -81,8 +74,8 @@
 				.behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 1, \"status\": 500}],"
 						+ " \"health\": {\"report\": \"honest\", \"lagMillis\": 400}}");
 			long start = System.nanoTime();
-			assertThat(TargetEmulatorTests.this.target.calls().get("/health").statusCode()).isEqualTo(200);
-			while (TargetEmulatorTests.this.target.calls().get("/health").statusCode() == 200) {
+			assertThat(target().calls().get("/health").statusCode()).isEqualTo(200);
+			while (target().calls().get("/health").statusCode() == 200) {
 				assertThat(RunningTarget.since(start)).isLessThan(10_000);
 				Thread.sleep(20);
 			}
@@ -91,13 +84,13 @@
 
 		@Test
 		void ofTheLoadCanMisleadAndLag() throws Exception {
-			TargetEmulatorTests.this.target.behave("{\"load\": {\"report\": \"full\", \"lagMillis\": 0}}");
-			assertThat(TargetEmulatorTests.this.target.calls().json("/load").path("inFlight").asInt()).isEqualTo(2);
-			TargetEmulatorTests.this.target.behave("{\"load\": {\"report\": \"real\", \"lagMillis\": 300},"
+			target().behave("{\"load\": {\"report\": \"full\", \"lagMillis\": 0}}");
+			assertThat(target().calls().json("/load").path("inFlight").asInt()).isEqualTo(2);
+			target().behave("{\"load\": {\"report\": \"real\", \"lagMillis\": 300},"
 					+ " \"serviceTime\": {\"kind\": \"fixed\", \"millis\": 1000}}");
 			long start = System.nanoTime();
-			var running = TargetEmulatorTests.this.target.workInBackground();
-			TargetEmulatorTests.this.target.waitForLoad(1);
+			var running = target().workInBackground();
+			target().waitForLoad(1);
 			assertThat(RunningTarget.since(start)).isGreaterThanOrEqualTo(300);
 			running.join();
 		}
@@ -109,22 +102,21 @@
 
 		@Test
 		void isAnnouncedOnAnswersBeforeWorkIsRefused() throws Exception {
-			TargetEmulatorTests.this.target.behave("{\"drain\": {\"announceMillis\": 60000}}");
-			HttpResponse<String> answer = TargetEmulatorTests.this.target.work();
+			target().behave("{\"drain\": {\"announceMillis\": 60000}}");
+			HttpResponse<String> answer = target().work();
 			assertThat(answer.statusCode()).isEqualTo(200);
 			assertThat(answer.headers().firstValue("X-Target-State")).hasValue("draining");
-			assertThat(TargetEmulatorTests.this.target.calls().get("/health").headers().firstValue("X-Target-State"))
-				.hasValue("draining");
+			assertThat(target().calls().get("/health").headers().firstValue("X-Target-State")).hasValue("draining");
 		}
 
 		@Test
 		void refusesWorkAfterTheAnnouncement() throws Exception {
-			TargetEmulatorTests.this.target.behave("{\"drain\": {\"announceMillis\": 0}}");
-			HttpResponse<String> answer = TargetEmulatorTests.this.target.work();
+			target().behave("{\"drain\": {\"announceMillis\": 0}}");
+			HttpResponse<String> answer = target().work();
 			assertThat(answer.statusCode()).isEqualTo(503);
 			assertThat(answer.headers().firstValue("X-Not-Run")).hasValue("true");
 			assertThat(answer.headers().firstValue("X-Target-State")).hasValue("draining");
-			assertThat(TargetEmulatorTests.this.target.calls().json("/.control/runs").path("started").asInt()).isZero();
+			assertThat(target().calls().json("/.control/runs").path("started").asInt()).isZero();
 		}
 
 	}
@@ -134,10 +126,10 @@
 
 		@Test
 		void makesTheFirstRequestsSlow() throws Exception {
-			TargetEmulatorTests.this.target.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 20},"
+			target().behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 20},"
 					+ " \"coldStart\": {\"millis\": 60000, \"factor\": 10}}");
 			long start = System.nanoTime();
-			TargetEmulatorTests.this.target.work();
+			target().work();
 			assertThat(RunningTarget.since(start)).isGreaterThanOrEqualTo(200);
 		}
 
@@ -148,9 +140,9 @@
 
 		@Test
 		void refusesWithoutRunning() throws Exception {
-			TargetEmulatorTests.this.target.behave("{\"shedFraction\": 1}");
-			assertThat(TargetEmulatorTests.this.target.work().headers().firstValue("X-Not-Run")).hasValue("true");
-			assertThat(TargetEmulatorTests.this.target.calls().json("/.control/runs").path("started").asInt()).isZero();
+			target().behave("{\"shedFraction\": 1}");
+			assertThat(target().work().headers().firstValue("X-Not-Run")).hasValue("true");
+			assertThat(target().calls().json("/.control/runs").path("started").asInt()).isZero();
 		}
 
 	}
@@ -161,17 +153,16 @@
 		@Test
 		void areCountedByIdentityInOrder() throws Exception {
 			Map<String, String> first = Map.of("Idempotency-Key", "k1", "X-Request-Id", "r1", "X-Client-Account", "a");
-			TargetEmulatorTests.this.target.calls().send("POST", "/booking", "{}", first, 10_000);
-			TargetEmulatorTests.this.target.calls().send("GET", "/booking/2", "", Map.of("X-Request-Id", "r2"), 10_000);
-			TargetEmulatorTests.this.target.calls().send("POST", "/booking", "{}", first, 10_000);
-			JsonNode runs = TargetEmulatorTests.this.target.calls().json("/.control/runs").path("runs");
+			target().calls().send("POST", "/booking", "{}", first, 10_000);
+			target().calls().send("GET", "/booking/2", "", Map.of("X-Request-Id", "r2"), 10_000);
+			target().calls().send("POST", "/booking", "{}", first, 10_000);
+			JsonNode runs = target().calls().json("/.control/runs").path("runs");
 			assertThat(runs.findValuesAsText("identity")).containsExactly("k1", "r2");
 			assertThat(runs.path(0).path("count").asInt()).isEqualTo(2);
 			assertThat(runs.path(0).path("account").asText()).isEqualTo("a");
 			assertThat(runs.path(1).path("order").asInt()).isEqualTo(2);
-			assertThat(TargetEmulatorTests.this.target.calls().json("/.control/runs?minimumCount=2").path("runs"))
-				.hasSize(1);
-			assertThat(TargetEmulatorTests.this.target.calls().json("/.emulator/runs").path("k1").asInt()).isEqualTo(2);
+			assertThat(target().calls().json("/.control/runs?minimumCount=2").path("runs")).hasSize(1);
+			assertThat(target().calls().json("/.emulator/runs").path("k1").asInt()).isEqualTo(2);
 		}
 
 	}
@@ -181,7 +172,7 @@
 
 		@Test
 		void isRefusedWithEveryFinding() throws Exception {
-			HttpResponse<String> answer = TargetEmulatorTests.this.target.calls()
+			HttpResponse<String> answer = target().calls()
 				.send("PUT", "/.control/behaviour",
 						"{\"shedFraction\": 2, \"gray\": [{\"kind\": \"fail\", \"fraction\": 0.5, \"status\": 200}],"
 								+ " \"flap\": {\"wellMillis\": 0, \"sickMillis\": 1}}");
@@ -191,7 +182,7 @@
 
 		@Test
 		void ofAnUnknownModeIsRefused() throws Exception {
-			HttpResponse<String> answer = TargetEmulatorTests.this.target.calls()
+			HttpResponse<String> answer = target().calls()
 				.send("PUT", "/.control/behaviour", "{\"gray\": [{\"kind\": \"explode\"}]}");
 			assertThat(answer.statusCode()).isEqualTo(400);
 			assertThat(answer.body()).contains("explode");
--- a/standins/src/test/java/org/plantainspur/standins/target/TargetFaultTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/target/TargetFaultTests.java
@@ -7,10 +7,9 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 import org.plantainspur.standins.Calls;
 import org.plantainspur.standins.Processes;
@@ -20,16 +19,11 @@
 
 class TargetFaultTests {
 
-	private RunningTarget target;
+	@RegisterExtension
+	private final RunningTarget target = new RunningTarget();
 
-	@BeforeEach
-	void start() throws Exception {
-		this.target = new RunningTarget();
-	}
-
-	@AfterEach
-	void stop() {
-		this.target.close();
+	private RunningTarget target() {
+		return this.target;
 	}
 
 	@Nested
@@ -37,28 +31,28 @@
 
 		@Test
 		void endARunThatWouldTakeLonger() throws Exception {
-			TargetFaultTests.this.target.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 5000}}");
+			target().behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 5000}}");
 			long start = System.nanoTime();
-			HttpResponse<String> answer = TargetFaultTests.this.target.calls()
+			HttpResponse<String> answer = target().calls()
 				.send("POST", "/booking", "{}", Map.of("X-Deadline-Ms", "100", "Idempotency-Key", "k1"), 10_000);
 			assertThat(answer.statusCode()).isEqualTo(504);
 			assertThat(answer.headers().firstValue("X-Not-Run")).isEmpty();
 			assertThat(RunningTarget.since(start)).isLessThan(4000);
-			assertThat(TargetFaultTests.this.target.run("k1").path("cancelled").asInt()).isEqualTo(1);
+			assertThat(target().run("k1").path("cancelled").asInt()).isEqualTo(1);
 		}
 
 		@Test
 		void thatHavePassedPreventTheRun() throws Exception {
-			HttpResponse<String> answer = TargetFaultTests.this.target.calls()
+			HttpResponse<String> answer = target().calls()
 				.send("POST", "/booking", "{}", Map.of("X-Deadline-Ms", "0"), 10_000);
 			assertThat(answer.headers().firstValue("X-Not-Run")).hasValue("true");
 		}
 
 		@Test
 		void thatAreMalformedAreRefused() throws Exception {
-			assertThat(TargetFaultTests.this.target.calls()
-				.send("GET", "/booking", "", Map.of("X-Deadline-Ms", "soon"), 10_000)
-				.statusCode()).isEqualTo(400);
+			assertThat(
+					target().calls().send("GET", "/booking", "", Map.of("X-Deadline-Ms", "soon"), 10_000).statusCode())
+				.isEqualTo(400);
 		}
 
 	}
@@ -68,12 +62,12 @@
 
 		@Test
 		void byAClosedConnectionFreesTheSlot() throws Exception {
-			TargetFaultTests.this.target.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 60000}}");
-			assertThatExceptionOfType(HttpTimeoutException.class).isThrownBy(() -> TargetFaultTests.this.target.calls()
-				.send("POST", "/booking", "{}", Map.of("Idempotency-Key", "k1"), 300));
-			TargetFaultTests.this.target.waitForLoad(0);
-			assertThat(TargetFaultTests.this.target.run("k1").path("count").asInt()).isEqualTo(1);
-			assertThat(TargetFaultTests.this.target.run("k1").path("cancelled").asInt()).isEqualTo(1);
+			target().behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 60000}}");
+			assertThatExceptionOfType(HttpTimeoutException.class).isThrownBy(
+					() -> target().calls().send("POST", "/booking", "{}", Map.of("Idempotency-Key", "k1"), 300));
+			target().waitForLoad(0);
+			assertThat(target().run("k1").path("count").asInt()).isEqualTo(1);
+			assertThat(target().run("k1").path("cancelled").asInt()).isEqualTo(1);
 		}
 
 	}
@@ -87,7 +81,7 @@
 				.behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 0.5, \"status\": 500}]}");
 			int failed = 0;
 			for (int i = 0; i < 100; i++) {
-				failed += (TargetFaultTests.this.target.work().statusCode() == 500) ? 1 : 0;
+				failed += (target().work().statusCode() == 500) ? 1 : 0;
 			}
 			assertThat(failed).isBetween(20, 80);
 		}
@@ -96,10 +90,10 @@
 		void ofOneAccountSparesTheOthers() throws Exception {
 			TargetFaultTests.this.target
 				.behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 1, \"status\": 500, \"account\": \"a\"}]}");
-			assertThat(TargetFaultTests.this.target.calls()
-				.send("GET", "/booking", "", Map.of("X-Client-Account", "a"), 10_000)
-				.statusCode()).isEqualTo(500);
-			assertThat(TargetFaultTests.this.target.work().statusCode()).isEqualTo(200);
+			assertThat(
+					target().calls().send("GET", "/booking", "", Map.of("X-Client-Account", "a"), 10_000).statusCode())
+				.isEqualTo(500);
+			assertThat(target().work().statusCode()).isEqualTo(200);
 		}
 
 		@Test
@@ -107,40 +101,40 @@
 			TargetFaultTests.this.target
 				.behave("{\"gray\": [{\"kind\": \"stall\", \"fraction\": 1, \"millis\": 300}]}");
 			long start = System.nanoTime();
-			TargetFaultTests.this.target.work();
+			target().work();
 			assertThat(RunningTarget.since(start)).isGreaterThanOrEqualTo(300);
 		}
 
 		@Test
 		void canSlowEveryRequest() throws Exception {
-			TargetFaultTests.this.target.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 30},"
+			target().behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 30},"
 					+ " \"gray\": [{\"kind\": \"slow\", \"factor\": 10}]}");
 			long start = System.nanoTime();
-			TargetFaultTests.this.target.work();
+			target().work();
 			assertThat(RunningTarget.since(start)).isGreaterThanOrEqualTo(300);
 		}
 
 		@Test
 		void canTruncateAnswers() throws Exception {
-			TargetFaultTests.this.target.behave("{\"gray\": [{\"kind\": \"truncate\", \"fraction\": 1}]}");
+			target().behave("{\"gray\": [{\"kind\": \"truncate\", \"fraction\": 1}]}");
 			assertThatExceptionOfType(IOException.class).isThrownBy(TargetFaultTests.this.target::work);
 		}
 
 		@Test
 		void canResetConnections() throws Exception {
-			TargetFaultTests.this.target.behave("{\"gray\": [{\"kind\": \"reset\", \"fraction\": 1}]}");
+			target().behave("{\"gray\": [{\"kind\": \"reset\", \"fraction\": 1}]}");
 			assertThatExceptionOfType(IOException.class).isThrownBy(TargetFaultTests.this.target::work);
 		}
 
 		@Test
 		void canFlap() throws Exception {
-			TargetFaultTests.this.target.behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 1, \"status\": 500}],"
+			target().behave("{\"gray\": [{\"kind\": \"fail\", \"fraction\": 1, \"status\": 500}],"
 					+ " \"flap\": {\"wellMillis\": 200, \"sickMillis\": 200}}");
 			StringBuilder changes = new StringBuilder();
 			long start = System.nanoTime();
 			while (!changes.toString().contains("wsw")) {
 				assertThat(RunningTarget.since(start)).isLessThan(10_000);
-				String now = (TargetFaultTests.this.target.work().statusCode() == 200) ? "w" : "s";
+				String now = (target().work().statusCode() == 200) ? "w" : "s";
 				if (!changes.toString().endsWith(now)) {
 					changes.append(now);
 				}
@@ -156,22 +150,21 @@
 
 		@Test
 		void resetsEveryConnectionAndLastsAWhile() throws Exception {
-			TargetFaultTests.this.target.behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 60000},"
+			target().behave("{\"serviceTime\": {\"kind\": \"fixed\", \"millis\": 60000},"
 					+ " \"crash\": {\"onText\": \"poison\", \"downMillis\": 500, \"exit\": false}}");
-			var bystander = TargetFaultTests.this.target.workInBackground();
-			TargetFaultTests.this.target.waitForLoad(1);
-			assertThatExceptionOfType(IOException.class).isThrownBy(() -> TargetFaultTests.this.target.calls()
-				.send("POST", "/booking", "poison", Map.of("Idempotency-Key", "k1"), 10_000));
+			var bystander = target().workInBackground();
+			target().waitForLoad(1);
+			assertThatExceptionOfType(IOException.class).isThrownBy(
+					() -> target().calls().send("POST", "/booking", "poison", Map.of("Idempotency-Key", "k1"), 10_000));
 			assertThatExceptionOfType(CompletionException.class).isThrownBy(bystander::join)
 				.withCauseInstanceOf(IOException.class);
-			assertThatExceptionOfType(IOException.class)
-				.isThrownBy(() -> TargetFaultTests.this.target.calls().get("/health"));
+			assertThatExceptionOfType(IOException.class).isThrownBy(() -> target().calls().get("/health"));
 			long start = System.nanoTime();
 			while (!answersChecks()) {
 				assertThat(RunningTarget.since(start)).isLessThan(10_000);
 				Thread.sleep(20);
 			}
-			assertThat(TargetFaultTests.this.target.run("k1").path("count").asInt()).isEqualTo(1);
+			assertThat(target().run("k1").path("count").asInt()).isEqualTo(1);
 		}
 
 		@Test
@@ -191,7 +184,7 @@
 
 		private boolean answersChecks() throws Exception {
 			try {
-				return TargetFaultTests.this.target.calls().get("/health").statusCode() == 200;
+				return target().calls().get("/health").statusCode() == 200;
 			}
 			catch (IOException ex) {
 				return false;
