Record the release of earlier holders before an account's first request

The limiter looked for the release only when the account had a request at the host, so the first requests up to 3.5 s after a join found no share, although all members had reported the change long before.

Change: ReleaseWatch, polled every 100 ms, records the newest sequence number that all other members of the present and earlier memberships have in force, with an instant read after the check. A plan whose sequence number is not newer takes the recorded instant as its release. A process without history also counts as knowing the earlier holders once the configuration shows that the seats have settled since. An observation by a request now reads the clock after the check too: read before it, a pause in between made the release look older than it was. The watch is polled in all rate schedules; new schedules have quiet times, restarts, changed limits and drifting clocks.

--- a/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
+++ b/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
@@ -20,8 +20,8 @@
  * @param past the earlier memberships
  * @param accounts the earlier limits of accounts, by account
  * @param knownFromMillis the instant before which earlier states are not known
- * @param settled whether at that instant every process that had lost its seat was fenced,
- * so that only members may act on the earlier states
+ * @param settled whether every process that had lost its seat before that instant is
+ * fenced, so that only members may act on the earlier states
  * @param changedMillis when the membership last changed here
  */
 record ShareHistory(Configuration current, List<Past> past, Map<String, List<PastAccount>> accounts,
@@ -68,7 +68,7 @@
 				.forEach((membership) -> nextPast.add(new Past(membership, now)));
 		}
 		return new ShareHistory(next, List.copyOf(nextPast), changedAccounts(next, now),
-				known ? this.knownFromMillis : now, known ? this.settled : settled(next),
+				known ? this.knownFromMillis : now, (known && this.settled) || settled(next),
 				moved ? now : this.changedMillis);
 	}
 
--- a/core/src/main/java/org/plantainspur/core/rate/SharePlan.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharePlan.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.function.Predicate;
 
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.membership.Member;
@@ -34,18 +33,8 @@
 		return this.heldDivisor != this.targetDivisor && now < this.takeoverMillis;
 	}
 
-	/**
-	 * Notes the release of the earlier holders once it is seen.
-	 * @param now the present
-	 * @param released tells whether a process has stopped
-	 * @return the plan
-	 */
-	SharePlan observe(long now, Predicate<Member> released) {
-		if (!waiting(now) || !this.releasable || this.releasedMillis != Long.MAX_VALUE
-				|| !this.earlierHolders.stream().allMatch(released)) {
-			return this;
-		}
-		return released(now);
+	boolean awaitsRelease(long now) {
+		return waiting(now) && this.releasable && this.releasedMillis == Long.MAX_VALUE;
 	}
 
 	/**
@@ -59,13 +48,13 @@
 		return same ? released(before.releasedMillis) : this;
 	}
 
-	private SharePlan released(long atMillis) {
+	SharePlan released(long atMillis) {
 		return new SharePlan(this.history, this.account, this.lenders, this.heldDivisor, this.targetDivisor,
 				this.earlierHolders, this.sequence, this.releasable, this.takeoverMillis, atMillis);
 	}
 
-	// Loans that the earlier holders gave just before they stopped may be spent for
-	// another second; a gained share starts after that.
+	// Loans that the earlier holders gave just before they stopped may still be spent; a
+	// gained share starts after that.
 	int divisor(long now) {
 		boolean released = this.releasedMillis != Long.MAX_VALUE
 				&& now >= this.releasedMillis + ShareHistory.LOAN_OUT_MILLIS;
--- a/core/src/main/java/org/plantainspur/core/rate/SharePlanner.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharePlanner.java
@@ -4,13 +4,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Predicate;
 
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.membership.HomeHosts;
 import org.plantainspur.core.membership.Member;
-import org.plantainspur.core.membership.Membership;
-import org.plantainspur.core.membership.PeerProgress;
 
 /**
  * Works out the shares of this host. Every host that is not fenced knows the same oldest
@@ -21,13 +18,10 @@
 
 	private final HomeHosts homeHosts;
 
-	private final PeerProgress progress;
-
 	private final Member self;
 
-	SharePlanner(HomeHosts homeHosts, PeerProgress progress, Member self) {
+	SharePlanner(HomeHosts homeHosts, Member self) {
 		this.homeHosts = homeHosts;
-		this.progress = progress;
 		this.self = self;
 	}
 
@@ -67,19 +61,6 @@
 		}
 	}
 
-	Predicate<Member> released(SharePlan plan) {
-		Membership membership = plan.history().current().membership();
-		long sequence = plan.sequence();
-		return (holder) -> {
-			Member present = membership.member(holder.hostId());
-			if (present != null && membership.hasSeat(holder)
-					&& (!present.processId().equals(holder.processId()) || present.resigned())) {
-				return true;
-			}
-			return this.progress.released(holder, sequence);
-		};
-	}
-
 	private int divisor(List<Member> homes) {
 		return homes.stream().anyMatch(this::isSelf) ? homes.size() : 0;
 	}
--- a/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
@@ -46,6 +46,8 @@
 
 	private final SharePlanner planner;
 
+	private final ReleaseWatch releases;
+
 	private final LoanWait loanWait;
 
 	private final AtomicReference<ShareHistory> history;
@@ -61,8 +63,8 @@
 		this.link = required(builder.link, "link");
 		this.self = builder.self;
 		this.loanWait = builder.loanWait;
-		this.planner = new SharePlanner(required(builder.homeHosts, "homeHosts"),
-				required(builder.progress, "progress"), builder.self);
+		this.planner = new SharePlanner(required(builder.homeHosts, "homeHosts"), builder.self);
+		this.releases = new ReleaseWatch(required(builder.progress, "progress"), builder.self, this.clock);
 		this.history = new AtomicReference<>(ShareHistory.start(this.view.current(), this.clock.millis()));
 		this.view.listen((configuration) -> history());
 	}
@@ -165,6 +167,14 @@
 		this.resigned.set(true);
 	}
 
+	/**
+	 * Notes which changes all other members have in force, so that gained shares start in
+	 * time for the first requests. Called every 100 ms.
+	 */
+	public void watchReleases() {
+		this.releases.poll(history());
+	}
+
 	/**
 	 * Drops the state of accounts that are not in use. Called every few seconds.
 	 */
@@ -218,13 +228,12 @@
 		if (this.resigned.get()) {
 			return 0;
 		}
-		long now = this.clock.millis();
 		SharePlan plan = limit.plan();
-		SharePlan seen = plan.observe(now, this.planner.released(plan));
+		SharePlan seen = this.releases.observe(plan);
 		if (seen != plan) {
 			limit.plan(plan, seen);
 		}
-		return seen.divisor(now);
+		return seen.divisor(this.clock.millis());
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/rate/RateScheduleTests.java
+++ b/core/src/test/java/org/plantainspur/core/rate/RateScheduleTests.java
@@ -1,6 +1,8 @@
 package org.plantainspur.core.rate;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 
 import net.jqwik.api.ForAll;
@@ -43,6 +45,30 @@
 
 	}
 
+	/**
+	 * An account without requests for seconds has no state at the hosts that started
+	 * meanwhile, so its shares there start by what was seen before the first request.
+	 */
+	@Group
+	class QuietAccount {
+
+		@Property(seed = "20261204", tries = 100)
+		void membershipChanges(@ForAll long scheduleSeed) {
+			new Schedule(new Random(scheduleSeed), 0, false).withQuietTimes().run(20_000);
+		}
+
+		@Property(seed = "20261204", tries = 150)
+		void processesStartAgainAndLimitsChange(@ForAll long scheduleSeed) {
+			new Schedule(new Random(scheduleSeed), 0, true).withQuietTimes().startingAgain().run(20_000);
+		}
+
+		@Property(seed = "20261204", tries = 100)
+		void processesStartAgainWithDriftingClocks(@ForAll long scheduleSeed) {
+			new Schedule(new Random(scheduleSeed), 0.01, false).withQuietTimes().startingAgain().run(20_000);
+		}
+
+	}
+
 	@Group
 	class DriftingClocks {
 
@@ -83,6 +109,10 @@
 
 		private boolean startingAgain;
 
+		private boolean quietTimes;
+
+		private final Map<String, Long> quietUntil = new HashMap<>();
+
 		private long limitsSettleAt = -1;
 
 		Schedule(Random random, double drift, boolean changeLimits) {
@@ -108,6 +138,11 @@
 			return this;
 		}
 
+		Schedule withQuietTimes() {
+			this.quietTimes = true;
+			return this;
+		}
+
 		void run(long millis) {
 			for (long now = 0; now < millis; now++) {
 				this.fleet.tick();
@@ -120,6 +155,9 @@
 				if (this.startingAgain && this.random.nextInt(700) == 0) {
 					this.fleet.start(home().member.hostId());
 				}
+				if (this.quietTimes && this.random.nextInt(1000) == 0) {
+					startQuietTime(now);
+				}
 				if (now == this.limitsSettleAt) {
 					this.ledger.limits(this.account);
 				}
@@ -127,9 +165,23 @@
 			}
 		}
 
+		// Long enough for a share to start before the first request, at one host or at
+		// all.
+		private void startQuietTime(long now) {
+			long until = now + 500 + this.random.nextInt(3000);
+			if (this.random.nextBoolean()) {
+				this.quietUntil.put(home().member.hostId(), until);
+			}
+			else {
+				this.fleet.hosts.keySet().forEach((host) -> this.quietUntil.put(host, until));
+			}
+		}
+
 		private void demand() {
 			while (this.random.nextDouble() < this.greed * 0.8) {
-				if (this.fleet.any(this.random).take(ACCOUNT)) {
+				SimulatedHost host = this.fleet.any(this.random);
+				boolean quiet = this.quietUntil.getOrDefault(host.member.hostId(), 0L) > this.fleet.network.now();
+				if (!quiet && host.take(ACCOUNT)) {
 					this.ledger.granted(this.fleet.network.now());
 				}
 			}
--- a/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedFleet.java
@@ -64,9 +64,7 @@
 		if (old != null) {
 			old.alive = false;
 		}
-		Member member = Member.builder(hostId, "p" + this.processes++)
-			.region((hostId.hashCode() % 2 == 0) ? "pdx" : "sea")
-			.build();
+		Member member = Member.builder(hostId, "p" + this.processes++).region(region(hostId)).build();
 		SimulatedHost host = new SimulatedHost(member, this.network, this.clockRates.get(),
 				(self) -> this.limiters.apply(self, this.hosts::get));
 		this.hosts.put(hostId, host);
@@ -75,6 +73,10 @@
 		return host;
 	}
 
+	static String region(String hostId) {
+		return (hostId.hashCode() % 2 == 0) ? "pdx" : "sea";
+	}
+
 	// A process that lost its seat is fenced after 3,000 ms, counted on a clock that may
 	// be 1% slow; the margin is the one of the coordinator of membership.
 	private void settle() {
@@ -110,6 +112,9 @@
 			if ((now + phase) % 500 == 0 && !host.frozen()) {
 				host.heartbeat(this.hosts::get, this.hosts.keySet());
 			}
+			if ((now + phase) % 100 == 0) {
+				host.watchReleases();
+			}
 		}
 	}
 
--- a/core/src/test/java/org/plantainspur/core/rate/SimulatedHost.java
+++ b/core/src/test/java/org/plantainspur/core/rate/SimulatedHost.java
@@ -150,6 +150,12 @@
 		}
 	}
 
+	void watchReleases() {
+		if (!frozen() && this.limiter instanceof SharedRateLimiter shared) {
+			shared.watchReleases();
+		}
+	}
+
 	boolean mayServe() {
 		return this.alive && !frozen() && this.currency.check() instanceof CurrencyRule.Currency.Current;
 	}
--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -34,6 +34,8 @@
 
 	private static final long REQUESTED_REPORT_INTERVAL_MILLIS = 50;
 
+	private static final long RELEASE_WATCH_INTERVAL_MILLIS = 100;
+
 	private static final long MEMBERSHIP_INTERVAL_MILLIS = 250;
 
 	private static final long DROP_IDLE_INTERVAL_MILLIS = 5000;
@@ -98,6 +100,7 @@
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-targets", this.peerTargets::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "health-report", this.reporter::tick);
 		every(this.messages, REQUESTED_REPORT_INTERVAL_MILLIS, "requested-health-report", this.reporter::tickRequested);
+		every(this.messages, RELEASE_WATCH_INTERVAL_MILLIS, "share-releases", this.limiter::watchReleases);
 		every(this.messages, DROP_IDLE_INTERVAL_MILLIS, "drop-idle-limits", this.limiter::dropIdle);
 		every(this.membership, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::keepMembership);
 		every(this.membership, DROP_IDLE_INTERVAL_MILLIS, "snapshot", this.snapshots::tick);
