Stop retries while the targets of a service shed load

Cause: the retry policy tried every refused request on up to two more targets, outside the budget, although the limits per target already knew which targets had refused work. Under overload the retries tripled the load that caused it.

Change: the policy asks LoadShedding whether a service's targets shed load. They do while targets with at least half of its slots have refused work within 2 s. Meanwhile nothing is retried; otherwise a refused request costs budget like a failed one. An attempt that gave no target any work (nothing was sent, or the target is leaving) is followed by another one as before. A leaving target's refusals no longer count as overload.

With one shedding target of 12, all 2,000 requests are still answered.

Ruled out: stopping all retries after a refusal of any one target. One busy target would then expose callers to failures that another target serves; the budget bounds the load in this case.

--- a/core/src/main/java/org/plantainspur/core/request/BudgetedRetryPolicy.java
+++ b/core/src/main/java/org/plantainspur/core/request/BudgetedRetryPolicy.java
@@ -2,10 +2,14 @@
 
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.plantainspur.core.routing.LoadShedding;
+
 /**
- * Retries whatever has certainly not run, and idempotent work whose outcome is a failure
- * while the budget lasts. The budget is a tenth of a retry for each request, so that
- * retries never add more than 10% to the load of the targets.
+ * Retries what a target refused and idempotent work whose outcome is a failure, within a
+ * budget and not while the service's targets shed load. The budget is a tenth of a retry
+ * for each request, so that retries never add more than 10% to the load of the targets.
+ * Attempts that gave no target any work, because nothing was sent or the target is
+ * leaving, are followed by another one at any time.
  */
 public final class BudgetedRetryPolicy implements RetryPolicy {
 
@@ -29,20 +33,37 @@
 
 	private final AtomicLong budget = new AtomicLong(MAXIMUM_BUDGET);
 
+	private final LoadShedding loadShedding;
+
+	/**
+	 * Creates a policy with a full budget.
+	 * @param loadShedding whether the targets of a service shed load
+	 */
+	public BudgetedRetryPolicy(LoadShedding loadShedding) {
+		this.loadShedding = loadShedding;
+	}
+
 	@Override
 	public void requestArrived() {
 		this.budget.getAndUpdate((value) -> Math.min(MAXIMUM_BUDGET, value + EARNED_PER_REQUEST));
 	}
 
 	@Override
-	public boolean retry(boolean repeatable, DispatchOutcome outcome, int attempts) {
+	public boolean retry(String service, boolean repeatable, DispatchOutcome outcome, int attempts) {
 		if (attempts >= MAXIMUM_ATTEMPTS) {
 			return false;
 		}
-		if (outcome instanceof DispatchOutcome.NotSent || outcome instanceof DispatchOutcome.RefusedByTarget) {
+		if (gaveNoWork(outcome)) {
 			return true;
 		}
-		return repeatable && attempts < MAXIMUM_RUNS && failed(outcome) && spend();
+		boolean safe = outcome instanceof DispatchOutcome.RefusedByTarget
+				|| (repeatable && attempts < MAXIMUM_RUNS && failed(outcome));
+		return safe && !this.loadShedding.shedding(service) && spend();
+	}
+
+	private static boolean gaveNoWork(DispatchOutcome outcome) {
+		return outcome instanceof DispatchOutcome.NotSent
+				|| (outcome instanceof DispatchOutcome.RefusedByTarget refused && refused.draining());
 	}
 
 	private static boolean failed(DispatchOutcome outcome) {
--- a/core/src/main/java/org/plantainspur/core/request/RetryPolicy.java
+++ b/core/src/main/java/org/plantainspur/core/request/RetryPolicy.java
@@ -12,11 +12,12 @@
 
 	/**
 	 * Decides on a further attempt.
+	 * @param service the service that the request is for
 	 * @param repeatable whether the request may run more than once
 	 * @param outcome the outcome of the last attempt
 	 * @param attempts the number of attempts so far
 	 * @return whether to try another target
 	 */
-	boolean retry(boolean repeatable, DispatchOutcome outcome, int attempts);
+	boolean retry(String service, boolean repeatable, DispatchOutcome outcome, int attempts);
 
 }
--- a/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
+++ b/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
@@ -63,7 +63,7 @@
 			DispatchOutcome outcome = dispatch(context, lease);
 			tried.add(lease.target().id());
 			context.note(outcome);
-			if (!this.retryPolicy.retry(!context.once(), outcome, context.attempts())
+			if (!this.retryPolicy.retry(context.route().service(), !context.once(), outcome, context.attempts())
 					|| this.clock.millis() >= context.deadlineMillis()) {
 				return context.lastAnswer(context.noCapacity(FULL_RETRY_MILLIS));
 			}
--- a/core/src/main/java/org/plantainspur/core/routing/AdaptiveLimits.java
+++ b/core/src/main/java/org/plantainspur/core/routing/AdaptiveLimits.java
@@ -20,7 +20,7 @@
 	/** A burst of refusals that one overload caused lowers the limit once. */
 	private static final long DECREASE_INTERVAL_MILLIS = 200;
 
-	/** Refusals tell of overload for this long; meanwhile nothing is retried. */
+	/** Refusals tell of overload for this long; see {@link SheddingTargets}. */
 	private static final long SHEDDING_MILLIS = 2000;
 
 	private final Clock clock;
@@ -48,8 +48,13 @@
 		}
 	}
 
+	// A leaving target refuses because it leaves, which tells of no overload.
 	@Override
 	public void leaving(Target target) {
+		Slot slot = this.slots.get(target.id());
+		if (slot != null) {
+			slot.limit.updateAndGet(Limit::withoutShedding);
+		}
 	}
 
 	/**
@@ -119,7 +124,9 @@
 
 		private static final double LARGEST = 1_000_000;
 
-		static final Limit OPEN = new Limit(LARGEST, Long.MIN_VALUE / 2);
+		private static final long NEVER = Long.MIN_VALUE / 2;
+
+		static final Limit OPEN = new Limit(LARGEST, NEVER);
 
 		int whole() {
 			return (int) Math.max(1, this.value);
@@ -138,6 +145,10 @@
 			return new Limit(Math.max(1, Math.min(this.value, inFlight) * DECREASE), now);
 		}
 
+		Limit withoutShedding() {
+			return (this.shedAtMillis == NEVER) ? this : new Limit(this.value, NEVER);
+		}
+
 	}
 
 }
--- a/core/src/test/java/org/plantainspur/core/request/AttackFixture.java
+++ b/core/src/test/java/org/plantainspur/core/request/AttackFixture.java
@@ -89,7 +89,7 @@
 				this.accounts.add(request.headers().first(Headers.CLIENT_ACCOUNT));
 				return this.target.get().get();
 			})
-			.retryPolicy(new BudgetedRetryPolicy())
+			.retryPolicy(new BudgetedRetryPolicy((service) -> false))
 			.recorder(new IgnoringRecorder())
 			.quarantine((fingerprint) -> false)
 			.build();
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/request/RetriesWhileSheddingTests.java
@@ -0,0 +1,210 @@
+package org.plantainspur.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.configuration.Route;
+import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.once.ProcessOnceGate;
+import org.plantainspur.core.rate.RateLimiter;
+import org.plantainspur.core.routing.AdaptiveLimits;
+import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.SheddingTargets;
+import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.routing.TargetDirectory;
+import org.plantainspur.core.routing.WeightedTwoChoiceChooser;
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against retries that multiply the load of targets that already have too much,
+ * and against losing the retries that add no load.
+ */
+class RetriesWhileSheddingTests {
+
+	private static final int TARGETS = 12;
+
+	private static final int REQUESTS = 2000;
+
+	private static final DispatchOutcome SHED = new DispatchOutcome.RefusedByTarget(false);
+
+	private static final DispatchOutcome OK = new DispatchOutcome.Answered(200, Headers.empty(), new byte[0]);
+
+	private final HandClock clock = new HandClock().advance(10_000);
+
+	private final ConfigurationView view = new ConfigurationView();
+
+	private final AtomicReference<TargetDirectory> directory = new AtomicReference<>(TargetDirectory.empty());
+
+	private final AdaptiveLimits limits = new AdaptiveLimits(this.clock);
+
+	private final Random random = new Random(20261204);
+
+	private Function<Target, DispatchOutcome> targets = (target) -> OK;
+
+	private int attempts;
+
+	private StandardRequestPipeline pipeline;
+
+	@BeforeEach
+	void build() {
+		Configuration before = this.view.current();
+		this.view.advance(before.apply(new ChangeEntry(before.sequence() + 1, "id",
+				new Change.PutRoute(new Route("read", "GET", "/booking", "booking", true, true, 5000)))));
+		List<Target> listed = new ArrayList<>();
+		for (int i = 0; i < TARGETS; i++) {
+			listed.add(new Target("booking-" + i, "booking", "127.0.0.1:9", "pdx", "pdx-a", 4, 400, false));
+		}
+		this.directory.set(TargetDirectory.of(listed));
+		this.pipeline = StandardRequestPipeline.builder()
+			.clock(this.clock)
+			.view(this.view)
+			.currency(CurrencyRule.Currency.Current::new)
+			.onceGate(ProcessOnceGate.builder("entry-1", "process-1").clock(this.clock).build())
+			.relay((hostId, processId, request, deadline) -> {
+				throw new IllegalStateException("an idempotent request was relayed");
+			})
+			.rateLimiter((account, deadline) -> new RateLimiter.RateDecision.Granted())
+			.admissionQueue((service, account, deadline) -> new AdmissionQueue.Admission.Admitted(() -> {
+			}))
+			.chooser(WeightedTwoChoiceChooser.builder("pdx", this.clock)
+				.directory(this.directory)
+				.view(this.view)
+				.limits(this.limits)
+				.random(this.random::nextDouble)
+				.build())
+			.dispatcher((target, request, idempotent, timeout) -> {
+				this.attempts++;
+				return this.targets.apply(target);
+			})
+			.retryPolicy(new BudgetedRetryPolicy(new SheddingTargets(this.directory, this.limits)))
+			.recorder(this.limits)
+			.quarantine((fingerprint) -> false)
+			.build();
+	}
+
+	private CallerAnswer send() {
+		this.clock.advance(10);
+		return this.pipeline
+			.serve(new CallerRequest("GET", "/booking/17", "", Headers.empty(), new byte[0], this.clock.millis()));
+	}
+
+	private int answered(int requests) {
+		int answered = 0;
+		for (int i = 0; i < requests; i++) {
+			answered += (send() instanceof CallerAnswer.Answered) ? 1 : 0;
+		}
+		return answered;
+	}
+
+	private double attemptsPerRequest(double shedShare) {
+		this.targets = (target) -> (this.random.nextDouble() < shedShare) ? SHED : OK;
+		answered(REQUESTS);
+		return (double) this.attempts / REQUESTS;
+	}
+
+	@Nested
+	class Load {
+
+		@Test
+		void isNotMultipliedByRetriesWhileTargetsShedMostRequests() {
+			assertThat(attemptsPerRequest(0.9)).as("attempts per request").isLessThan(1.02);
+		}
+
+		@Test
+		void isNotMultipliedByRetriesWhileTargetsShedEveryRequest() {
+			assertThat(attemptsPerRequest(1)).as("attempts per request").isLessThan(1.02);
+		}
+
+		@Test
+		void isNotRaisedAboveTheBudgetByRefusalsOfAFewTargets() {
+			RetriesWhileSheddingTests.this.targets = (target) -> target.id().matches("booking-[0-4]") ? SHED : OK;
+			answered(REQUESTS);
+			assertThat((double) RetriesWhileSheddingTests.this.attempts / REQUESTS).as("attempts per request")
+				.isLessThan(1.11);
+		}
+
+		@Test
+		void isNotMultipliedByRetriesOfFailuresWhileTargetsShed() {
+			RetriesWhileSheddingTests.this.targets = (target) -> SHED;
+			answered(50);
+			RetriesWhileSheddingTests.this.attempts = 0;
+			RetriesWhileSheddingTests.this.targets = (target) -> new DispatchOutcome.Answered(500, Headers.empty(),
+					new byte[0]);
+			answered(50);
+			assertThat(RetriesWhileSheddingTests.this.attempts).isEqualTo(50);
+		}
+
+	}
+
+	@Nested
+	class RetryThatAddsNoLoad {
+
+		@Test
+		void isMadeIfOneTargetOfManySheds() {
+			RetriesWhileSheddingTests.this.targets = (target) -> target.id().equals("booking-0") ? SHED : OK;
+			assertThat(answered(REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(RetriesWhileSheddingTests.this.attempts).isGreaterThan(REQUESTS);
+		}
+
+		@Test
+		void isMadeIfNothingWasSentWhileTargetsShed() {
+			isMadeWhileTargetsShed(new DispatchOutcome.NotSent("refused"));
+		}
+
+		@Test
+		void isMadeIfTheTargetIsLeavingWhileTargetsShed() {
+			isMadeWhileTargetsShed(new DispatchOutcome.RefusedByTarget(true));
+		}
+
+		private void isMadeWhileTargetsShed(DispatchOutcome outcome) {
+			RetriesWhileSheddingTests.this.targets = (target) -> SHED;
+			answered(50);
+			RetriesWhileSheddingTests.this.attempts = 0;
+			RetriesWhileSheddingTests.this.targets = (target) -> (RetriesWhileSheddingTests.this.attempts % 2 == 1)
+					? outcome : OK;
+			assertThat(answered(50)).isEqualTo(50);
+			assertThat(RetriesWhileSheddingTests.this.attempts).isEqualTo(100);
+		}
+
+		@Test
+		void isMadeAgainTwoSecondsAfterTheLastRefusal() {
+			RetriesWhileSheddingTests.this.targets = (target) -> SHED;
+			answered(50);
+			RetriesWhileSheddingTests.this.clock.advance(2000);
+			RetriesWhileSheddingTests.this.attempts = 0;
+			RetriesWhileSheddingTests.this.targets = (target) -> (RetriesWhileSheddingTests.this.attempts == 1) ? SHED
+					: OK;
+			assertThat(answered(1)).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class RefusalsOfTargetsThatLeave {
+
+		@Test
+		void areNotTakenForOverload() {
+			RetriesWhileSheddingTests.this.targets = (target) -> new DispatchOutcome.RefusedByTarget(true);
+			answered(50);
+			assertThat(
+					new SheddingTargets(RetriesWhileSheddingTests.this.directory, RetriesWhileSheddingTests.this.limits)
+						.shedding("booking"))
+				.isFalse();
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
@@ -74,7 +74,7 @@
 			.admissionQueue(this::admit)
 			.chooser(this::choose)
 			.dispatcher(this::dispatch)
-			.retryPolicy(new BudgetedRetryPolicy())
+			.retryPolicy(new BudgetedRetryPolicy((service) -> false))
 			.recorder(new IgnoringRecorder())
 			.quarantine((fingerprint) -> false)
 			.build();
--- a/host/src/main/java/org/plantainspur/host/HealthModule.java
+++ b/host/src/main/java/org/plantainspur/host/HealthModule.java
@@ -27,7 +27,9 @@
 import org.plantainspur.core.routing.AdaptiveLimits;
 import org.plantainspur.core.routing.AdmissionQueue;
 import org.plantainspur.core.routing.FairAdmissionQueue;
+import org.plantainspur.core.routing.LoadShedding;
 import org.plantainspur.core.routing.SharedCapacityLimit;
+import org.plantainspur.core.routing.SheddingTargets;
 import org.plantainspur.core.routing.TargetChooser;
 import org.plantainspur.core.routing.TargetDirectory;
 import org.plantainspur.core.routing.WeightedTwoChoiceChooser;
@@ -61,6 +63,12 @@
 		return new AdaptiveLimits(clock);
 	}
 
+	@Provides
+	@Singleton
+	LoadShedding loadShedding(AtomicReference<TargetDirectory> directory, AdaptiveLimits limits) {
+		return new SheddingTargets(directory, limits);
+	}
+
 	@Provides
 	@Singleton
 	CrashQuarantine crashQuarantine(Clock clock, ConfigurationView view, PeerLink link, Member member) {
--- a/host/src/main/java/org/plantainspur/host/RequestModule.java
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -25,6 +25,7 @@
 import org.plantainspur.core.request.StandardRequestPipeline;
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.LoadShedding;
 import org.plantainspur.core.routing.TargetChooser;
 import org.plantainspur.core.time.Clock;
 
@@ -33,11 +34,6 @@
  */
 final class RequestModule extends AbstractModule {
 
-	@Override
-	protected void configure() {
-		bind(RetryPolicy.class).toInstance(new BudgetedRetryPolicy());
-	}
-
 	@Provides
 	@Singleton
 	OnceGate onceGate(Member member, Clock clock) {
@@ -50,6 +46,12 @@
 		return new HttpClientTargetDispatcher(() -> view.current().membership().size());
 	}
 
+	@Provides
+	@Singleton
+	RetryPolicy retryPolicy(LoadShedding loadShedding) {
+		return new BudgetedRetryPolicy(loadShedding);
+	}
+
 	@Provides
 	@Singleton
 	CallerActivity callerActivity(Clock clock) {
