Count and export the bytes that cross between regions

Cause: the link between regions is billed by volume, but nothing on the request path fed CrossRegionTraffic and no metric showed it.

Change: a dispatcher around the one that sends requests counts the bytes of each request and answer that go to a target of another region, by service and idempotence. Unknown outcomes now say how much of the answer's body arrived, since a broken-off answer may be up to 8 MiB. The admin port's /metrics has plantainspur_cross_region_bytes_total by class. Classes are bounded at 2,000, the rest share 'other'.

Before: the metric did not exist. After: 8 threads with 20,000 dispatches each lose no byte (RegionCountingDispatcherTests); a request through a whole host to a target of the other region appears in /metrics and one to the local region does not (AdminTests).

Ruled out: the byte counts of HttpClient's connections, which are sums over all requests of a connection and have no start for one of them.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 
 import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
@@ -94,14 +95,15 @@
 		HttpUriRequestBase message = message(target, request, timeoutMillis);
 		HttpClientContext context = HttpClientContext.create();
 		this.connections.prepare(target, host);
+		AtomicLong received = new AtomicLong();
 		ScheduledFuture<?> deadline = this.deadlines.schedule(message::cancel, timeoutMillis, TimeUnit.MILLISECONDS);
 		try {
-			return this.client.execute(host, message, context, (response) -> outcome(message, response));
+			return this.client.execute(host, message, context, (response) -> outcome(message, response, received));
 		}
 		catch (IOException | CancellationException ex) {
 			// The second is thrown if the deadline passes while the request waits for a
 			// connection.
-			return failure(target, message, context, ex);
+			return failure(target, message, context, received.get(), ex);
 		}
 		finally {
 			deadline.cancel(false);
@@ -115,18 +117,19 @@
 	}
 
 	private static DispatchOutcome failure(Target target, HttpUriRequestBase message, HttpClientContext context,
-			Exception failure) {
+			long receivedBytes, Exception failure) {
 		if (context.getAttribute(SENT) == null) {
 			return new DispatchOutcome.NotSent("no connection to target " + target.id() + ": " + failure.getMessage());
 		}
 		if (failure instanceof AnswerTooLargeException) {
 			return new DispatchOutcome.Unknown(DispatchOutcome.Unknown.Cause.TOO_LARGE,
-					"target " + target.id() + " gave an answer larger than " + MAXIMUM_ANSWER_BYTES + " bytes");
+					"target " + target.id() + " gave an answer larger than " + MAXIMUM_ANSWER_BYTES + " bytes",
+					receivedBytes);
 		}
 		boolean timeout = message.isCancelled() || failure instanceof SocketTimeoutException;
 		return new DispatchOutcome.Unknown(
 				timeout ? DispatchOutcome.Unknown.Cause.TIMEOUT : DispatchOutcome.Unknown.Cause.RESET,
-				"target " + target.id() + " gave no whole answer: " + failure.getMessage());
+				"target " + target.id() + " gave no whole answer: " + failure.getMessage(), receivedBytes);
 	}
 
 	private static HttpUriRequestBase message(Target target, CallerRequest request, long timeoutMillis) {
@@ -149,20 +152,21 @@
 		return message;
 	}
 
-	private static DispatchOutcome outcome(HttpUriRequestBase message, ClassicHttpResponse response)
-			throws IOException {
+	private static DispatchOutcome outcome(HttpUriRequestBase message, ClassicHttpResponse response,
+			AtomicLong received) throws IOException {
 		Headers headers = Headers.empty();
 		for (Header header : response.getHeaders()) {
 			headers = headers.with(header.getName(), header.getValue());
 		}
-		byte[] body = body(message, response.getEntity());
+		byte[] body = body(message, response.getEntity(), received);
 		if (response.getCode() == SERVICE_UNAVAILABLE && "true".equals(headers.first(Headers.NOT_RUN))) {
 			return new DispatchOutcome.RefusedByTarget("draining".equals(headers.first(Headers.TARGET_STATE)));
 		}
 		return new DispatchOutcome.Answered(response.getCode(), headers, body);
 	}
 
-	private static byte[] body(HttpUriRequestBase message, @Nullable HttpEntity entity) throws IOException {
+	private static byte[] body(HttpUriRequestBase message, @Nullable HttpEntity entity, AtomicLong received)
+			throws IOException {
 		if (entity == null) {
 			return new byte[0];
 		}
@@ -175,6 +179,7 @@
 		int count = content.read(buffer);
 		while (count >= 0) {
 			bytes.write(buffer, 0, count);
+			received.addAndGet(count);
 			if (bytes.size() > MAXIMUM_ANSWER_BYTES) {
 				// Without this the client reads the rest before it closes the connection.
 				message.cancel();
--- a/adapters/src/main/java/org/plantainspur/adapters/metrics/HostMetrics.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/metrics/HostMetrics.java
@@ -1,5 +1,7 @@
 package org.plantainspur.adapters.metrics;
 
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
@@ -14,6 +16,7 @@
 import org.plantainspur.core.request.RetryPolicy;
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.CrossRegionTraffic;
 
 /**
  * The metrics of a host. Each part of the request path is measured by a decorator, for
@@ -26,6 +29,8 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+	private final List<CrossRegionBytes> crossRegion = new CopyOnWriteArrayList<>();
+
 	/**
 	 * Measures the time of each request by client account and by route, and counts
 	 * refusals by code.
@@ -92,11 +97,20 @@
 			.register(this.registry);
 	}
 
+	/**
+	 * Shows the bytes that cross between regions by route class.
+	 * @param traffic the bytes so far
+	 */
+	public void watch(CrossRegionTraffic traffic) {
+		this.crossRegion.add(new CrossRegionBytes(this.registry, traffic));
+	}
+
 	/**
 	 * Returns all metrics in the text format of Prometheus.
 	 * @return the text
 	 */
 	public String scrape() {
+		this.crossRegion.forEach(CrossRegionBytes::registerNewClasses);
 		return this.registry.scrape();
 	}
 
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -225,6 +225,17 @@
 			}, 2000), DispatchOutcome.Unknown.Cause.RESET);
 		}
 
+		@Test
+		void thatIsCutNamesTheBytesThatArrivedSoThatTheyAreCounted() throws Exception {
+			DispatchOutcome outcome = dispatch((exchange) -> {
+				exchange.readHead();
+				exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart");
+				exchange.close();
+			}, 2000);
+			assertThat(outcome).isInstanceOfSatisfying(DispatchOutcome.Unknown.class,
+					(unknown) -> assertThat(unknown.receivedBytes()).isEqualTo(4));
+		}
+
 		@Test
 		void inChunksThatIsCutIsUnknown() throws Exception {
 			assertUnknown(dispatch((exchange) -> {
--- a/adapters/src/test/java/org/plantainspur/adapters/metrics/HostMetricsTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/metrics/HostMetricsTests.java
@@ -16,6 +16,7 @@
 import org.plantainspur.core.request.Problem;
 import org.plantainspur.core.request.RequestPipeline;
 import org.plantainspur.core.request.TargetDispatcher;
+import org.plantainspur.core.routing.CrossRegionTraffic;
 import org.plantainspur.core.routing.Target;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -85,6 +86,30 @@
 
 	}
 
+	@Nested
+	class CrossRegionBytes {
+
+		@Test
+		void riseBetweenScrapesAndNewClassesAppear() {
+			CrossRegionTraffic traffic = new CrossRegionTraffic("pdx");
+			HostMetricsTests.this.metrics.watch(traffic);
+			assertThat(HostMetricsTests.this.metrics.scrape()).doesNotContain("cross_region");
+			traffic.dispatched(far("booking"), true, 100);
+			assertThat(HostMetricsTests.this.metrics.scrape())
+				.contains("plantainspur_cross_region_bytes_total{class=\"booking idempotent\"} 100.0");
+			traffic.dispatched(far("booking"), true, 20);
+			traffic.dispatched(far("offers"), false, 7);
+			assertThat(HostMetricsTests.this.metrics.scrape())
+				.contains("plantainspur_cross_region_bytes_total{class=\"booking idempotent\"} 120.0")
+				.contains("plantainspur_cross_region_bytes_total{class=\"offers non-idempotent\"} 7.0");
+		}
+
+		private static Target far(String service) {
+			return new Target("t", service, "127.0.0.1:1", "sea", "sea-a", 1, 1, false);
+		}
+
+	}
+
 	@Nested
 	class State {
 
--- a/core/src/main/java/org/plantainspur/core/request/DispatchOutcome.java
+++ b/core/src/main/java/org/plantainspur/core/request/DispatchOutcome.java
@@ -36,8 +36,18 @@
 	 *
 	 * @param cause what went wrong
 	 * @param reason the detail for a person
+	 * @param receivedBytes the bytes of the answer's body that arrived
 	 */
-	record Unknown(Cause cause, String reason) implements DispatchOutcome {
+	record Unknown(Cause cause, String reason, long receivedBytes) implements DispatchOutcome {
+
+		/**
+		 * Creates an outcome of which nothing arrived.
+		 * @param cause what went wrong
+		 * @param reason the detail for a person
+		 */
+		public Unknown(Cause cause, String reason) {
+			this(cause, reason, 0);
+		}
 
 		/**
 		 * Why the outcome is unknown.
--- a/core/src/main/java/org/plantainspur/core/request/Headers.java
+++ b/core/src/main/java/org/plantainspur/core/request/Headers.java
@@ -102,6 +102,18 @@
 		return null;
 	}
 
+	/**
+	 * Returns the size of the fields.
+	 * @return the characters of all names and values
+	 */
+	public long length() {
+		long length = 0;
+		for (Field field : this.fields) {
+			length += field.name().length() + field.value().length();
+		}
+		return length;
+	}
+
 	/**
 	 * Returns the fields in order.
 	 * @return an unmodifiable list
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/request/RegionCountingDispatcherTests.java
@@ -0,0 +1,125 @@
+package org.plantainspur.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import org.plantainspur.core.routing.CrossRegionTraffic;
+import org.plantainspur.core.routing.Target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against billed traffic that no counter shows, and against counting what did not
+ * cross.
+ */
+@Timeout(60)
+class RegionCountingDispatcherTests {
+
+	private static final Target FAR = new Target("far", "booking", "127.0.0.1:1", "sea", "sea-a", 4, 400, false);
+
+	private static final Target NEAR = new Target("near", "booking", "127.0.0.1:1", "pdx", "pdx-a", 4, 400, false);
+
+	/** The method, the path, the query, one field and the body: 3 + 4 + 3 + 5 + 10. */
+	private static final int REQUEST_BYTES = 25;
+
+	private final CrossRegionTraffic traffic = new CrossRegionTraffic("pdx");
+
+	private DispatchOutcome dispatch(Target target, boolean idempotent, DispatchOutcome outcome) {
+		CallerRequest request = new CallerRequest("PUT", "/a/b", "q=1", Headers.empty().with("Id", "xyz"), new byte[10],
+				0);
+		return new RegionCountingDispatcher((to, sent, repeatable, timeout) -> outcome, this.traffic).dispatch(target,
+				request, idempotent, 1000);
+	}
+
+	private static DispatchOutcome answer(int bytes) {
+		return new DispatchOutcome.Answered(200, Headers.empty().with("Id", "1"), new byte[bytes - 3]);
+	}
+
+	@Nested
+	class Bytes {
+
+		@Test
+		void ofARequestAndItsWholeAnswerAreCounted() {
+			dispatch(FAR, true, answer(1000));
+			assertThat(bytes()).containsExactly(Map.entry("booking idempotent", REQUEST_BYTES + 1000L));
+		}
+
+		@Test
+		void ofTheLocalRegionAreNotCounted() {
+			dispatch(NEAR, true, answer(1000));
+			assertThat(bytes()).isEmpty();
+		}
+
+		@Test
+		void thatWereNotSentAreNotCounted() {
+			dispatch(FAR, true, new DispatchOutcome.NotSent("refused"));
+			assertThat(bytes()).isEmpty();
+		}
+
+		@Test
+		void ofAnAnswerThatBrokeOffAreCounted() {
+			dispatch(FAR, false,
+					new DispatchOutcome.Unknown(DispatchOutcome.Unknown.Cause.TOO_LARGE, "too large", 8000));
+			assertThat(bytes()).containsExactly(Map.entry("booking non-idempotent", REQUEST_BYTES + 8000L));
+		}
+
+		@Test
+		void ofARequestThatTheTargetRefusedAreCounted() {
+			dispatch(FAR, true, new DispatchOutcome.RefusedByTarget(false));
+			assertThat(bytes()).containsExactly(Map.entry("booking idempotent", (long) REQUEST_BYTES));
+		}
+
+		private Map<String, Long> bytes() {
+			return RegionCountingDispatcherTests.this.traffic.bytes();
+		}
+
+	}
+
+	@Nested
+	class Threads {
+
+		private static final int THREADS = 8;
+
+		private static final int DISPATCHES = 20_000;
+
+		@Test
+		void loseNoBytesAndMixNoClasses() throws Exception {
+			ExecutorService threads = Executors.newFixedThreadPool(THREADS);
+			try {
+				List<Callable<Integer>> work = new ArrayList<>();
+				for (int i = 0; i < THREADS; i++) {
+					work.add(this::dispatchAll);
+				}
+				for (Future<Integer> done : threads.invokeAll(work)) {
+					assertThat(done.get()).isEqualTo(DISPATCHES);
+				}
+			}
+			finally {
+				threads.shutdownNow();
+			}
+			long each = (long) THREADS * DISPATCHES / 2;
+			assertThat(RegionCountingDispatcherTests.this.traffic.bytes()).containsExactly(
+					Map.entry("booking idempotent", each * (REQUEST_BYTES + 10)),
+					Map.entry("booking non-idempotent", each * (REQUEST_BYTES + 20)));
+		}
+
+		private int dispatchAll() {
+			for (int i = 0; i < DISPATCHES; i++) {
+				boolean idempotent = i % 2 == 0;
+				dispatch(FAR, idempotent, answer(idempotent ? 10 : 20));
+			}
+			return DISPATCHES;
+		}
+
+	}
+
+}
--- a/host/src/main/java/org/plantainspur/host/MetricsModule.java
+++ b/host/src/main/java/org/plantainspur/host/MetricsModule.java
@@ -8,6 +8,7 @@
 import org.plantainspur.adapters.metrics.HostMetrics;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.routing.CrossRegionTraffic;
 
 /**
  * Wires the metrics.
@@ -16,10 +17,12 @@
 
 	@Provides
 	@Singleton
-	HostMetrics hostMetrics(CurrencyRule currency, ConfigurationView view, CallerActivity activity) {
+	HostMetrics hostMetrics(CurrencyRule currency, ConfigurationView view, CallerActivity activity,
+			CrossRegionTraffic traffic) {
 		HostMetrics metrics = new HostMetrics();
 		metrics.watch(() -> currency.check() instanceof CurrencyRule.Currency.Current, () -> view.current().sequence(),
 				activity::inFlight);
+		metrics.watch(traffic);
 		return metrics;
 	}
 
--- a/host/src/main/java/org/plantainspur/host/RequestModule.java
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -19,12 +19,14 @@
 import org.plantainspur.core.once.ProcessOnceGate;
 import org.plantainspur.core.rate.RateLimiter;
 import org.plantainspur.core.request.BudgetedRetryPolicy;
+import org.plantainspur.core.request.RegionCountingDispatcher;
 import org.plantainspur.core.request.RequestPipeline;
 import org.plantainspur.core.request.RequestRelay;
 import org.plantainspur.core.request.RetryPolicy;
 import org.plantainspur.core.request.StandardRequestPipeline;
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.CrossRegionTraffic;
 import org.plantainspur.core.routing.LoadShedding;
 import org.plantainspur.core.routing.TargetChooser;
 import org.plantainspur.core.time.Clock;
@@ -52,6 +54,12 @@
 		return new BudgetedRetryPolicy(loadShedding);
 	}
 
+	@Provides
+	@Singleton
+	CrossRegionTraffic crossRegionTraffic(HostSettings settings) {
+		return new CrossRegionTraffic(settings.region());
+	}
+
 	@Provides
 	@Singleton
 	CallerActivity callerActivity(Clock clock) {
@@ -76,7 +84,7 @@
 	RequestPipeline requestPipeline(Clock clock, ConfigurationView view, CurrencyRule currency, OnceGate onceGate,
 			RequestRelay relay, RateLimiter rateLimiter, AdmissionQueue admissionQueue, TargetChooser chooser,
 			TargetDispatcher dispatcher, RetryPolicy retryPolicy, OutcomeRecorder recorder, Quarantine quarantine,
-			HostMetrics metrics) {
+			HostMetrics metrics, CrossRegionTraffic traffic) {
 		RequestPipeline pipeline = StandardRequestPipeline.builder()
 			.clock(clock)
 			.view(view)
@@ -86,7 +94,7 @@
 			.rateLimiter(rateLimiter)
 			.admissionQueue(metrics.measure(admissionQueue))
 			.chooser(chooser)
-			.dispatcher(metrics.measure(dispatcher))
+			.dispatcher(new RegionCountingDispatcher(metrics.measure(dispatcher), traffic))
 			.retryPolicy(metrics.measure(retryPolicy))
 			.recorder(recorder)
 			.quarantine(quarantine)
--- a/host/src/test/java/org/plantainspur/host/AdminTests.java
+++ b/host/src/test/java/org/plantainspur/host/AdminTests.java
@@ -101,6 +101,15 @@
 				.contains("plantainspur_retries_total");
 		}
 
+		@Test
+		void haveTheBytesThatWentToAnotherRegionByRouteClass() throws Exception {
+			AdminTests.this.host.exchange("POST /offers HTTP/1.1\r\nHost: x\r\nX-Api-Key: " + RunningHost.KEY
+					+ "\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+			assertThat(get("/metrics").body())
+				.contains("plantainspur_cross_region_bytes_total{class=\"offers idempotent\"}")
+				.doesNotContain("class=\"booking");
+		}
+
 	}
 
 	@Nested
--- a/host/src/test/java/org/plantainspur/host/RunningHost.java
+++ b/host/src/test/java/org/plantainspur/host/RunningHost.java
@@ -55,6 +55,7 @@
 		this.log.add(new Change.PutRoute(new Route("read", "GET", "/booking", "booking", true, false, 5000)));
 		this.log.add(new Change.PutRoute(new Route("write", "POST", "/booking", "booking", false, false, 5000)));
 		this.log.add(new Change.PutRoute(new Route("upload", "PUT", "/booking", "booking", true, false, 5000)));
+		this.log.add(new Change.PutRoute(new Route("offers", "POST", "/offers", "offers", true, false, 5000)));
 		List<String> all = new ArrayList<>(List.of("--host-id", "entry-1", "--region", "pdx", "--failure-domain",
 				"pdx-a", "--caller-address", "127.0.0.1:" + this.callerPort, "--admin-address",
 				"127.0.0.1:" + this.adminPort, "--peer-address", "127.0.0.1:" + freePort(), "--platform-url",
@@ -127,7 +128,8 @@
 		protected void configure() {
 			bind(ChangeLog.class).toInstance(this.log);
 			bind(TargetSource.class).toInstance(() -> TargetDirectory
-				.of(List.of(new Target("booking-1", "booking", "127.0.0.1:1", "pdx", "pdx-a", 4, 400, false))));
+				.of(List.of(new Target("booking-1", "booking", "127.0.0.1:1", "pdx", "pdx-a", 4, 400, false),
+						new Target("offers-1", "offers", "127.0.0.1:1", "sea", "sea-a", 4, 400, false))));
 			bind(TargetDispatcher.class).toInstance(this.dispatcher);
 			// A new process holds no share of a rate for the first 4 s, which is tested
 			// elsewhere.
