Show operators the evidence of a verdict on a target

As text, 'explain' printed the values of each host without their names.

Without evidence, a lowered weight is explained as slow start; an expired verdict is named as such. The text output of 'explain' names each field; the JSON output has the text too.

Before, with the new tests against the old classes: 'reason' was 'sickness 31.0' for an ejected target and 'sickness 0.0' in slow start, and the text output had values without names (3 tests of AdminTests and 1 of CommandLineTests failed). After: 'verify' of core, adapters, host and operator passes.

--- a/core/src/main/java/org/plantainspur/core/health/HealthView.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthView.java
@@ -73,7 +73,7 @@
 		Map<String, TargetHealth> targets = new HashMap<>();
 		for (PeerMessage.Verdict verdict : verdicts.verdicts()) {
 			targets.put(verdict.targetId(), new TargetHealth(verdict.ejected(), weight(verdict.weight()),
-					Math.max(0, verdict.load()), verdict.sickness(), expiry));
+					Math.max(0, verdict.load()), verdict.sickness(), verdict.reason(), expiry));
 		}
 		if (verdicts.settling()) {
 			old.targets().forEach((id, health) -> {
@@ -179,11 +179,13 @@
 	 * @param weight its weight, 0.1 to 1
 	 * @param load requests in flight on it from all hosts
 	 * @param sickness larger is worse
+	 * @param reason the evidence, for operators; empty if there is none
 	 * @param expiresMillis when the verdict ends, on the process clock
 	 */
-	public record TargetHealth(boolean ejected, double weight, int load, double sickness, long expiresMillis) {
+	public record TargetHealth(boolean ejected, double weight, int load, double sickness, String reason,
+			long expiresMillis) {
 
-		static final TargetHealth HEALTHY = new TargetHealth(false, 1, 0, 0, Long.MAX_VALUE);
+		static final TargetHealth HEALTHY = new TargetHealth(false, 1, 0, 0, "", Long.MAX_VALUE);
 
 		/**
 		 * Returns whether the target is ejected.
--- a/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
@@ -85,7 +85,7 @@
 			Map<String, HealthView.TargetHealth> held = new HashMap<>();
 			for (int i = 0; i < 2 * targets.size(); i++) {
 				held.put("t" + i, new HealthView.TargetHealth(random.nextInt(4) > 0, random.nextDouble(),
-						random.nextInt(9), random.nextDouble(), random.nextInt(200)));
+						random.nextInt(9), random.nextDouble(), "", random.nextInt(200)));
 			}
 			List<FloorGuard.Usable> usable = FloorGuard.usable(targets,
 					new HealthView.ServiceHealth("p0", 1, held, Map.of()), floor, 100);
--- a/core/src/test/java/org/plantainspur/core/health/HealthViewTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthViewTests.java
@@ -59,6 +59,35 @@
 
 	}
 
+	@Nested
+	class Reason {
+
+		@Test
+		void isHeldUntilANewerVerdictSoThatOperatorsSeeTheEvidence() {
+			HealthViewTests.this.view.apply(reporting("p0"), because("failures against siblings"));
+			assertThat(reason()).isEqualTo("failures against siblings");
+			HealthViewTests.this.view.apply(reporting("p0"), because(""));
+			assertThat(reason()).isEmpty();
+		}
+
+		@Test
+		void ofAnEjectionIsKeptWhileANewCoordinatorSettles() {
+			HealthViewTests.this.view.apply(reporting("p0"), because("failures against siblings"));
+			HealthViewTests.this.view.apply(reporting("p1"), ejecting(true));
+			assertThat(reason()).isEqualTo("failures against siblings");
+		}
+
+		private static PeerMessage.Verdicts because(String reason) {
+			return new PeerMessage.Verdicts(HealthFixtures.SERVICE,
+					List.of(new PeerMessage.Verdict("t1", true, 0.1, 0, 30, reason)), 2500, false, List.of());
+		}
+
+		private String reason() {
+			return HealthViewTests.this.view.service(HealthFixtures.SERVICE).target("t1").reason();
+		}
+
+	}
+
 	@Nested
 	class Answers {
 
--- a/host/src/main/java/org/plantainspur/host/CurrentStatusSources.java
+++ b/host/src/main/java/org/plantainspur/host/CurrentStatusSources.java
@@ -66,12 +66,17 @@
 		HealthView.TargetHealth held = service.target(target.id());
 		boolean ejected = held.ejectedAt(now);
 		double weight = held.weightAt(now);
-		String reason = (ejected || weight < 1) ? "sickness " + held.sickness() : "";
+		String reason = (ejected || weight < 1) ? reason(held, now) : "";
 		boolean leaving = target.leaving() || service.leaving(target.id(), now)
 				|| this.collector.seesLeaving(target.id());
 		return new TargetState(target.id(), target.service(), ejected, weight, reason, leaving);
 	}
 
+	private static String reason(HealthView.TargetHealth held, long now) {
+		String evidence = held.reason().isEmpty() ? "slow start" : held.reason();
+		return (now < held.expiresMillis()) ? evidence : "the last verdict has expired: " + evidence;
+	}
+
 	@Override
 	public Collection<String> accountsInUse() {
 		return this.limits.accountsConnected();
--- a/host/src/main/java/org/plantainspur/host/StatusSources.java
+++ b/host/src/main/java/org/plantainspur/host/StatusSources.java
@@ -42,7 +42,7 @@
 	 * @param service the service
 	 * @param ejected whether it gets no work because it is sick
 	 * @param weight its weight from 0 to 1
-	 * @param reason the evidence, empty if the weight is 1
+	 * @param reason the evidence as the coordinator words it, empty if the weight is 1
 	 * @param leaving whether it is leaving
 	 */
 	record TargetState(String id, String service, boolean ejected, double weight, String reason, boolean leaving) {
--- a/host/src/test/java/org/plantainspur/host/AdminTests.java
+++ b/host/src/test/java/org/plantainspur/host/AdminTests.java
@@ -4,6 +4,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -14,6 +15,9 @@
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.Timeout;
 
+import org.plantainspur.core.health.HealthView;
+import org.plantainspur.core.peer.PeerMessage;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -73,6 +77,44 @@
 			assertThat(json("/explain/target/booking-1").path("service").asText()).isEqualTo("booking");
 		}
 
+		@Test
+		void ofAnEjectedTargetHasTheEvidence() throws Exception {
+			String evidence = "failures \"5 of 9\" against siblings, log-likelihood ratio 31";
+			JsonNode target = explainAfter(new PeerMessage.Verdict("offers-1", true, 0.1, 0, 31, evidence), 2500);
+			assertThat(target.path("ejected").asBoolean()).isTrue();
+			assertThat(target.path("reason").asText()).isEqualTo(evidence);
+		}
+
+		@Test
+		void ofATargetThatComesBackSaysSo() throws Exception {
+			JsonNode target = explainAfter(new PeerMessage.Verdict("offers-1", false, 0.4, 0, 0, ""), 2500);
+			assertThat(target.path("weight").asDouble()).isEqualTo(0.4);
+			assertThat(target.path("reason").asText()).isEqualTo("slow start");
+		}
+
+		@Test
+		void ofATargetWhoseEjectionExpiredSaysSo() throws Exception {
+			JsonNode target = explainAfter(new PeerMessage.Verdict("offers-1", true, 0.1, 0, 31, "failures"), 0);
+			assertThat(target.path("ejected").asBoolean()).isFalse();
+			assertThat(target.path("reason").asText()).isEqualTo("the last verdict has expired: failures");
+		}
+
+		// The host's own coordinator may replace the verdict at any time, so it is given
+		// again until it was in force during the question.
+		private JsonNode explainAfter(PeerMessage.Verdict verdict, long lifetimeMillis) throws Exception {
+			HealthView health = AdminTests.this.host.health();
+			JsonNode target;
+			int tries = 0;
+			do {
+				health.apply(health.reporting("offers", "test"),
+						new PeerMessage.Verdicts("offers", List.of(verdict), lifetimeMillis, false, List.of()));
+				target = json("/explain/target/offers-1");
+				tries++;
+			}
+			while (target.path("weight").asDouble() != verdict.weight() && tries < 100);
+			return target;
+		}
+
 		@Test
 		void ofAnAccountNamesItsHomesAndNoKey() throws Exception {
 			JsonNode account = json("/explain/account/harbor-clinic");
--- a/host/src/test/java/org/plantainspur/host/RunningHost.java
+++ b/host/src/test/java/org/plantainspur/host/RunningHost.java
@@ -20,6 +20,7 @@
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.configuration.Route;
+import org.plantainspur.core.health.HealthView;
 import org.plantainspur.core.rate.LocalRateLimiter;
 import org.plantainspur.core.rate.RateLimiter;
 import org.plantainspur.core.request.DispatchOutcome;
@@ -86,6 +87,10 @@
 		return this.started.view;
 	}
 
+	HealthView health() {
+		return this.started.health;
+	}
+
 	Socket connect() throws IOException {
 		Socket socket = new Socket("127.0.0.1", this.callerPort);
 		socket.setSoTimeout(10_000);
@@ -152,6 +157,9 @@
 		@Inject
 		private ConfigurationView view;
 
+		@Inject
+		private HealthView health;
+
 		@Override
 		public void register(Server startedServer) {
 			this.server = startedServer;
--- a/operator/src/main/java/org/plantainspur/operator/Report.java
+++ b/operator/src/main/java/org/plantainspur/operator/Report.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
  * What a command prints, and its exit code.
@@ -54,7 +55,16 @@
 	String text() {
 		StringBuilder text = new StringBuilder();
 		this.fields.forEach((name, value) -> {
-			if (value instanceof Iterable<?> items) {
+			if (value instanceof ObjectNode node) {
+				text.append(name).append(":\n");
+				node.fields()
+					.forEachRemaining((field) -> text.append("  ")
+						.append(field.getKey())
+						.append(": ")
+						.append(field.getValue().isTextual() ? field.getValue().asText() : field.getValue())
+						.append('\n'));
+			}
+			else if (value instanceof Iterable<?> items) {
 				text.append(name).append(":\n");
 				items.forEach((item) -> text.append("  ").append(item).append('\n'));
 			}
--- a/operator/src/test/java/org/plantainspur/operator/CommandLineTests.java
+++ b/operator/src/test/java/org/plantainspur/operator/CommandLineTests.java
@@ -196,6 +196,26 @@
 
 	}
 
+	@Nested
+	class Explanation {
+
+		@Test
+		void namesEachFieldAndTheEvidenceAsText() {
+			assertThat(fleet().run("explain", "target", "booking-1")).isEqualTo(Report.DONE);
+			assertThat(fleet().output()).contains("h0:\n  hostId: h0\n")
+				.contains("  reason: " + FakeFleet.EVIDENCE + "\n");
+		}
+
+		@Test
+		void hasTheEvidenceOfEveryHostAsJson() throws IOException {
+			fleet().run("explain", "target", "booking-1", "--output", "json");
+			JsonNode report = new ObjectMapper().readTree(fleet().output());
+			assertThat(report).hasSize(3)
+				.allSatisfy((host) -> assertThat(host.path("reason").asText()).isEqualTo(FakeFleet.EVIDENCE));
+		}
+
+	}
+
 	@Nested
 	class Listing {
 
--- a/operator/src/test/java/org/plantainspur/operator/FakeFleet.java
+++ b/operator/src/test/java/org/plantainspur/operator/FakeFleet.java
@@ -29,6 +29,8 @@
  */
 final class FakeFleet implements ChangeLog, HostAdmin {
 
+	static final String EVIDENCE = "failures against siblings, log-likelihood ratio 31";
+
 	final List<ChangeEntry> entries = new ArrayList<>();
 
 	final HandClock clock = new HandClock();
@@ -118,7 +120,8 @@
 						.put("processId", member.processId())
 						.put("sequence", this.behind.getOrDefault(member.hostId(), (long) this.entries.size()))
 						.put("current", true)
-						.put("path", path));
+						.put("path", path)
+						.put("reason", EVIDENCE));
 		}
 		return answers;
 	}
