--- a/host/src/main/java/org/plantainspur/host/RequestModule.java
+++ b/host/src/main/java/org/plantainspur/host/RequestModule.java
@@ -19,12 +19,15 @@
 import org.plantainspur.core.once.ProcessOnceGate;
 import org.plantainspur.core.rate.RateLimiter;
 import org.plantainspur.core.request.BudgetedRetryPolicy;
+import org.plantainspur.core.request.RegionCountingDispatcher;
 import org.plantainspur.core.request.RequestPipeline;
 import org.plantainspur.core.request.RequestRelay;
 import org.plantainspur.core.request.RetryPolicy;
 import org.plantainspur.core.request.StandardRequestPipeline;
 import org.plantainspur.core.request.TargetDispatcher;
 import org.plantainspur.core.routing.AdmissionQueue;
+import org.plantainspur.core.routing.CrossRegionTraffic;
+import org.plantainspur.core.routing.LoadShedding;
 import org.plantainspur.core.routing.TargetChooser;
 import org.plantainspur.core.time.Clock;
 
@@ -33,11 +36,6 @@
  */
 final class RequestModule extends AbstractModule {
 
-	@Override
-	protected void configure() {
-		bind(RetryPolicy.class).toInstance(new BudgetedRetryPolicy());
-	}
-
 	@Provides
 	@Singleton
 	OnceGate onceGate(Member member, Clock clock) {
@@ -50,6 +48,18 @@
 		return new HttpClientTargetDispatcher(() -> view.current().membership().size());
 	}
 
+	@Provides
+	@Singleton
+	RetryPolicy retryPolicy(LoadShedding loadShedding) {
+		return new BudgetedRetryPolicy(loadShedding);
+	}
+
+	@Provides
+	@Singleton
+	CrossRegionTraffic crossRegionTraffic(HostSettings settings) {
+		return new CrossRegionTraffic(settings.region());
+	}
+
 	@Provides
 	@Singleton
 	CallerActivity callerActivity(Clock clock) {
@@ -74,7 +84,7 @@
 	RequestPipeline requestPipeline(Clock clock, ConfigurationView view, CurrencyRule currency, OnceGate onceGate,
 			RequestRelay relay, RateLimiter rateLimiter, AdmissionQueue admissionQueue, TargetChooser chooser,
 			TargetDispatcher dispatcher, RetryPolicy retryPolicy, OutcomeRecorder recorder, Quarantine quarantine,
-			HostMetrics metrics) {
+			HostMetrics metrics, CrossRegionTraffic traffic) {
 		RequestPipeline pipeline = StandardRequestPipeline.builder()
 			.clock(clock)
 			.view(view)
@@ -84,7 +94,7 @@
 			.rateLimiter(rateLimiter)
 			.admissionQueue(metrics.measure(admissionQueue))
 			.chooser(chooser)
-			.dispatcher(metrics.measure(dispatcher))
+			.dispatcher(new RegionCountingDispatcher(metrics.measure(dispatcher), traffic))
 			.retryPolicy(metrics.measure(retryPolicy))
 			.recorder(recorder)
 			.quarantine(quarantine)
