--- a/core/src/test/java/org/plantainspur/core/request/RegionCountingDispatcherTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/RegionCountingDispatcherTests.java
@@ -35,7 +35,7 @@
 
 	private DispatchOutcome dispatch(Target target, boolean idempotent, DispatchOutcome outcome) {
 		CallerRequest request = new CallerRequest("PUT", "/a/b", "q=1", Headers.empty().with("Id", "xyz"), new byte[10],
-				0);
+				"", 0);
 		return new RegionCountingDispatcher((to, sent, repeatable, timeout) -> outcome, this.traffic).dispatch(target,
 				request, idempotent, 1000);
 	}
--- a/core/src/test/java/org/plantainspur/core/request/RetriesWhileSheddingTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/RetriesWhileSheddingTests.java
@@ -98,7 +98,7 @@
 	private CallerAnswer send() {
 		this.clock.advance(10);
 		return this.pipeline
-			.serve(new CallerRequest("GET", "/booking/17", "", Headers.empty(), new byte[0], this.clock.millis()));
+			.serve(new CallerRequest("GET", "/booking/17", "", Headers.empty(), new byte[0], "", this.clock.millis()));
 	}
 
 	private int answered(int requests) {
