Keep ejections within the budget of the list that each host knows

Each host returned the least sick of the ejections that it held, which differ between hosts. An ejected target that left and stayed after all was ejected again beside others, and an ejection of a target that the coordinator did not list yet was not charged.

Change: A verdict carries the least budget with which a host keeps its ejection. The coordinator assigns these so that for every budget b the charged ejections that require at most b have at most b slots together, and reports carry them to the next coordinator. A host compares them with the budget of the list that it knows, where it chooses a target. The coordinator gives such targets back at once; they stay sick to the judge and so get the least weight. Held ejections of unlisted targets are charged, and a target that leaves loses its ejection. Messages of this version are not read by earlier ones and the reverse: reports then fail to decode and no verdict is renewed.

Conclusion: Over all hosts together the ejections never exceed the largest budget that a running host knows. What remains is a host that does not know the shorter list yet, for as long as it takes to read it.

--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -94,12 +94,13 @@
 		Arbitrary<PeerMessage.TargetEvidence> target = Combinators
 			.combine(TEXT, account.list().ofMaxSize(3), INT.list().ofMaxSize(16), INT, FLAG)
 			.as(PeerMessage.TargetEvidence::new);
-		return Combinators.combine(TEXT, TEXT, LONG, TEXT, target.list().ofMaxSize(3), TEXTS)
+		Arbitrary<PeerMessage.HeldEjection> held = Combinators.combine(TEXT, INT).as(PeerMessage.HeldEjection::new);
+		return Combinators.combine(TEXT, TEXT, LONG, TEXT, target.list().ofMaxSize(3), held.list().ofMaxSize(3))
 			.as(PeerMessage.Report::new);
 	}
 
 	private static Arbitrary<PeerMessage> verdicts() {
-		Arbitrary<PeerMessage.Verdict> verdict = Combinators.combine(TEXT, FLAG, DOUBLE, INT, DOUBLE, TEXT)
+		Arbitrary<PeerMessage.Verdict> verdict = Combinators.combine(TEXT, FLAG, INT, DOUBLE, INT, DOUBLE, TEXT)
 			.as(PeerMessage.Verdict::new);
 		return Combinators.combine(TEXT, verdict.list().ofMaxSize(3), LONG, FLAG, TEXTS).as(PeerMessage.Verdicts::new);
 	}
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/ReplayHost.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/ReplayHost.java
@@ -42,7 +42,7 @@
 
 	PeerMessage.Report report(String service) {
 		return new PeerMessage.Report("h" + this.number, "p" + this.number, 1, service, this.collector.drain(service),
-				this.view.ejectedHeld(service));
+				this.view.ejections(service));
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/health/EjectionLedger.java
+++ b/core/src/main/java/org/plantainspur/core/health/EjectionLedger.java
@@ -1,10 +1,9 @@
 package org.plantainspur.core.health;
 
-import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.plantainspur.core.routing.Target;
 import org.plantainspur.core.time.ClockMargin;
@@ -12,43 +11,98 @@
 /**
  * The ejections that some host may still hold. Each is charged against the budget until
  * the last verdict that carried it has expired everywhere.
+ * <p>
+ * Each charge has a required budget: a host keeps the ejection only while its own budget,
+ * by the targets that it knows, is at least this. The ledger assigns required budgets so
+ * that for every budget {@code b} the charges that require at most {@code b} have at most
+ * {@code b} slots together. So hosts that see a smaller budget than the coordinator keep
+ * to it together, without a message, whichever of the ejections each of them holds.
  */
 final class EjectionLedger {
 
 	/** Verdicts hold this long, from before the report was sent. */
 	static final long LIFETIME_MILLIS = 2500;
 
-	private final Map<String, Long> chargedUntil = new HashMap<>();
+	/**
+	 * The slots of a target that this process never saw listed. They fit no budget, so
+	 * nothing is ejected until such a charge ends.
+	 */
+	static final int UNKNOWN_SLOTS = 1_000_000;
+
+	/** No budget is enough. */
+	static final int UNAVAILABLE = Integer.MAX_VALUE;
 
-	void charge(Collection<String> targetIds, long nowMillis) {
-		long until = nowMillis + ClockMargin.lengthen(LIFETIME_MILLIS);
-		targetIds.forEach((id) -> this.chargedUntil.merge(id, until, Math::max));
+	private final Map<String, Charge> charges = new HashMap<>();
+
+	void charge(String targetId, int slots, int requiredBudget, long nowMillis) {
+		Charge added = new Charge(nowMillis + ClockMargin.lengthen(LIFETIME_MILLIS), slots, requiredBudget);
+		this.charges.merge(targetId, added, Charge::plus);
 	}
 
-	Set<String> charged(long nowMillis) {
-		this.chargedUntil.values().removeIf((until) -> until <= nowMillis);
-		return Set.copyOf(this.chargedUntil.keySet());
+	boolean charged(String targetId, long nowMillis) {
+		Charge charge = this.charges.get(targetId);
+		return charge != null && nowMillis < charge.until();
 	}
 
 	/**
-	 * Returns whether a target may be ejected without risk to the floor.
+	 * Returns the least budget with which a target may be ejected without risk to the
+	 * floor.
 	 * @param target the target
-	 * @param targets the service's targets that are not leaving
-	 * @param floor the floor as a fraction of the slots
 	 * @param nowMillis the current reading of the process clock
-	 * @return whether the slots of all charged targets and this one fit the budget
+	 * @return the budget in slots; {@link #UNAVAILABLE} if the target is charged with a
+	 * budget that is too small beside the other charges
 	 */
-	boolean permits(Target target, List<Target> targets, double floor, long nowMillis) {
-		Set<String> charged = charged(nowMillis);
-		int used = targets.stream()
-			.filter((other) -> other.id().equals(target.id()) || charged.contains(other.id()))
-			.mapToInt(Target::slots)
-			.sum();
-		return used <= budget(targets, floor);
+	int requiredBudget(Target target, long nowMillis) {
+		this.charges.values().removeIf((charge) -> charge.until() <= nowMillis);
+		int required = requiredBesideOthers(target);
+		Charge own = this.charges.get(target.id());
+		if (own == null) {
+			return required;
+		}
+		// Some host may hold the charged budget, so a target has no second one.
+		return (required <= own.requiredBudget()) ? own.requiredBudget() : UNAVAILABLE;
+	}
+
+	private int requiredBesideOthers(Target target) {
+		List<Charge> sorted = this.charges.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(target.id()))
+			.map(Map.Entry::getValue)
+			.sorted(Comparator.comparingInt(Charge::requiredBudget))
+			.toList();
+		int required = target.slots();
+		int used = 0;
+		for (int i = 0; i < sorted.size(); i++) {
+			used += sorted.get(i).slots();
+			int needed = used + target.slots();
+			if (needed > sorted.get(i).requiredBudget()) {
+				int next = (i + 1 < sorted.size()) ? sorted.get(i + 1).requiredBudget() : needed;
+				required = Math.max(required, Math.min(needed, next));
+			}
+		}
+		return required;
 	}
 
 	static int budget(List<Target> targets, double floor) {
 		return FloorGuard.slots(targets) - FloorGuard.floorSlots(targets, floor);
 	}
 
+	/**
+	 * The charge of one ejection.
+	 *
+	 * @param until when the last verdict that carried it has expired everywhere
+	 * @param slots the target's slots
+	 * @param requiredBudget the least budget, in slots, with which hosts keep it
+	 */
+	private record Charge(long until, int slots, int requiredBudget) {
+
+		Charge plus(Charge other) {
+			boolean unknown = this.slots == UNKNOWN_SLOTS || other.slots == UNKNOWN_SLOTS;
+			return new Charge(Math.max(this.until, other.until),
+					unknown ? Math.min(this.slots, other.slots) : Math.max(this.slots, other.slots),
+					Math.min(this.requiredBudget, other.requiredBudget));
+		}
+
+	}
+
 }
--- a/core/src/main/java/org/plantainspur/core/health/EjectionState.java
+++ b/core/src/main/java/org/plantainspur/core/health/EjectionState.java
@@ -29,6 +29,8 @@
 
 	private boolean everEjected;
 
+	private int requiredBudget;
+
 	private String reason = "";
 
 	private EjectionState(long startedAt) {
@@ -51,16 +53,21 @@
 		return nowMillis >= this.holdUntil;
 	}
 
+	int requiredBudget() {
+		return this.requiredBudget;
+	}
+
 	String reason() {
 		return this.reason;
 	}
 
-	void eject(long nowMillis, String why) {
+	void eject(long nowMillis, int withBudget, String why) {
 		boolean relapse = this.everEjected && nowMillis - this.startedAt < RELAPSE_MILLIS;
 		this.hold = relapse ? Math.min(LONGEST_HOLD_MILLIS, this.hold * 2) : FIRST_HOLD_MILLIS;
 		this.ejected = true;
 		this.everEjected = true;
 		this.holdUntil = nowMillis + this.hold;
+		this.requiredBudget = withBudget;
 		this.reason = why;
 	}
 
@@ -69,6 +76,16 @@
 		this.startedAt = nowMillis;
 	}
 
+	/**
+	 * Ends the ejection for want of budget, not because its hold time is over. So the
+	 * next ejection has the same hold time and is no relapse.
+	 * @param nowMillis the current reading of the process clock
+	 */
+	void giveBack(long nowMillis) {
+		this.hold /= 2;
+		readmit(nowMillis);
+	}
+
 	boolean cold(long nowMillis) {
 		return nowMillis - this.startedAt < COLD_MILLIS;
 	}
--- a/core/src/main/java/org/plantainspur/core/health/FloorGuard.java
+++ b/core/src/main/java/org/plantainspur/core/health/FloorGuard.java
@@ -38,8 +38,9 @@
 	}
 
 	/**
-	 * Returns the targets that may be used. If the ejections leave less than the floor,
-	 * the least sick ejected targets return at {@link #LEAST_WEIGHT}.
+	 * Returns the targets that may be used. An ejection that requires a larger budget
+	 * than the given targets leave has no effect; if the others still leave less than the
+	 * floor, the least sick of them return. Such targets get {@link #LEAST_WEIGHT}.
 	 * @param targets the targets that are not leaving
 	 * @param health what this host holds about them
 	 * @param floor the floor as a fraction of the slots, 0 to 1
@@ -50,10 +51,12 @@
 			long nowMillis) {
 		List<Usable> usable = new ArrayList<>(targets.size());
 		List<Target> ejected = new ArrayList<>();
+		int floorSlots = floorSlots(targets, floor);
+		int budget = slots(targets) - floorSlots;
 		int slots = 0;
 		for (Target target : targets) {
 			HealthView.TargetHealth held = health.target(target.id());
-			if (held.ejectedAt(nowMillis)) {
+			if (held.ejectedAt(nowMillis) && held.requiredBudget() <= budget) {
 				ejected.add(target);
 			}
 			else {
@@ -62,7 +65,7 @@
 			}
 		}
 		if (!ejected.isEmpty()) {
-			restore(usable, ejected, health, floorSlots(targets, floor) - slots);
+			restore(usable, ejected, health, floorSlots - slots);
 		}
 		return usable;
 	}
--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -106,7 +106,7 @@
 		boolean settled = this.settlement.settled(now) && this.current.getAsBoolean();
 		watch(listed, settled, now);
 		if (group != null) {
-			this.ledger.charge(known(report.ejectedHeld(), listed), now);
+			chargeHeld(report, listed, now);
 			this.settlement.reported(report.processId(), report.sequence());
 			take(report, group, listed, now);
 			settled = this.settlement.settled(now) && this.current.getAsBoolean();
@@ -132,10 +132,14 @@
 		return (member != null && member.processId().equals(report.processId())) ? member.failureDomain() : null;
 	}
 
-	private static List<String> known(List<String> ids, List<Target> listed) {
-		Set<String> known = new HashSet<>();
-		listed.forEach((target) -> known.add(target.id()));
-		return ids.stream().filter(known::contains).toList();
+	// A target that this process does not list may be listed at other hosts, and here
+	// before the ejection ends.
+	private void chargeHeld(PeerMessage.Report report, List<Target> listed, long now) {
+		Map<String, Integer> slots = new HashMap<>();
+		listed.forEach((target) -> slots.put(target.id(), target.slots()));
+		report.ejectedHeld()
+			.forEach((held) -> this.ledger.charge(held.targetId(),
+					slots.getOrDefault(held.targetId(), EjectionLedger.UNKNOWN_SLOTS), held.requiredBudget(), now));
 	}
 
 	private List<Target> staying(List<Target> listed, long now) {
@@ -193,77 +197,94 @@
 			return;
 		}
 		if (!this.wasSettled) {
-			adopt(now);
+			adopt(staying, now);
 		}
 		this.wasSettled = true;
 		readmit(staying, now);
 		// Charges end while no report arrives, but the next answer carries these again.
-		this.ledger.charge(ejected(staying), now);
+		charge(staying, now);
 		List<Target> sickest = new ArrayList<>(staying);
 		Map<String, HealthJudge.Assessment> assessments = new HashMap<>();
 		staying.forEach((target) -> assessments.put(target.id(), this.judge.assess(target.id())));
 		sickest.sort(Comparator.comparingDouble(
 				(Target target) -> -assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY).sickness())
 			.thenComparing(Target::id));
+		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
 		boolean urgent = false;
 		for (Target target : sickest) {
 			urgent |= !state(target.id()).ejected() && this.judge.suspects(target.id());
 			HealthJudge.Assessment assessment = assessments.get(target.id());
-			if (assessment != null && assessment.sick() && !state(target.id()).ejected()
-					&& this.ledger.permits(target, staying, this.floor.getAsDouble(), now)) {
-				state(target.id()).eject(now, assessment.reason());
-				this.ledger.charge(List.of(target.id()), now);
-				urgent = true;
+			if (assessment != null && assessment.sick() && !state(target.id()).ejected()) {
+				int required = this.ledger.requiredBudget(target, now);
+				if (required <= budget) {
+					state(target.id()).eject(now, required, assessment.reason());
+					charge(List.of(target), now);
+					urgent = true;
+				}
 			}
 		}
 		this.requestReports |= urgent && this.requests.take(now);
 	}
 
 	// Takes over the ejections that an earlier coordinator issued and that hosts hold.
-	private void adopt(long now) {
-		for (String id : this.ledger.charged(now)) {
-			if (!state(id).ejected()) {
-				state(id).eject(now, "ejected by an earlier coordinator");
+	// Charges from an earlier time as the coordinator may stand beside these and no
+	// longer be held; what does not fit beside all of them ends.
+	private void adopt(List<Target> staying, long now) {
+		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
+		for (Target target : staying) {
+			int required = this.ledger.requiredBudget(target, now);
+			if (this.ledger.charged(target.id(), now) && required <= budget) {
+				state(target.id()).eject(now, required, "ejected by an earlier coordinator");
 			}
 		}
 	}
 
+	// Ejections that require a larger budget than there is now end at once, as at hosts
+	// that know the present targets.
 	private void readmit(List<Target> staying, long now) {
 		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
-		int used = 0;
+		Set<String> ids = new HashSet<>();
 		for (Target target : staying) {
+			ids.add(target.id());
 			EjectionState state = state(target.id());
-			if (state.ejected()) {
-				used += target.slots();
-				if (used > budget || state.holdEnded(now)) {
-					used -= target.slots();
-					state.readmit(now);
-					this.judge.readmitted(target.id());
-				}
+			if (state.ejected() && state.holdEnded(now)) {
+				state.readmit(now);
+				this.judge.readmitted(target.id());
+			}
+			else if (state.ejected() && state.requiredBudget() > budget) {
+				state.giveBack(now);
 			}
 		}
+		// A target that leaves takes no part in the budget; if it stays after all, the
+		// budget may be in use by then.
+		this.states.forEach((id, state) -> {
+			if (state.ejected() && !ids.contains(id)) {
+				state.readmit(now);
+			}
+		});
 	}
 
-	private List<String> ejected(List<Target> staying) {
-		return staying.stream().map(Target::id).filter((id) -> state(id).ejected()).toList();
+	private void charge(List<Target> targets, long now) {
+		for (Target target : targets) {
+			EjectionState state = state(target.id());
+			if (state.ejected()) {
+				this.ledger.charge(target.id(), target.slots(), state.requiredBudget(), now);
+			}
+		}
 	}
 
 	private PeerMessage.Verdicts verdicts(List<Target> staying, @Nullable String group, boolean settled, long now) {
 		List<PeerMessage.Verdict> verdicts = new ArrayList<>();
-		List<String> ejected = new ArrayList<>();
 		for (Target target : staying) {
 			EjectionState state = state(target.id());
 			HealthJudge.Assessment assessment = this.judge.assess(target.id());
 			boolean avoided = assessment.sick() || (group != null && assessment.avoidedBy().contains(group));
 			boolean withheld = group != null && state.ejected();
-			if (withheld) {
-				ejected.add(target.id());
-			}
-			verdicts.add(new PeerMessage.Verdict(target.id(), withheld,
+			verdicts.add(new PeerMessage.Verdict(target.id(), withheld, withheld ? state.requiredBudget() : 0,
 					avoided ? FloorGuard.LEAST_WEIGHT : state.weight(now), this.load.load(target.id()),
 					assessment.sickness(), state.ejected() ? state.reason() : assessment.reason()));
 		}
-		this.ledger.charge(ejected, now);
+		charge(staying, now);
 		return new PeerMessage.Verdicts(this.service, verdicts, EjectionLedger.LIFETIME_MILLIS,
 				!settled || group == null, List.copyOf(this.leavingUntil.keySet()));
 	}
--- a/core/src/main/java/org/plantainspur/core/health/HealthReporter.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthReporter.java
@@ -99,7 +99,7 @@
 		HealthView.ReportTicket ticket = this.health.reporting(service, coordinator.processId());
 		List<PeerMessage.TargetEvidence> evidence = this.collector.drain(service);
 		PeerMessage.Report report = new PeerMessage.Report(this.self.hostId(), this.self.processId(), sequence, service,
-				evidence, this.health.ejectedHeld(service));
+				evidence, this.health.ejections(service));
 		if (coordinator.processId().equals(this.self.processId())) {
 			this.health.apply(ticket, this.coordinators.report(report));
 			return;
--- a/core/src/main/java/org/plantainspur/core/health/HealthView.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthView.java
@@ -38,10 +38,10 @@
 
 	/**
 	 * Notes that a report is about to be sent; to be called before
-	 * {@link #ejectedHeld(String)} is read for that report. From then on, answers of
-	 * other coordinators and to earlier reports are dropped, also if the earlier
-	 * coordinator becomes the coordinator again: a new coordinator that has this host's
-	 * report may rely on that this host accepts no further ejection from an earlier one.
+	 * {@link #ejections(String)} is read for that report. From then on, answers of other
+	 * coordinators and to earlier reports are dropped, also if the earlier coordinator
+	 * becomes the coordinator again: a new coordinator that has this host's report may
+	 * rely on that this host accepts no further ejection from an earlier one.
 	 * @param service the service's name
 	 * @param coordinatorProcessId the process that the report goes to
 	 * @return to be given to {@link #apply} with the answer
@@ -76,8 +76,8 @@
 		long expiry = ticket.sentMillis() + verdicts.lifetimeMillis();
 		Map<String, TargetHealth> targets = new HashMap<>();
 		for (PeerMessage.Verdict verdict : verdicts.verdicts()) {
-			targets.put(verdict.targetId(), new TargetHealth(verdict.ejected(), weight(verdict.weight()),
-					Math.max(0, verdict.load()), verdict.sickness(), expiry));
+			targets.put(verdict.targetId(), new TargetHealth(verdict.ejected(), verdict.requiredBudget(),
+					weight(verdict.weight()), Math.max(0, verdict.load()), verdict.sickness(), expiry));
 		}
 		if (verdicts.settling()) {
 			old.targets().forEach((id, health) -> {
@@ -107,7 +107,7 @@
 	}
 
 	/**
-	 * Returns the targets that this host holds ejected now, for a report.
+	 * Returns the targets that this host holds ejected now.
 	 * @param service the service's name
 	 * @return the ids
 	 */
@@ -122,6 +122,18 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the ejections that this host holds now, for a report.
+	 * @param service the service's name
+	 * @return the ejections, ordered by target
+	 */
+	public List<PeerMessage.HeldEjection> ejections(String service) {
+		ServiceHealth held = service(service);
+		return ejectedHeld(service).stream()
+			.map((id) -> new PeerMessage.HeldEjection(id, held.target(id).requiredBudget()))
+			.toList();
+	}
+
 	private void update(String service, UnaryOperator<ServiceHealth> change) {
 		this.services.updateAndGet((all) -> {
 			Map<String, ServiceHealth> copy = new HashMap<>(all);
@@ -181,14 +193,17 @@
 	 * What is held about one target.
 	 *
 	 * @param ejected whether it gets no work until the expiry
+	 * @param requiredBudget the least ejection budget, in slots, with which this host
+	 * keeps the ejection
 	 * @param weight its weight, 0.1 to 1
 	 * @param load requests in flight on it from all hosts
 	 * @param sickness larger is worse
 	 * @param expiresMillis when the verdict ends, on the process clock
 	 */
-	public record TargetHealth(boolean ejected, double weight, int load, double sickness, long expiresMillis) {
+	public record TargetHealth(boolean ejected, int requiredBudget, double weight, int load, double sickness,
+			long expiresMillis) {
 
-		static final TargetHealth HEALTHY = new TargetHealth(false, 1, 0, 0, Long.MAX_VALUE);
+		static final TargetHealth HEALTHY = new TargetHealth(false, 0, 1, 0, 0, Long.MAX_VALUE);
 
 		/**
 		 * Returns whether the target is ejected.
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -130,10 +130,19 @@
 	 * @param sequence the reporter's sequence number in force
 	 * @param service the service
 	 * @param targets the outcomes by target
-	 * @param ejectedHeld the targets that the reporter holds ejected now
+	 * @param ejectedHeld the ejections that the reporter holds now
 	 */
 	record Report(String hostId, String processId, long sequence, String service, List<TargetEvidence> targets,
-			List<String> ejectedHeld) implements PeerMessage {
+			List<HeldEjection> ejectedHeld) implements PeerMessage {
+	}
+
+	/**
+	 * An ejection that a host holds.
+	 *
+	 * @param targetId the target
+	 * @param requiredBudget as in the verdict
+	 */
+	record HeldEjection(String targetId, int requiredBudget) {
 	}
 
 	/**
@@ -185,12 +194,29 @@
 	 *
 	 * @param targetId the target
 	 * @param ejected whether it gets no work
+	 * @param requiredBudget the least ejection budget, in slots by the targets that the
+	 * host itself knows, with which the host keeps the ejection
 	 * @param weight its weight from 0 to 1 if it is not ejected
 	 * @param load the requests in flight on it from all hosts, as last reported
 	 * @param sickness how sick it is; larger is worse
 	 * @param reason the evidence, for operators
 	 */
-	record Verdict(String targetId, boolean ejected, double weight, int load, double sickness, String reason) {
+	record Verdict(String targetId, boolean ejected, int requiredBudget, double weight, int load, double sickness,
+			String reason) {
+
+		/**
+		 * Creates a verdict whose ejection, if it is one, holds with any budget.
+		 * @param targetId the target
+		 * @param ejected whether it gets no work
+		 * @param weight its weight from 0 to 1 if it is not ejected
+		 * @param load the requests in flight on it from all hosts, as last reported
+		 * @param sickness how sick it is; larger is worse
+		 * @param reason the evidence, for operators
+		 */
+		public Verdict(String targetId, boolean ejected, double weight, int load, double sickness, String reason) {
+			this(targetId, ejected, 0, weight, load, sickness, reason);
+		}
+
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
@@ -1,6 +1,7 @@
 package org.plantainspur.core.health;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -11,7 +12,9 @@
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 
+import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.time.HandClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -43,6 +46,35 @@
 			}
 		}
 
+		/**
+		 * No process can keep to a list that it does not know, so the budget is the
+		 * largest of those that running processes know.
+		 */
+		@Property(seed = "20261204", tries = 400)
+		void leavesTheFloorOfTheKnownListsInUse(@ForAll long schedule) {
+			HealthSchedule fleet = new HealthSchedule(schedule, true);
+			for (int i = 0; i < STEPS; i++) {
+				fleet.step();
+				Set<String> unused = fleet.unused();
+				assertThat(slots(fleet.targets(), unused)).as("schedule %d, step %d, unused %s", schedule, i, unused)
+					.isLessThanOrEqualTo(Math.max(fleet.budget(), fleet.largestKnownBudget()));
+			}
+		}
+
+		@Property(seed = "20261204", tries = 400)
+		void leavesTheFloorOfTheListInUseOnceEveryProcessHasHadTimeToReadIt(@ForAll long schedule) {
+			HealthSchedule fleet = new HealthSchedule(schedule, true);
+			for (int i = 0; i < STEPS; i++) {
+				fleet.step();
+				if (fleet.sinceListOrResumption() > HealthSchedule.LIST_DELAY_MILLIS) {
+					Set<String> unused = fleet.unused();
+					assertThat(slots(fleet.targets(), unused))
+						.as("schedule %d, step %d, unused %s", schedule, i, unused)
+						.isLessThanOrEqualTo(fleet.budget());
+				}
+			}
+		}
+
 	}
 
 	@Group
@@ -83,6 +115,35 @@
 
 	}
 
+	/** Guards against hosts that each keep to the floor and together do not. */
+	@Group
+	class ShorterList {
+
+		private static Set<String> unused(PeerMessage.Verdict... verdicts) {
+			HealthView view = new HealthView(new HandClock());
+			view.apply(view.reporting(HealthFixtures.SERVICE, "p0"),
+					new PeerMessage.Verdicts(HealthFixtures.SERVICE, List.of(verdicts), 2500, false, List.of()));
+			Set<String> unused = new HashSet<>();
+			List<Target> targets = HealthFixtures.targets(7, 4);
+			targets.forEach((target) -> unused.add(target.id()));
+			FloorGuard.usable(targets, view.service(HealthFixtures.SERVICE), HealthSchedule.FLOOR, 0)
+				.forEach((usable) -> unused.remove(usable.target().id()));
+			return unused;
+		}
+
+		private static PeerMessage.Verdict ejection(String id, int requiredBudget) {
+			return new PeerMessage.Verdict(id, true, requiredBudget, 0.1, 0, 30, "");
+		}
+
+		@Example
+		void endsTheSameEjectionsAtEachHostWhateverElseItHolds() {
+			assertThat(unused(ejection("t0", 4), ejection("t1", 8), ejection("t2", 12))).containsOnly("t0", "t1");
+			assertThat(unused(ejection("t1", 8), ejection("t2", 12))).containsOnly("t1");
+			assertThat(unused(ejection("t2", 12))).isEmpty();
+		}
+
+	}
+
 	@Group
 	class OneHost {
 
@@ -93,8 +154,8 @@
 			double floor = random.nextInt(11) / 10.0;
 			Map<String, HealthView.TargetHealth> held = new HashMap<>();
 			for (int i = 0; i < 2 * targets.size(); i++) {
-				held.put("t" + i, new HealthView.TargetHealth(random.nextInt(4) > 0, random.nextDouble(),
-						random.nextInt(9), random.nextDouble(), random.nextInt(200)));
+				held.put("t" + i, new HealthView.TargetHealth(random.nextInt(4) > 0, random.nextInt(9),
+						random.nextDouble(), random.nextInt(9), random.nextDouble(), random.nextInt(200)));
 			}
 			List<FloorGuard.Usable> usable = FloorGuard.usable(targets,
 					new HealthView.ServiceHealth("p0", 1, held, Map.of()), floor, 100);
--- a/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
@@ -1,5 +1,6 @@
 package org.plantainspur.core.health;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,6 +18,7 @@
 import org.plantainspur.core.time.HandClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 /**
  * Guards against a coordinator that ejects too early, too much, for too short a time, or
@@ -44,8 +46,12 @@
 	}
 
 	private PeerMessage.Verdicts report(int host, long sequence, String... held) {
-		return this.coordinator.report(new PeerMessage.Report("h" + host, "p" + host, sequence, HealthFixtures.SERVICE,
-				List.of(), List.of(held)));
+		List<PeerMessage.HeldEjection> ejections = new ArrayList<>();
+		for (String id : held) {
+			ejections.add(new PeerMessage.HeldEjection(id, 4 * (ejections.size() + 1)));
+		}
+		return this.coordinator.report(
+				new PeerMessage.Report("h" + host, "p" + host, sequence, HealthFixtures.SERVICE, List.of(), ejections));
 	}
 
 	private Set<String> ejected(PeerMessage.Verdicts verdicts) {
@@ -210,6 +216,51 @@
 			assertThat(ejected(report(0, 1))).hasSize(1);
 		}
 
+		/** Hosts that know a shorter list keep to its budget by this. */
+		@Test
+		void isGivenToTheSickestFirst() {
+			sick("t2", "t0", "t1");
+			assertThat(report(0, 1).verdicts()).filteredOn(PeerMessage.Verdict::ejected)
+				.extracting(PeerMessage.Verdict::targetId, PeerMessage.Verdict::requiredBudget)
+				.containsExactlyInAnyOrder(tuple("t2", 4), tuple("t0", 8), tuple("t1", 12));
+		}
+
+		@Test
+		void givesTheLeastSickBackWhenTargetsLeave() {
+			sick("t2", "t0", "t1");
+			report(0, 1);
+			HealthCoordinatorTests.this.targets = HealthFixtures.targets(7, 4);
+			PeerMessage.Verdicts verdicts = report(0, 1);
+			assertThat(ejected(verdicts)).containsExactlyInAnyOrder("t2", "t0");
+			assertThat(weight(verdicts, "t1")).as("still sick").isEqualTo(0.1);
+		}
+
+		/** Others may have been ejected while the target was away. */
+		@Test
+		void isNotSpentOnATargetThatLeftAndStaysAfterAll() {
+			sick("t0", "t1");
+			report(0, 1);
+			List<Target> all = HealthFixtures.targets(11, 4);
+			Target first = all.get(0);
+			HealthCoordinatorTests.this.targets = new ArrayList<>(all);
+			HealthCoordinatorTests.this.targets.set(0, new Target(first.id(), first.service(), first.address(),
+					first.region(), first.failureDomain(), first.slots(), first.connections(), true));
+			HealthCoordinatorTests.this.clock.advance(2700);
+			sick("t2", "t3");
+			assertThat(ejected(report(0, 1))).containsExactlyInAnyOrder("t1", "t2", "t3");
+			HealthCoordinatorTests.this.targets = all;
+			assertThat(ejected(report(0, 1))).containsExactlyInAnyOrder("t1", "t2", "t3");
+		}
+
+		/** The host that holds it may see a larger budget, and this process later too. */
+		@Test
+		void isNotSpentBesideAnEjectionOfATargetThatIsNotListedHere() {
+			sick("t1");
+			assertThat(ejected(report(0, 1, "t77"))).isEmpty();
+			HealthCoordinatorTests.this.clock.advance(2600);
+			assertThat(ejected(report(0, 1))).containsExactly("t1");
+		}
+
 		@Test
 		void isNothingWhileTheConfigurationIsNotCurrent() {
 			HealthCoordinatorTests.this.current = false;
--- a/core/src/test/java/org/plantainspur/core/health/HealthSchedule.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthSchedule.java
@@ -457,7 +457,7 @@
 			Member to = HealthSchedule.this.sequence.get(this.sequence).coordinator();
 			HealthView.ReportTicket ticket = this.view.reporting(HealthFixtures.SERVICE, to.processId());
 			PeerMessage.Report report = new PeerMessage.Report(this.member.hostId(), this.member.processId(),
-					this.sequence, HealthFixtures.SERVICE, evidence(), this.view.ejectedHeld(HealthFixtures.SERVICE));
+					this.sequence, HealthFixtures.SERVICE, evidence(), this.view.ejections(HealthFixtures.SERVICE));
 			HealthSchedule.this.processes.stream()
 				.filter((process) -> process.member.equals(to))
 				.findFirst()
