Exchange an ejected target for one that fails clearly more

Cause: When the budget was full, a target stayed ejected for its hold time, up to 10 min, though another one failed more. The judge's sickness does not tell the two apart: it is the log-likelihood ratio, which is bounded at 23 with a threshold of 18.

Change: The coordinator keeps the share of failures among the latest outcomes of each target. If the budget is full, a sick target whose share is higher by at least 0.25 makes it give back those that fail least, once they have been ejected for 5 s. They stay charged until no host holds their ejection; only then is the other target ejected, and nothing else is ejected in between. A target that was given back takes no other one's place for a minute.

A target that is sick for slow answers only has a low share, so a failing target replaces it; the reverse does not happen.

--- a/core/src/main/java/org/plantainspur/core/health/EjectionLedger.java
+++ b/core/src/main/java/org/plantainspur/core/health/EjectionLedger.java
@@ -2,8 +2,10 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.plantainspur.core.routing.Target;
 import org.plantainspur.core.time.ClockMargin;
@@ -39,6 +41,10 @@
 		this.charges.merge(targetId, added, Charge::plus);
 	}
 
+	Set<String> charged() {
+		return Set.copyOf(this.charges.keySet());
+	}
+
 	boolean charged(String targetId, long nowMillis) {
 		Charge charge = this.charges.get(targetId);
 		return charge != null && nowMillis < charge.until();
@@ -54,7 +60,7 @@
 	 */
 	int requiredBudget(Target target, long nowMillis) {
 		this.charges.values().removeIf((charge) -> charge.until() <= nowMillis);
-		int required = requiredBesideOthers(target);
+		int required = requiredWithout(Set.of(target.id()), target);
 		Charge own = this.charges.get(target.id());
 		if (own == null) {
 			return required;
@@ -63,10 +69,23 @@
 		return (required <= own.requiredBudget()) ? own.requiredBudget() : UNAVAILABLE;
 	}
 
-	private int requiredBesideOthers(Target target) {
+	/**
+	 * Returns whether a target will fit a budget once some charges have ended.
+	 * @param ended the targets whose charges have ended by then
+	 * @param target the target
+	 * @param budget the budget in slots
+	 * @return whether it will fit
+	 */
+	boolean fitsWithout(Set<String> ended, Target target, int budget) {
+		Set<String> without = new HashSet<>(ended);
+		without.add(target.id());
+		return requiredWithout(without, target) <= budget;
+	}
+
+	private int requiredWithout(Set<String> ended, Target target) {
 		List<Charge> sorted = this.charges.entrySet()
 			.stream()
-			.filter((entry) -> !entry.getKey().equals(target.id()))
+			.filter((entry) -> !ended.contains(entry.getKey()))
 			.map(Map.Entry::getValue)
 			.sorted(Comparator.comparingInt(Charge::requiredBudget))
 			.toList();
--- a/core/src/main/java/org/plantainspur/core/health/EjectionState.java
+++ b/core/src/main/java/org/plantainspur/core/health/EjectionState.java
@@ -86,6 +86,10 @@
 		readmit(nowMillis);
 	}
 
+	boolean ejectedFor(long millis, long nowMillis) {
+		return this.ejected && nowMillis - (this.holdUntil - this.hold) >= millis;
+	}
+
 	boolean cold(long nowMillis) {
 		return nowMillis - this.startedAt < COLD_MILLIS;
 	}
--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -43,6 +43,10 @@
 
 	private final EjectionLedger ledger = new EjectionLedger();
 
+	private final FailureShares shares = new FailureShares();
+
+	private final Exchange exchange = new Exchange(this.shares, this.ledger);
+
 	private final PooledLoad load = new PooledLoad();
 
 	private final Map<String, EjectionState> states = new HashMap<>();
@@ -161,6 +165,7 @@
 		if (this.states.size() > ids.size()) {
 			this.states.keySet().retainAll(ids);
 			this.judge.retain(ids);
+			this.shares.retain(ids);
 		}
 	}
 
@@ -180,6 +185,7 @@
 			if (observed == null) {
 				continue;
 			}
+			this.shares.observe(target, now);
 			this.judge.observe(new HealthJudge.Observation(observed, report.processId(), group, target,
 					state(target.targetId()).cold(now), now));
 		}
@@ -210,22 +216,45 @@
 				(Target target) -> -assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY).sickness())
 			.thenComparing(Target::id));
 		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
+		Set<String> sick = new HashSet<>();
+		assessments.forEach((id, assessment) -> {
+			if (assessment.sick() && !state(id).ejected()) {
+				sick.add(id);
+			}
+		});
+		this.exchange.review(sick::contains, now);
+		List<Target> rejected = new ArrayList<>();
 		boolean urgent = false;
 		for (Target target : sickest) {
 			urgent |= !state(target.id()).ejected() && this.judge.suspects(target.id());
 			HealthJudge.Assessment assessment = assessments.get(target.id());
-			if (assessment != null && assessment.sick() && !state(target.id()).ejected()) {
+			if (assessment != null && sick.contains(target.id()) && this.exchange.permits(target.id())) {
 				int required = this.ledger.requiredBudget(target, now);
 				if (required <= budget) {
 					state(target.id()).eject(now, required, assessment.reason());
 					charge(List.of(target), now);
+					this.exchange.ejected(target.id());
 					urgent = true;
 				}
+				else {
+					rejected.add(target);
+				}
 			}
 		}
+		giveBack(rejected, staying, budget, now);
 		this.requestReports |= urgent && this.requests.take(now);
 	}
 
+	private void giveBack(List<Target> rejected, List<Target> staying, int budget, long now) {
+		List<Target> ejected = staying.stream()
+			.filter((target) -> state(target.id()).ejectedFor(EjectionState.FIRST_HOLD_MILLIS, now))
+			.toList();
+		Set<String> ending = new HashSet<>(this.ledger.charged());
+		ending.removeIf((id) -> this.states.containsKey(id) && state(id).ejected());
+		this.exchange.giveBack(rejected, ejected, ending, budget, now)
+			.forEach((target) -> state(target.id()).giveBack(now));
+	}
+
 	// Takes over the ejections that an earlier coordinator issued and that hosts hold.
 	// Charges from an earlier time as the coordinator may stand beside these and no
 	// longer be held; what does not fit beside all of them ends.
@@ -250,6 +279,7 @@
 			if (state.ejected() && state.holdEnded(now)) {
 				state.readmit(now);
 				this.judge.readmitted(target.id());
+				this.shares.forget(target.id());
 			}
 			else if (state.ejected() && state.requiredBudget() > budget) {
 				state.giveBack(now);
--- a/core/src/test/java/org/plantainspur/core/health/HealthSchedule.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthSchedule.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 
@@ -54,6 +56,9 @@
 
 	private final long[][] cutUntil = new long[HOSTS][HOSTS];
 
+	/** The failures among ten outcomes, by target. */
+	private final Map<String, Integer> failures = new HashMap<>();
+
 	private int started;
 
 	private int nextTarget;
@@ -155,6 +160,9 @@
 		this.processes.forEach(Process::advance);
 		changeFleet();
 		changeList();
+		if (happens(0.1)) {
+			this.failures.put(any(this.lists.get(this.lists.size() - 1).targets()).id(), this.random.nextInt(11));
+		}
 		run(this.planned);
 		run(this.inFlight);
 		List.copyOf(this.processes).forEach(Process::act);
@@ -468,7 +476,11 @@
 		}
 
 		private List<PeerMessage.TargetEvidence> evidence() {
-			return listed().stream().map((target) -> HealthFixtures.evidence(target.id())).toList();
+			return listed().stream().map((target) -> {
+				int failures = HealthSchedule.this.failures.computeIfAbsent(target.id(),
+						(id) -> HealthSchedule.this.random.nextInt(11));
+				return HealthFixtures.evidence(target.id(), HealthFixtures.account("a", 10 - failures, failures));
+			}).toList();
 		}
 
 	}
