--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -43,6 +43,10 @@
 
 	private final EjectionLedger ledger = new EjectionLedger();
 
+	private final FailureShares shares = new FailureShares();
+
+	private final Exchange exchange = new Exchange(this.shares, this.ledger);
+
 	private final PooledLoad load = new PooledLoad();
 
 	private final Map<String, EjectionState> states = new HashMap<>();
@@ -79,18 +83,22 @@
 
 	/**
 	 * Takes a change of the configuration sequence. To be called for every number in
-	 * order: after a gap the coordinator waits as a new one does.
+	 * order: after a gap the coordinator waits as a new one does. A number that is not
+	 * newer than the last one is ignored, so that calls from several threads never bring
+	 * an earlier responsibility back.
 	 * @param sequence the number
 	 * @param members the members in force
 	 * @param responsible whether this process is the service's coordinator
 	 */
 	public synchronized void follow(long sequence, Membership members, boolean responsible) {
-		this.membership = members;
-		this.settlement.follow(sequence, members, responsible, this.clock.millis());
+		if (this.settlement.follow(sequence, members, responsible, this.clock.millis())) {
+			this.membership = members;
+		}
 	}
 
 	/**
-	 * Answers a report.
+	 * Answers a report. Only a member gets ejections, since the next coordinator waits
+	 * for the reports of members only.
 	 * @param report the report; its evidence counts only if a member sent it
 	 * @return the verdicts for the reporter
 	 */
@@ -102,13 +110,13 @@
 		boolean settled = this.settlement.settled(now) && this.current.getAsBoolean();
 		watch(listed, settled, now);
 		if (group != null) {
-			this.ledger.charge(known(report.ejectedHeld(), listed), now);
+			chargeHeld(report, listed, now);
 			this.settlement.reported(report.processId(), report.sequence());
 			take(report, group, listed, now);
 			settled = this.settlement.settled(now) && this.current.getAsBoolean();
 		}
 		decide(staying, settled, now);
-		return verdicts(staying, (group != null) ? group : "", settled, now);
+		return verdicts(staying, group, settled, now);
 	}
 
 	/**
@@ -128,10 +136,14 @@
 		return (member != null && member.processId().equals(report.processId())) ? member.failureDomain() : null;
 	}
 
-	private static List<String> known(List<String> ids, List<Target> listed) {
-		Set<String> known = new HashSet<>();
-		listed.forEach((target) -> known.add(target.id()));
-		return ids.stream().filter(known::contains).toList();
+	// A target that this process does not list may be listed at other hosts, and here
+	// before the ejection ends.
+	private void chargeHeld(PeerMessage.Report report, List<Target> listed, long now) {
+		Map<String, Integer> slots = new HashMap<>();
+		listed.forEach((target) -> slots.put(target.id(), target.slots()));
+		report.ejectedHeld()
+			.forEach((held) -> this.ledger.charge(held.targetId(),
+					slots.getOrDefault(held.targetId(), EjectionLedger.UNKNOWN_SLOTS), held.requiredBudget(), now));
 	}
 
 	private List<Target> staying(List<Target> listed, long now) {
@@ -153,6 +165,7 @@
 		if (this.states.size() > ids.size()) {
 			this.states.keySet().retainAll(ids);
 			this.judge.retain(ids);
+			this.shares.retain(ids);
 		}
 	}
 
@@ -172,6 +185,7 @@
 			if (observed == null) {
 				continue;
 			}
+			this.shares.observe(target, now);
 			this.judge.observe(new HealthJudge.Observation(observed, report.processId(), group, target,
 					state(target.targetId()).cold(now), now));
 		}
@@ -189,72 +203,120 @@
 			return;
 		}
 		if (!this.wasSettled) {
-			adopt(now);
+			adopt(staying, now);
 		}
 		this.wasSettled = true;
 		readmit(staying, now);
+		// Charges end while no report arrives, but the next answer carries these again.
+		charge(staying, now);
 		List<Target> sickest = new ArrayList<>(staying);
 		Map<String, HealthJudge.Assessment> assessments = new HashMap<>();
 		staying.forEach((target) -> assessments.put(target.id(), this.judge.assess(target.id())));
 		sickest.sort(Comparator.comparingDouble(
 				(Target target) -> -assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY).sickness())
 			.thenComparing(Target::id));
+		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
+		Set<String> sick = new HashSet<>();
+		assessments.forEach((id, assessment) -> {
+			if (assessment.sick() && !state(id).ejected()) {
+				sick.add(id);
+			}
+		});
+		this.exchange.review(sick::contains, now);
+		List<Target> rejected = new ArrayList<>();
 		boolean urgent = false;
 		for (Target target : sickest) {
 			urgent |= !state(target.id()).ejected() && this.judge.suspects(target.id());
 			HealthJudge.Assessment assessment = assessments.get(target.id());
-			if (assessment != null && assessment.sick() && !state(target.id()).ejected()
-					&& this.ledger.permits(target, staying, this.floor.getAsDouble(), now)) {
-				state(target.id()).eject(now, assessment.reason());
-				this.ledger.charge(List.of(target.id()), now);
-				urgent = true;
+			if (assessment != null && sick.contains(target.id()) && this.exchange.permits(target.id())) {
+				int required = this.ledger.requiredBudget(target, now);
+				if (required <= budget) {
+					state(target.id()).eject(now, required, assessment.reason());
+					charge(List.of(target), now);
+					this.exchange.ejected(target.id());
+					urgent = true;
+				}
+				else {
+					rejected.add(target);
+				}
 			}
 		}
+		giveBack(rejected, staying, budget, now);
 		this.requestReports |= urgent && this.requests.take(now);
 	}
 
+	private void giveBack(List<Target> rejected, List<Target> staying, int budget, long now) {
+		List<Target> ejected = staying.stream()
+			.filter((target) -> state(target.id()).ejectedFor(EjectionState.FIRST_HOLD_MILLIS, now))
+			.toList();
+		Set<String> ending = new HashSet<>(this.ledger.charged());
+		ending.removeIf((id) -> this.states.containsKey(id) && state(id).ejected());
+		this.exchange.giveBack(rejected, ejected, ending, budget, now)
+			.forEach((target) -> state(target.id()).giveBack(now));
+	}
+
 	// Takes over the ejections that an earlier coordinator issued and that hosts hold.
-	private void adopt(long now) {
-		for (String id : this.ledger.charged(now)) {
-			if (!state(id).ejected()) {
-				state(id).eject(now, "ejected by an earlier coordinator");
+	// Charges from an earlier time as the coordinator may stand beside these and no
+	// longer be held; what does not fit beside all of them ends.
+	private void adopt(List<Target> staying, long now) {
+		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
+		for (Target target : staying) {
+			int required = this.ledger.requiredBudget(target, now);
+			if (this.ledger.charged(target.id(), now) && required <= budget) {
+				state(target.id()).eject(now, required, "ejected by an earlier coordinator");
 			}
 		}
 	}
 
+	// Ejections that require a larger budget than there is now end at once, as at hosts
+	// that know the present targets.
 	private void readmit(List<Target> staying, long now) {
 		int budget = EjectionLedger.budget(staying, this.floor.getAsDouble());
-		int used = 0;
+		Set<String> ids = new HashSet<>();
 		for (Target target : staying) {
+			ids.add(target.id());
+			EjectionState state = state(target.id());
+			if (state.ejected() && state.holdEnded(now)) {
+				state.readmit(now);
+				this.judge.readmitted(target.id());
+				this.shares.forget(target.id());
+			}
+			else if (state.ejected() && state.requiredBudget() > budget) {
+				state.giveBack(now);
+			}
+		}
+		// A target that leaves takes no part in the budget; if it stays after all, the
+		// budget may be in use by then.
+		this.states.forEach((id, state) -> {
+			if (state.ejected() && !ids.contains(id)) {
+				state.readmit(now);
+			}
+		});
+	}
+
+	private void charge(List<Target> targets, long now) {
+		for (Target target : targets) {
 			EjectionState state = state(target.id());
 			if (state.ejected()) {
-				used += target.slots();
-				if (used > budget || state.holdEnded(now)) {
-					used -= target.slots();
-					state.readmit(now);
-					this.judge.readmitted(target.id());
-				}
+				this.ledger.charge(target.id(), target.slots(), state.requiredBudget(), now);
 			}
 		}
 	}
 
-	private PeerMessage.Verdicts verdicts(List<Target> staying, String group, boolean settled, long now) {
+	private PeerMessage.Verdicts verdicts(List<Target> staying, @Nullable String group, boolean settled, long now) {
 		List<PeerMessage.Verdict> verdicts = new ArrayList<>();
-		List<String> ejected = new ArrayList<>();
 		for (Target target : staying) {
 			EjectionState state = state(target.id());
 			HealthJudge.Assessment assessment = this.judge.assess(target.id());
-			boolean avoided = assessment.sick() || assessment.avoidedBy().contains(group);
-			if (state.ejected()) {
-				ejected.add(target.id());
-			}
-			verdicts.add(new PeerMessage.Verdict(target.id(), state.ejected(),
+			boolean avoided = assessment.sick() || (group != null && assessment.avoidedBy().contains(group));
+			boolean withheld = group != null && state.ejected();
+			verdicts.add(new PeerMessage.Verdict(target.id(), withheld, withheld ? state.requiredBudget() : 0,
 					avoided ? FloorGuard.LEAST_WEIGHT : state.weight(now), this.load.load(target.id()),
 					assessment.sickness(), state.ejected() ? state.reason() : assessment.reason()));
 		}
-		this.ledger.charge(ejected, now);
-		return new PeerMessage.Verdicts(this.service, verdicts, EjectionLedger.LIFETIME_MILLIS, !settled,
-				List.copyOf(this.leavingUntil.keySet()));
+		charge(staying, now);
+		return new PeerMessage.Verdicts(this.service, verdicts, EjectionLedger.LIFETIME_MILLIS,
+				!settled || group == null, List.copyOf(this.leavingUntil.keySet()));
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/health/HealthView.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthView.java
@@ -38,8 +38,9 @@
 
 	/**
 	 * Notes that a report is about to be sent; to be called before
-	 * {@link #ejectedHeld(String)} is read for that report. From then on, answers of
-	 * other coordinators are dropped: a new coordinator that has this host's report may
+	 * {@link #ejections(String)} is read for that report. From then on, answers of other
+	 * coordinators and to earlier reports are dropped, also if the earlier coordinator
+	 * becomes the coordinator again: a new coordinator that has this host's report may
 	 * rely on that this host accepts no further ejection from an earlier one.
 	 * @param service the service's name
 	 * @param coordinatorProcessId the process that the report goes to
@@ -48,8 +49,11 @@
 	public ReportTicket reporting(String service, String coordinatorProcessId) {
 		ReportTicket ticket = new ReportTicket(service, coordinatorProcessId, this.reports.incrementAndGet(),
 				this.clock.millis());
-		update(service, (old) -> new ServiceHealth(coordinatorProcessId, old.appliedReport(), old.targets(),
-				old.leavingUntil()));
+		update(service, (old) -> {
+			boolean same = Objects.equals(old.coordinatorProcessId(), coordinatorProcessId);
+			return new ServiceHealth(coordinatorProcessId, same ? old.appliedReport() : ticket.number() - 1,
+					old.targets(), old.leavingUntil());
+		});
 		return ticket;
 	}
 
@@ -72,8 +76,9 @@
 		long expiry = ticket.sentMillis() + verdicts.lifetimeMillis();
 		Map<String, TargetHealth> targets = new HashMap<>();
 		for (PeerMessage.Verdict verdict : verdicts.verdicts()) {
-			targets.put(verdict.targetId(), new TargetHealth(verdict.ejected(), weight(verdict.weight()),
-					Math.max(0, verdict.load()), verdict.sickness(), verdict.reason(), expiry));
+			targets.put(verdict.targetId(),
+					new TargetHealth(verdict.ejected(), verdict.requiredBudget(), weight(verdict.weight()),
+							Math.max(0, verdict.load()), verdict.sickness(), verdict.reason(), expiry));
 		}
 		if (verdicts.settling()) {
 			old.targets().forEach((id, health) -> {
@@ -103,7 +108,7 @@
 	}
 
 	/**
-	 * Returns the targets that this host holds ejected now, for a report.
+	 * Returns the targets that this host holds ejected now.
 	 * @param service the service's name
 	 * @return the ids
 	 */
@@ -118,6 +123,18 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the ejections that this host holds now, for a report.
+	 * @param service the service's name
+	 * @return the ejections, ordered by target
+	 */
+	public List<PeerMessage.HeldEjection> ejections(String service) {
+		ServiceHealth held = service(service);
+		return ejectedHeld(service).stream()
+			.map((id) -> new PeerMessage.HeldEjection(id, held.target(id).requiredBudget()))
+			.toList();
+	}
+
 	private void update(String service, UnaryOperator<ServiceHealth> change) {
 		this.services.updateAndGet((all) -> {
 			Map<String, ServiceHealth> copy = new HashMap<>(all);
@@ -141,7 +158,8 @@
 	 * What is held about the targets of one service.
 	 *
 	 * @param coordinatorProcessId the process that reports go to
-	 * @param appliedReport the number of the report whose answer is in force
+	 * @param appliedReport the number of the last report whose answer is not accepted any
+	 * more: the one whose answer is in force, or the last one to an earlier coordinator
 	 * @param targets by target id
 	 * @param leavingUntil the end of each leaving mark by target id
 	 */
@@ -176,16 +194,18 @@
 	 * What is held about one target.
 	 *
 	 * @param ejected whether it gets no work until the expiry
+	 * @param requiredBudget the least ejection budget, in slots, with which this host
+	 * keeps the ejection
 	 * @param weight its weight, 0.1 to 1
 	 * @param load requests in flight on it from all hosts
 	 * @param sickness larger is worse
 	 * @param reason the evidence, for operators; empty if there is none
 	 * @param expiresMillis when the verdict ends, on the process clock
 	 */
-	public record TargetHealth(boolean ejected, double weight, int load, double sickness, String reason,
-			long expiresMillis) {
+	public record TargetHealth(boolean ejected, int requiredBudget, double weight, int load, double sickness,
+			String reason, long expiresMillis) {
 
-		static final TargetHealth HEALTHY = new TargetHealth(false, 1, 0, 0, "", Long.MAX_VALUE);
+		static final TargetHealth HEALTHY = new TargetHealth(false, 0, 1, 0, 0, "", Long.MAX_VALUE);
 
 		/**
 		 * Returns whether the target is ejected.
--- a/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/EjectionBudgetTests.java
@@ -12,23 +12,22 @@
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 
+import org.plantainspur.core.peer.PeerMessage;
 import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.time.HandClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Guards against ejections that together take a service below its floor, when
- * coordinators change and reports and verdicts are lost or late. The judge finds targets
- * sick at random, which is worse than any real one.
+ * coordinators change, restart or overlap, members are removed, target lists change, and
+ * reports and verdicts are lost or late. The judge finds targets sick at random, which is
+ * worse than any real one.
  */
 class EjectionBudgetTests {
 
 	private static final int STEPS = 600;
 
-	private static int slots(List<Target> targets) {
-		return targets.stream().mapToInt(Target::slots).sum();
-	}
-
 	private static int slots(List<Target> targets, Set<String> ids) {
 		return targets.stream().filter((target) -> ids.contains(target.id())).mapToInt(Target::slots).sum();
 	}
@@ -36,16 +35,43 @@
 	@Group
 	class UnionOverHosts {
 
-		@Property(seed = "20261204", tries = 150)
-		void leavesTheFloorInUse(@ForAll long schedule) {
-			HealthSchedule fleet = new HealthSchedule(schedule);
+		@Property(seed = "20261204", tries = 400)
+		void holdsNoMoreThanTheBudgetOfAListThatStays(@ForAll long schedule) {
+			HealthSchedule fleet = new HealthSchedule(schedule, false);
+			for (int i = 0; i < STEPS; i++) {
+				fleet.step();
+				Set<String> held = fleet.held();
+				assertThat(slots(fleet.targets(), held)).as("schedule %d, step %d, held %s", schedule, i, held)
+					.isLessThanOrEqualTo(fleet.budget());
+			}
+		}
+
+		/**
+		 * No process can keep to a list that it does not know, so the budget is the
+		 * largest of those that running processes know.
+		 */
+		@Property(seed = "20261204", tries = 400)
+		void leavesTheFloorOfTheKnownListsInUse(@ForAll long schedule) {
+			HealthSchedule fleet = new HealthSchedule(schedule, true);
 			for (int i = 0; i < STEPS; i++) {
 				fleet.step();
-				Set<String> union = new HashSet<>();
-				fleet.views().forEach((view) -> union.addAll(view.ejectedHeld(HealthFixtures.SERVICE)));
-				int left = slots(fleet.targets()) - slots(fleet.targets(), union);
-				assertThat(left).as("slots in use at step %d, ejected %s", i, union)
-					.isGreaterThanOrEqualTo(FloorGuard.floorSlots(fleet.targets(), HealthSchedule.FLOOR));
+				Set<String> unused = fleet.unused();
+				assertThat(slots(fleet.targets(), unused)).as("schedule %d, step %d, unused %s", schedule, i, unused)
+					.isLessThanOrEqualTo(Math.max(fleet.budget(), fleet.largestKnownBudget()));
+			}
+		}
+
+		@Property(seed = "20261204", tries = 400)
+		void leavesTheFloorOfTheListInUseOnceEveryProcessHasHadTimeToReadIt(@ForAll long schedule) {
+			HealthSchedule fleet = new HealthSchedule(schedule, true);
+			for (int i = 0; i < STEPS; i++) {
+				fleet.step();
+				if (fleet.sinceListOrResumption() > HealthSchedule.LIST_DELAY_MILLIS) {
+					Set<String> unused = fleet.unused();
+					assertThat(slots(fleet.targets(), unused))
+						.as("schedule %d, step %d, unused %s", schedule, i, unused)
+						.isLessThanOrEqualTo(fleet.budget());
+				}
 			}
 		}
 
@@ -54,24 +80,68 @@
 	@Group
 	class Progress {
 
-		/** Otherwise the property above would hold for want of ejections. */
+		/** Otherwise the properties above would hold for want of ejections. */
 		@Example
 		void targetsAreEjectedInMostSchedules() {
 			int withEjections = 0;
 			for (long seed = 0; seed < 40; seed++) {
-				HealthSchedule fleet = new HealthSchedule(seed);
+				HealthSchedule fleet = new HealthSchedule(seed, seed % 2 == 0);
 				boolean held = false;
 				for (int i = 0; i < STEPS; i++) {
 					fleet.step();
-					held |= fleet.views()
-						.stream()
-						.anyMatch((view) -> !view.ejectedHeld(HealthFixtures.SERVICE).isEmpty());
+					held |= !fleet.held().isEmpty();
 				}
 				withEjections += held ? 1 : 0;
 			}
 			assertThat(withEjections).isGreaterThan(20);
 		}
 
+		/** Otherwise the properties above would say nothing about these failures. */
+		@Example
+		void coordinatorsRestartAndOverlapInManySchedules() {
+			int restarted = 0;
+			int overlapped = 0;
+			for (long seed = 0; seed < 40; seed++) {
+				HealthSchedule fleet = new HealthSchedule(seed, seed % 2 == 0);
+				for (int i = 0; i < STEPS; i++) {
+					fleet.step();
+				}
+				restarted += (fleet.coordinatorRestarts() > 0) ? 1 : 0;
+				overlapped += (fleet.rivalSteps() > 0) ? 1 : 0;
+			}
+			assertThat(restarted).isGreaterThan(10);
+			assertThat(overlapped).isGreaterThan(10);
+		}
+
+	}
+
+	/** Guards against hosts that each keep to the floor and together do not. */
+	@Group
+	class ShorterList {
+
+		private static Set<String> unused(PeerMessage.Verdict... verdicts) {
+			HealthView view = new HealthView(new HandClock());
+			view.apply(view.reporting(HealthFixtures.SERVICE, "p0"),
+					new PeerMessage.Verdicts(HealthFixtures.SERVICE, List.of(verdicts), 2500, false, List.of()));
+			Set<String> unused = new HashSet<>();
+			List<Target> targets = HealthFixtures.targets(7, 4);
+			targets.forEach((target) -> unused.add(target.id()));
+			FloorGuard.usable(targets, view.service(HealthFixtures.SERVICE), HealthSchedule.FLOOR, 0)
+				.forEach((usable) -> unused.remove(usable.target().id()));
+			return unused;
+		}
+
+		private static PeerMessage.Verdict ejection(String id, int requiredBudget) {
+			return new PeerMessage.Verdict(id, true, requiredBudget, 0.1, 0, 30, "");
+		}
+
+		@Example
+		void endsTheSameEjectionsAtEachHostWhateverElseItHolds() {
+			assertThat(unused(ejection("t0", 4), ejection("t1", 8), ejection("t2", 12))).containsOnly("t0", "t1");
+			assertThat(unused(ejection("t1", 8), ejection("t2", 12))).containsOnly("t1");
+			assertThat(unused(ejection("t2", 12))).isEmpty();
+		}
+
 	}
 
 	@Group
@@ -84,8 +154,8 @@
 			double floor = random.nextInt(11) / 10.0;
 			Map<String, HealthView.TargetHealth> held = new HashMap<>();
 			for (int i = 0; i < 2 * targets.size(); i++) {
-				held.put("t" + i, new HealthView.TargetHealth(random.nextInt(4) > 0, random.nextDouble(),
-						random.nextInt(9), random.nextDouble(), "", random.nextInt(200)));
+				held.put("t" + i, new HealthView.TargetHealth(random.nextInt(4) > 0, random.nextInt(9),
+						random.nextDouble(), random.nextInt(9), random.nextDouble(), "", random.nextInt(200)));
 			}
 			List<FloorGuard.Usable> usable = FloorGuard.usable(targets,
 					new HealthView.ServiceHealth("p0", 1, held, Map.of()), floor, 100);
