Kill the coordinator of target health while a target is sick

Coordinator changes were searched only in schedules of objects.

KilledCoordinator kills the process that coordinates a service while one of its targets fails half of its work. All remaining hosts are watched: together they never hold more ejections than the floor permits, and no healthy target is ejected. A second test lets another target fail too when the coordinator is killed.

--- a/standins/src/test/java/org/plantainspur/standins/TargetFailureTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/TargetFailureTests.java
@@ -3,7 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -47,6 +51,117 @@
 
 	}
 
+	@Nested
+	class KilledCoordinator {
+
+		private static final Set<String> SICK = Set.of("booking-4");
+
+		private static final Set<String> TWO_SICK = Set.of("booking-4", "booking-5");
+
+		/** The lifetime of a verdict, and the requests of this test. */
+		private static final long EXPIRED_MILLIS = 2500 + 1000;
+
+		/** Until the other hosts have the removal of a killed host in force. */
+		private static final long REMOVED_MILLIS = 3000 + 2 * 500 + 250 + 500;
+
+		/** F plus the verdict lifetime, with the margin for clock rates. */
+		private static final long SETTLED_MILLIS = 5660;
+
+		/** A report, whose answer carries the verdict, and the requests of this test. */
+		private static final long REPORTED_MILLIS = 500 + 1000;
+
+		@Test
+		void leavesTheTargetOutAgainWithinTheBound(TestFleet fleet) throws Exception {
+			try (TestCaller caller = new TestCaller(fleet.callerAddresses(), 8, 10)) {
+				List<String> others = ejectAndKill(fleet);
+				long killed = System.nanoTime();
+				awaitWatched(fleet, others, SICK, "the verdict has expired", EXPIRED_MILLIS, Set::isEmpty);
+				double share = share(fleet);
+				awaitWatched(fleet, others, SICK, "booking-4 is ejected again",
+						REMOVED_MILLIS + SETTLED_MILLIS + REPORTED_MILLIS - millisSince(killed), SICK::equals);
+				System.out.println("coordinator killed: booking-4 had " + share
+						+ " of the work after its verdict expired and was ejected again after " + millisSince(killed)
+						+ " ms");
+				assertThat(others).contains(fleet.coordinator());
+				assertThat(share(fleet)).as("share of a target of five").isLessThan(0.05);
+				assertThat(caller.since(killed)).isNotEmpty();
+			}
+		}
+
+		// Either target may be the sicker one by then.
+		@Test
+		void leavesOnlyOneOfTwoSickTargetsOut(TestFleet fleet) throws Exception {
+			try (TestCaller caller = new TestCaller(fleet.callerAddresses(), 8, 10)) {
+				List<String> others = ejectAndKill(fleet);
+				long killed = System.nanoTime();
+				fleet.behave("booking-5", FAILS_HALF);
+				awaitWatched(fleet, others, TWO_SICK, "the verdict has expired", EXPIRED_MILLIS, Set::isEmpty);
+				awaitWatched(fleet, others, TWO_SICK, "one target is ejected",
+						REMOVED_MILLIS + SETTLED_MILLIS + REPORTED_MILLIS - millisSince(killed),
+						(ejected) -> ejected.size() == 1);
+				long ejected = System.nanoTime();
+				awaitWatched(fleet, others, TWO_SICK, "2 s have passed", 3000, (ids) -> millisSince(ejected) > 2000);
+				assertThat(caller.since(killed)).isNotEmpty();
+			}
+		}
+
+		// Returns the hosts that are left.
+		private static List<String> ejectAndKill(TestFleet fleet) throws Exception {
+			Thread.sleep(4000);
+			fleet.behave("booking-4", FAILS_HALF);
+			TestFleet.await("booking-4 is ejected at every host", 5000, () -> ejectedEverywhere(fleet, "booking-4"));
+			String coordinator = fleet.coordinator();
+			fleet.signal(coordinator, "KILL");
+			List<String> others = new ArrayList<>(fleet.hostIds());
+			others.remove(coordinator);
+			return others;
+		}
+
+		private static long millisSince(long nanos) {
+			return (System.nanoTime() - nanos) / 1_000_000;
+		}
+
+		// Waits until the condition holds for every host's ejections. Of the 20 slots
+		// the floor of 0.7 permits the ejection of one target at a time, over all hosts.
+		private static void awaitWatched(TestFleet fleet, List<String> hosts, Set<String> sick, String what,
+				long millis, Predicate<Set<String>> condition) throws Exception {
+			TestFleet.await(what, millis, () -> {
+				Set<String> union = new TreeSet<>();
+				boolean all = true;
+				for (String host : hosts) {
+					Set<String> ejected = fleet.ejected(host);
+					union.addAll(ejected);
+					all &= condition.test(ejected);
+				}
+				assertThat(union).as("ejected at any host").isSubsetOf(sick).hasSizeLessThanOrEqualTo(1);
+				return all;
+			});
+		}
+
+		// Returns the fraction of the requests begun within two seconds that the target
+		// got.
+		private static double share(TestFleet fleet) throws Exception {
+			Map<String, Long> before = started(fleet);
+			Thread.sleep(2000);
+			Map<String, Long> after = started(fleet);
+			long all = 0;
+			for (String target : after.keySet()) {
+				all += after.getOrDefault(target, 0L) - before.getOrDefault(target, 0L);
+			}
+			assertThat(all).as("requests begun").isGreaterThan(100);
+			return (double) (after.getOrDefault("booking-4", 0L) - before.getOrDefault("booking-4", 0L)) / all;
+		}
+
+		private static Map<String, Long> started(TestFleet fleet) throws Exception {
+			Map<String, Long> counts = new TreeMap<>();
+			for (String target : fleet.targetIds()) {
+				counts.put(target, fleet.started(target));
+			}
+			return counts;
+		}
+
+	}
+
 	@Nested
 	class DrainingTarget {
 
