--- a/standins/src/test/java/org/plantainspur/standins/TestCaller.java
+++ b/standins/src/test/java/org/plantainspur/standins/TestCaller.java
@@ -159,6 +159,12 @@
 	}
 
 	record Sent(String key, long endedNanos, List<Outcome> outcomes) {
+
+		/** Returns the address that the request was sent to first. */
+		String first() {
+			return this.outcomes.get(0).address();
+		}
+
 	}
 
 	record Outcome(String address, String what, String run) {
