Let a process that keeps losing its seat wait before it takes one again

Cause: a host that its peers cannot reach, but that reaches the platform, was removed as silent and asked for a seat again at once. Each change of seats moves rate shares and delays the acceptance of changes.

Change: SeatBackoff. The first loss is followed by no wait, since a host that was frozen or cut off once should serve as soon as it can; the second by 10 s, doubled with each further loss up to 60 s. A seat that was kept for 5 min starts the count anew.

JoiningTests cuts one of five hosts from its peers for 2 minutes.

Weighed: an admission only after a majority has heard the process. It needs heartbeats between members and processes without a seat; the wait bounds the harm without a new message.

--- a/core/src/main/java/org/plantainspur/core/membership/MembershipKeeper.java
+++ b/core/src/main/java/org/plantainspur/core/membership/MembershipKeeper.java
@@ -44,6 +44,8 @@
 
 	private final AtomicReference<Settling> settling = new AtomicReference<>(new Settling(0, 0));
 
+	private final SeatBackoff seatBackoff = new SeatBackoff();
+
 	private final AtomicReference<State> state = new AtomicReference<>(State.JOINING);
 
 	/**
@@ -82,7 +84,9 @@
 			this.state.set(State.RESIGNED);
 		}
 		else {
-			this.state.set(State.JOINING);
+			if (this.state.getAndSet(State.JOINING) == State.MEMBER) {
+				this.seatBackoff.lost(this.clock.millis());
+			}
 			join(configuration);
 		}
 		return this.state.get();
@@ -137,6 +141,9 @@
 		if (membership.hasSeat(this.self) || first) {
 			append(configuration, "join", new Change.MemberJoined(this.self));
 		}
+		else if (!this.seatBackoff.over(this.clock.millis())) {
+			return;
+		}
 		else if (!membership.waiting().contains(this.self)) {
 			requestSeat(configuration);
 		}
