Ask the members at once after an ejection

Cause: a request for reports right after an ejection was refused if one for evidence had been made within 100 ms before, and nothing repeated it, since an ejected target is no longer suspected. Half of the hosts then got the verdict only with their next regular report.

Change: a request that announces an ejection does not wait for the interval, and stays due until the budget permits it. The budget is the same.

It does not touch what makes a target sick, so the margin against false ejections is the same.

Also tried and not taken: a spike-and-slab prior for the siblings' failure rate, so that a single failure of a sibling does not weaken the evidence.

--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -53,6 +53,9 @@
 
 	private boolean requestReports;
 
+	// Whether an ejection is new and the members have not been asked since.
+	private boolean announcing;
+
 	private Membership membership = Membership.empty();
 
 	private boolean wasSettled;
@@ -207,10 +210,17 @@
 					&& this.ledger.permits(target, staying, this.floor.getAsDouble(), now)) {
 				state(target.id()).eject(now, assessment.reason());
 				this.ledger.charge(List.of(target.id()), now);
-				urgent = true;
+				this.announcing = true;
 			}
 		}
-		this.requestReports |= urgent && this.requests.take(now);
+		if (this.announcing) {
+			boolean asked = this.requests.takeForVerdict(now);
+			this.announcing = !asked;
+			this.requestReports |= asked;
+		}
+		else {
+			this.requestReports |= urgent && this.requests.take(now);
+		}
 	}
 
 	// Takes over the ejections that an earlier coordinator issued and that hosts hold.
--- a/core/src/main/java/org/plantainspur/core/health/ReportRequestBudget.java
+++ b/core/src/main/java/org/plantainspur/core/health/ReportRequestBudget.java
@@ -27,12 +27,23 @@
 	 * @return whether the members may be asked now
 	 */
 	boolean take(long nowMillis) {
+		boolean tooSoon = this.requestedAt != Long.MIN_VALUE && nowMillis - this.requestedAt < INTERVAL_MILLIS;
+		return !tooSoon && takeForVerdict(nowMillis);
+	}
+
+	/**
+	 * Takes one request out of the budget for a verdict that the members do not have yet.
+	 * It does not wait for the interval, since an earlier request may have been answered
+	 * before the verdict was reached.
+	 * @param nowMillis the current reading of the process clock
+	 * @return whether the members may be asked now
+	 */
+	boolean takeForVerdict(long nowMillis) {
 		if (this.creditAt != Long.MIN_VALUE) {
 			this.credit = Math.min(BURST, this.credit + (nowMillis - this.creditAt) / (double) REFILL_MILLIS);
 		}
 		this.creditAt = nowMillis;
-		boolean tooSoon = this.requestedAt != Long.MIN_VALUE && nowMillis - this.requestedAt < INTERVAL_MILLIS;
-		if (tooSoon || this.credit < 1) {
+		if (this.credit < 1) {
 			return false;
 		}
 		this.credit -= 1;
--- a/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthCoordinatorTests.java
@@ -93,6 +93,16 @@
 			assertThat(requestedAfterReport()).isFalse();
 		}
 
+		/** Guards against hosts that learn of an ejection only by their next report. */
+		@Test
+		void areMadeForANewEjectionRightAfterAnotherRequest() {
+			sick("t1");
+			assertThat(requestedAfterReport()).isTrue();
+			HealthCoordinatorTests.this.clock.advance(ReportRequestBudget.INTERVAL_MILLIS / 2);
+			sick("t2");
+			assertThat(requestedAfterReport()).isTrue();
+		}
+
 		@Test
 		void areNotMadeByAProcessThatMayNotEject() {
 			HealthCoordinatorTests.this.current = false;
