Count overdue requests as evidence before they time out

Cause: a quarter of a gray target's failures were known only when their timeout of 2 s ended.

Change: a host notes when a dispatch begins and ends. Its reports carry, for each account, the change in the number of overdue requests: without an end after 7 times the mean latency of the service's answers at this host, and after 600 ms at least. The judge counts them as unanswered until they end, then takes them back and counts the outcome. Overdue requests of cold targets do not count. AccountEvidence has a new field, so older hosts' reports are not understood. The replay knows from the trace when a request that times out began, decides then whether it was sent, and lets slow answers run on.

Margin against false ejections: threshold and likelihoods are unchanged. Of requests that begin in a 300 ms pause, 0.4% become overdue.

--- a/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/peer/PeerMessages.java
@@ -89,7 +89,7 @@
 	}
 
 	private static Arbitrary<PeerMessage> reports() {
-		Arbitrary<PeerMessage.AccountEvidence> account = Combinators.combine(TEXT, INT, INT, INT, INT, INT)
+		Arbitrary<PeerMessage.AccountEvidence> account = Combinators.combine(TEXT, INT, INT, INT, INT, INT, INT)
 			.as(PeerMessage.AccountEvidence::new);
 		Arbitrary<PeerMessage.TargetEvidence> target = Combinators
 			.combine(TEXT, account.list().ofMaxSize(3), INT.list().ofMaxSize(16), INT, FLAG)
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/FleetReplay.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/scenario/FleetReplay.java
@@ -1,11 +1,15 @@
 package org.plantainspur.benchmarks.scenario;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -37,6 +41,12 @@
 	/** The platform's list lags by this. */
 	private static final long LIST_LAG_MILLIS = 2000;
 
+	/** No request in a trace runs longer. */
+	private static final long LONGEST_MILLIS = 2000;
+
+	/** Answers that take less are never overdue. */
+	private static final long SLOW_MILLIS = 300;
+
 	private final Deployment deployment;
 
 	private final Scenario scenario;
@@ -55,6 +65,11 @@
 
 	private final PriorityQueue<Delayed> delayed = new PriorityQueue<>();
 
+	private final Deque<TraceEntry> ahead = new ArrayDeque<>();
+
+	// Requests that will time out, by whether their host used the target when they began.
+	private final Map<TraceEntry, Optional<OutcomeRecorder.Running>> running = new IdentityHashMap<>();
+
 	private final SplittableRandom random = new SplittableRandom(1);
 
 	private final Measures measures = new Measures();
@@ -93,13 +108,16 @@
 	 * @return what was measured
 	 */
 	public Measures run(Iterator<TraceEntry> trace) {
-		while (trace.hasNext()) {
-			TraceEntry entry = trace.next();
+		readAhead(trace);
+		while (!this.ahead.isEmpty()) {
+			TraceEntry entry = this.ahead.remove();
 			while (this.now < entry.millis()) {
 				this.now++;
+				readAhead(trace);
 				tick();
 			}
 			replay(entry);
+			readAhead(trace);
 		}
 		this.scenario.faults()
 			.stream()
@@ -108,6 +126,43 @@
 		return this.measures;
 	}
 
+	// The trace has the end of a request that times out; its host knows when it began.
+	private void readAhead(Iterator<TraceEntry> trace) {
+		while (trace.hasNext()
+				&& (this.ahead.isEmpty() || this.ahead.getLast().millis() <= this.now + LONGEST_MILLIS)) {
+			TraceEntry entry = trace.next();
+			this.ahead.add(entry);
+			if (entry.kind() == OutcomeRecorder.Kind.TIMEOUT) {
+				this.delayed.add(new Delayed(entry.millis() - entry.latency(), () -> begin(entry)));
+			}
+		}
+	}
+
+	private void begin(TraceEntry entry) {
+		ReplayHost host = this.hosts.get(entry.host());
+		Target target = this.targets.get(entry.target());
+		this.running.put(entry,
+				uses(host, target) ? Optional.of(host.recorder.began(target, entry.account())) : Optional.empty());
+	}
+
+	// A request that times out was sent if its host used the target when it began.
+	private boolean sent(TraceEntry entry, ReplayHost host, Target target) {
+		Optional<OutcomeRecorder.Running> begun = this.running.remove(entry);
+		if (begun == null) {
+			return uses(host, target);
+		}
+		begun.ifPresent(OutcomeRecorder.Running::close);
+		return begun.isPresent();
+	}
+
+	// A trace has answers at the time when the request began, so a slow one still runs.
+	private void runOn(TraceEntry entry, ReplayHost host, Target target) {
+		if (entry.kind() == OutcomeRecorder.Kind.SUCCESS && entry.latency() >= SLOW_MILLIS) {
+			OutcomeRecorder.Running slow = host.recorder.began(target, entry.account());
+			this.delayed.add(new Delayed(this.now + entry.latency(), slow::close));
+		}
+	}
+
 	// A target that is still ejected from an earlier fault is no detection.
 	private void closeFaultsOfEjectedTargets() {
 		for (Scenario.Fault fault : this.scenario.faults()) {
@@ -153,7 +208,7 @@
 			this.measures.crashed(entry.target());
 		}
 		boolean ordinary = entry.fingerprint().equals("-");
-		if (!uses(host, target)) {
+		if (!sent(entry, host, target)) {
 			if (ordinary) {
 				this.measures.request(entry.account(), true);
 			}
@@ -165,6 +220,7 @@
 		else if (ordinary) {
 			this.measures.request(entry.account(), entry.kind() == OutcomeRecorder.Kind.SUCCESS);
 		}
+		runOn(entry, host, target);
 		String fingerprint = ordinary ? "r" + this.random.nextInt() : entry.fingerprint();
 		host.recorder
 			.record(new OutcomeRecorder.Outcome(target, entry.account(), fingerprint, entry.kind(), entry.latency()));
--- a/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/MessageSlopes.java
+++ b/benchmarks/src/main/java/org/plantainspur/benchmarks/slope/MessageSlopes.java
@@ -83,7 +83,7 @@
 		for (int i = 0; i < targets; i++) {
 			List<PeerMessage.AccountEvidence> accounts = new ArrayList<>();
 			for (int account = 0; account < ACCOUNTS_REPORTED; account++) {
-				accounts.add(new PeerMessage.AccountEvidence(SyntheticFleet.account(account), 3, 0, 0, 0, 0));
+				accounts.add(new PeerMessage.AccountEvidence(SyntheticFleet.account(account), 3, 0, 0, 0, 0, 0));
 			}
 			List<Integer> latencies = new ArrayList<>(Collections.nCopies(BUCKETS, 0));
 			latencies.set(2, 12);
--- a/core/src/main/java/org/plantainspur/core/health/EvidenceCollector.java
+++ b/core/src/main/java/org/plantainspur/core/health/EvidenceCollector.java
@@ -41,6 +41,8 @@
 
 	private final ConcurrentMap<String, Long> leavingSeen = new ConcurrentHashMap<>();
 
+	private final ConcurrentMap<String, OverdueLimit> limits = new ConcurrentHashMap<>();
+
 	private final ConcurrentLinkedQueue<HeldReset> resets = new ConcurrentLinkedQueue<>();
 
 	private final AtomicInteger resetsHeld = new AtomicInteger();
@@ -57,6 +59,11 @@
 		this.inFlight = inFlight;
 	}
 
+	@Override
+	public Running began(Target target, String accountId) {
+		return tally(target.service(), target.id()).began(accountId, this.clock.millis());
+	}
+
 	@Override
 	public void record(Outcome outcome) {
 		if (outcome.kind() == Kind.RESET && this.resetsHeld.get() < MAX_RESETS_HELD) {
@@ -94,12 +101,13 @@
 		this.leavingSeen.keySet().removeIf((id) -> !seesLeaving(id));
 		Map<String, TargetTally> tallies = this.services.getOrDefault(service, new ConcurrentHashMap<>());
 		List<PeerMessage.TargetEvidence> evidence = new ArrayList<>();
+		long startedBefore = limit(service).startedBefore(this.clock.millis());
 		for (Map.Entry<String, TargetTally> entry : tallies.entrySet()) {
 			if (evidence.size() == MAX_TARGETS) {
 				break;
 			}
 			String id = entry.getKey();
-			evidence.add(entry.getValue().drain(id, this.inFlight.applyAsInt(id), seesLeaving(id)));
+			evidence.add(entry.getValue().drain(id, this.inFlight.applyAsInt(id), seesLeaving(id), startedBefore));
 		}
 		return evidence;
 	}
@@ -131,9 +139,16 @@
 	}
 
 	private void count(Outcome outcome) {
+		if (outcome.kind() == Kind.SUCCESS) {
+			limit(outcome.target().service()).answered(outcome.latencyMillis());
+		}
 		tally(outcome.target().service(), outcome.target().id()).count(outcome);
 	}
 
+	private OverdueLimit limit(String service) {
+		return this.limits.computeIfAbsent(service, (name) -> new OverdueLimit());
+	}
+
 	private TargetTally tally(String service, String targetId) {
 		return this.services.computeIfAbsent(service, (name) -> new ConcurrentHashMap<>())
 			.computeIfAbsent(targetId, (id) -> new TargetTally());
--- a/core/src/main/java/org/plantainspur/core/health/OutcomeRecorder.java
+++ b/core/src/main/java/org/plantainspur/core/health/OutcomeRecorder.java
@@ -7,6 +7,17 @@
  */
 public interface OutcomeRecorder {
 
+	/**
+	 * Notes that a dispatch begins. Its handle is closed when the dispatch ends, before
+	 * the outcome is recorded.
+	 * @param target the target
+	 * @param accountId the client account
+	 * @return the running dispatch
+	 */
+	default Running began(Target target, String accountId) {
+		return Running.IGNORED;
+	}
+
 	/**
 	 * Records one outcome.
 	 * @param outcome the outcome
@@ -19,6 +30,20 @@
 	 */
 	void leaving(Target target);
 
+	/**
+	 * A dispatch that has not ended.
+	 */
+	interface Running extends AutoCloseable {
+
+		/** Nobody watches the dispatch. */
+		Running IGNORED = () -> {
+		};
+
+		@Override
+		void close();
+
+	}
+
 	/**
 	 * What became of one dispatch.
 	 *
--- a/core/src/main/java/org/plantainspur/core/health/OutcomeRecorders.java
+++ b/core/src/main/java/org/plantainspur/core/health/OutcomeRecorders.java
@@ -19,6 +19,25 @@
 		this.recorders = List.of(recorders);
 	}
 
+	@Override
+	public Running began(Target target, String accountId) {
+		Running all = Running.IGNORED;
+		for (OutcomeRecorder recorder : this.recorders) {
+			all = both(all, recorder.began(target, accountId));
+		}
+		return all;
+	}
+
+	private static Running both(Running first, Running second) {
+		if (first == Running.IGNORED) {
+			return second;
+		}
+		return (second == Running.IGNORED) ? first : () -> {
+			first.close();
+			second.close();
+		};
+	}
+
 	@Override
 	public void record(Outcome outcome) {
 		this.recorders.forEach((recorder) -> recorder.record(outcome));
--- a/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
+++ b/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
@@ -40,6 +40,9 @@
 	/** How fast the memory of paths and latencies fades; a change must show soon. */
 	private static final double RECENT_MILLIS = 2000;
 
+	/** More requests of one account at one host and target are not believed. */
+	private static final int MOST_OVERDUE = 1000;
+
 	/** How fast the memory of an account's outcomes fades. */
 	private static final double MEMORY_MILLIS = 30_000;
 
@@ -62,7 +65,11 @@
 				(id) -> new TargetCase(observation.target().region()));
 		Path path = new Path(observation.group(), observation.target().region());
 		for (PeerMessage.AccountEvidence account : observation.evidence().accounts()) {
-			int unanswered = count(account.unanswered()) + count(account.connectFailures());
+			// An overdue request counts as unanswered until it ends. While a target is
+			// cold,
+			// slowness says nothing.
+			int overdue = observation.cold() ? 0 : bounded(account.overdueChange());
+			int unanswered = count(account.unanswered()) + count(account.connectFailures()) + overdue;
 			int failures = count(account.failures());
 			int successes = count(account.successes());
 			target.observe(observation, account.accountId(), successes, failures, unanswered);
@@ -78,6 +85,10 @@
 		return Math.max(0, reported);
 	}
 
+	private static int bounded(int overdueChange) {
+		return Math.max(-MOST_OVERDUE, Math.min(MOST_OVERDUE, overdueChange));
+	}
+
 	private void roll(long now) {
 		if (this.intervalStart == Long.MIN_VALUE) {
 			this.intervalStart = now;
--- a/core/src/main/java/org/plantainspur/core/health/SequentialTest.java
+++ b/core/src/main/java/org/plantainspur/core/health/SequentialTest.java
@@ -68,7 +68,8 @@
 		}
 		this.failures += answeredFailures + unanswered;
 		this.pathFailures += unanswered;
-		this.reporters.merge(reporter, new PathCounts(answered, unanswered), PathCounts::plus);
+		this.reporters.merge(reporter, new PathCounts(answered, Math.max(0, unanswered)),
+				(old, added) -> old.plus(answered, unanswered));
 	}
 
 	double sumWith(Map<String, Double> current) {
@@ -133,9 +134,10 @@
 
 	private record PathCounts(int answered, int unanswered) {
 
-		PathCounts plus(PathCounts other) {
-			return new PathCounts(Math.min(1000, this.answered + other.answered),
-					Math.min(1000, this.unanswered + other.unanswered));
+		// Overdue requests that have ended are taken back, so unanswered may be negative.
+		PathCounts plus(int moreAnswered, int moreUnanswered) {
+			return new PathCounts(Math.min(1000, this.answered + moreAnswered),
+					Math.max(0, Math.min(1000, this.unanswered + moreUnanswered)));
 		}
 
 		double likelihood(double rate) {
--- a/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/plantainspur/core/peer/PeerMessage.java
@@ -160,9 +160,12 @@
 	 * @param unanswered timeouts and resets
 	 * @param connectFailures attempts without a connection
 	 * @param sheds refusals by the target
+	 * @param overdueChange by how many more requests than at the last report are overdue:
+	 * still without an answer after several times the service's usual latency; negative
+	 * when such requests have ended, which are then counted by their outcome
 	 */
 	record AccountEvidence(String accountId, int successes, int failures, int unanswered, int connectFailures,
-			int sheds) {
+			int sheds, int overdueChange) {
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
+++ b/core/src/main/java/org/plantainspur/core/request/TargetAttempts.java
@@ -77,8 +77,10 @@
 			if (left <= 0) {
 				return new DispatchOutcome.NotSent("the deadline has passed");
 			}
-			DispatchOutcome outcome = this.dispatcher.dispatch(lease.target(), targetRequest(context, left),
-					!context.once(), left);
+			DispatchOutcome outcome;
+			try (OutcomeRecorder.Running running = this.recorder.began(lease.target(), context.account().id())) {
+				outcome = this.dispatcher.dispatch(lease.target(), targetRequest(context, left), !context.once(), left);
+			}
 			record(context, lease, outcome, this.clock.millis() - started);
 			return outcome;
 		}
--- a/core/src/test/java/org/plantainspur/core/health/HealthFixtures.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthFixtures.java
@@ -48,11 +48,15 @@
 	}
 
 	static PeerMessage.AccountEvidence account(String id, int successes, int failures) {
-		return new PeerMessage.AccountEvidence(id, successes, failures, 0, 0, 0);
+		return new PeerMessage.AccountEvidence(id, successes, failures, 0, 0, 0, 0);
+	}
+
+	static PeerMessage.AccountEvidence overdue(String id, int successes, int overdueChange) {
+		return new PeerMessage.AccountEvidence(id, successes, 0, 0, 0, 0, overdueChange);
 	}
 
 	static PeerMessage.AccountEvidence unanswered(String id, int successes, int unanswered) {
-		return new PeerMessage.AccountEvidence(id, successes, 0, unanswered, 0, 0);
+		return new PeerMessage.AccountEvidence(id, successes, 0, unanswered, 0, 0, 0);
 	}
 
 }
--- a/core/src/test/java/org/plantainspur/core/health/PooledHealthJudgeTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/PooledHealthJudgeTests.java
@@ -103,6 +103,61 @@
 
 	}
 
+	@Nested
+	class Overdue {
+
+		private void overdue(int host, int change, boolean cold) {
+			PooledHealthJudgeTests.this.judge.observe(new HealthJudge.Observation(
+					PooledHealthJudgeTests.this.targets.get(3), "p" + host, (host % 2 == 0) ? "pdx-a" : "sea-a",
+					HealthFixtures.evidence("t3", HealthFixtures.overdue("large", 0, change)), cold,
+					PooledHealthJudgeTests.this.now));
+		}
+
+		/** Guards against a stalling target that is found only after the timeout. */
+		@Test
+		void requestsCountLikeFailures() {
+			rounds(20, (host, target, account) -> good(account));
+			for (int host = 0; host < 5; host++) {
+				overdue(host, 1, false);
+			}
+			assertThat(sick()).containsExactly("t3");
+		}
+
+		/** Guards against a false ejection after a pause in which no request is lost. */
+		@Test
+		void requestsThatGetTheirAnswersAreTakenBack() {
+			rounds(20, (host, target, account) -> good(account));
+			for (int host = 0; host < 3; host++) {
+				overdue(host, 1, false);
+			}
+			for (int host = 0; host < 3; host++) {
+				overdue(host, -1, false);
+			}
+			rounds(1, (host, target, account) -> good(account));
+			assertThat(PooledHealthJudgeTests.this.judge.assess("t3").sickness()).isZero();
+		}
+
+		/** Guards against the ejection of targets that start cold. */
+		@Test
+		void requestsOfAColdTargetDoNotCount() {
+			rounds(20, (host, target, account) -> good(account));
+			for (int host = 0; host < 8; host++) {
+				overdue(host, 1, true);
+			}
+			assertThat(sick()).isEmpty();
+		}
+
+		/** Guards against holding a cut path against a target. */
+		@Test
+		void requestsOfAFewHostsSuggestACutPath() {
+			rounds(20, (host, target, account) -> good(account));
+			rounds(4, (host, target, account) -> (target.equals("t3") && host < 2)
+					? HealthFixtures.overdue(account, 0, 2) : good(account));
+			assertThat(sick()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class Sick {
 
@@ -198,7 +253,7 @@
 		@Test
 		void aTargetThatShedsLoad() {
 			rounds(40, (host, target, account) -> target.equals("t3")
-					? new PeerMessage.AccountEvidence(account, 1, 0, 0, 0, 5) : good(account));
+					? new PeerMessage.AccountEvidence(account, 1, 0, 0, 0, 5, 0) : good(account));
 			assertThat(sick()).isEmpty();
 		}
 
--- a/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/StandardRequestPipelineTests.java
@@ -52,6 +52,8 @@
 
 	private RateLimiter.RateDecision rate = new RateLimiter.RateDecision.Granted();
 
+	private final List<String> noted = new ArrayList<>();
+
 	private Runnable whileQueued = () -> {
 	};
 
@@ -75,7 +77,7 @@
 			.chooser(this::choose)
 			.dispatcher(this::dispatch)
 			.retryPolicy(new BudgetedRetryPolicy())
-			.recorder(new IgnoringRecorder())
+			.recorder(new NotingRecorder())
 			.quarantine((fingerprint) -> false)
 			.build();
 	}
@@ -282,10 +284,32 @@
 
 	}
 
-	private static final class IgnoringRecorder implements OutcomeRecorder {
+	/** Guards against requests that a host takes for running after they have ended. */
+	@Nested
+	class Recording {
+
+		@Test
+		void endsADispatchBeforeItsOutcomeCounts() {
+			StandardRequestPipelineTests.this.outcomes.add(new DispatchOutcome.NotSent("refused"));
+			read();
+			assertThat(StandardRequestPipelineTests.this.noted).containsExactly("began booking-1 " + ACCOUNT.id(),
+					"ended booking-1", "CONNECT_FAILURE booking-1", "began booking-2 " + ACCOUNT.id(),
+					"ended booking-2", "SUCCESS booking-2");
+		}
+
+	}
+
+	private final class NotingRecorder implements OutcomeRecorder {
+
+		@Override
+		public Running began(Target target, String accountId) {
+			StandardRequestPipelineTests.this.noted.add("began " + target.id() + " " + accountId);
+			return () -> StandardRequestPipelineTests.this.noted.add("ended " + target.id());
+		}
 
 		@Override
 		public void record(Outcome outcome) {
+			StandardRequestPipelineTests.this.noted.add(outcome.kind() + " " + outcome.target().id());
 		}
 
 		@Override
