--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -57,6 +57,9 @@
 
 	private boolean requestReports;
 
+	// Whether an ejection is new and the members have not been asked since.
+	private boolean announcing;
+
 	private Membership membership = Membership.empty();
 
 	private boolean wasSettled;
@@ -224,9 +227,9 @@
 		});
 		this.exchange.review(sick::contains, now);
 		List<Target> rejected = new ArrayList<>();
-		boolean urgent = false;
+		boolean suspected = false;
 		for (Target target : sickest) {
-			urgent |= !state(target.id()).ejected() && this.judge.suspects(target.id());
+			suspected |= !state(target.id()).ejected() && this.judge.suspects(target.id());
 			HealthJudge.Assessment assessment = assessments.get(target.id());
 			if (assessment != null && sick.contains(target.id()) && this.exchange.permits(target.id())) {
 				int required = this.ledger.requiredBudget(target, now);
@@ -234,7 +237,7 @@
 					state(target.id()).eject(now, required, assessment.reason());
 					charge(List.of(target), now);
 					this.exchange.ejected(target.id());
-					urgent = true;
+					this.announcing = true;
 				}
 				else {
 					rejected.add(target);
@@ -242,7 +245,18 @@
 			}
 		}
 		giveBack(rejected, staying, budget, now);
-		this.requestReports |= urgent && this.requests.take(now);
+		requestReports(suspected, now);
+	}
+
+	private void requestReports(boolean suspected, long now) {
+		if (this.announcing) {
+			boolean asked = this.requests.takeForVerdict(now);
+			this.announcing = !asked;
+			this.requestReports |= asked;
+		}
+		else {
+			this.requestReports |= suspected && this.requests.take(now);
+		}
 	}
 
 	private void giveBack(List<Target> rejected, List<Target> staying, int budget, long now) {
