Split the tests of the shared rate limiter by subject

Cause: SharedRateLimiterTests had 310 lines on four subjects.

Change: gained shares and waiting requests have test classes of their own, with the common fields and builders in LimiterFixture.

--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/rate/LimiterFixture.java
@@ -0,0 +1,63 @@
+package org.plantainspur.core.rate;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.configuration.ChangeEntry;
+import org.plantainspur.core.configuration.ClientAccount;
+import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.membership.Member;
+import org.plantainspur.core.membership.RendezvousHomeHosts;
+import org.plantainspur.core.peer.PeerMessage;
+import org.plantainspur.core.time.Clock;
+import org.plantainspur.core.time.HandClock;
+
+/**
+ * A limiter whose clock, configuration, currency and peers a test sets.
+ */
+abstract class LimiterFixture {
+
+	static final ClientAccount ACCOUNT = new ClientAccount("harbor-clinic", 1000, 3);
+
+	final HandClock clock = new HandClock();
+
+	final ConfigurationView view = new ConfigurationView();
+
+	final Member self = Member.builder("pdx-1", "p1").build();
+
+	final Member other = Member.builder("pdx-2", "p2").build();
+
+	final List<CompletableFuture<PeerMessage>> asked = new CopyOnWriteArrayList<>();
+
+	final AtomicReference<Boolean> released = new AtomicReference<>(false);
+
+	final AtomicReference<CurrencyRule.Currency> currency = new AtomicReference<>(new CurrencyRule.Currency.Current());
+
+	SharedRateLimiter limiter(Clock clock) {
+		return builder(clock).build();
+	}
+
+	SharedRateLimiter.Builder builder(Clock clock) {
+		return SharedRateLimiter.builder(this.self)
+			.clock(clock)
+			.view(this.view)
+			.currency(this.currency::get)
+			.homeHosts(new RendezvousHomeHosts())
+			.progress((holder, sequence) -> this.released.get() || holder.processId().equals("p3"))
+			.link((member, message, timeout) -> {
+				this.asked.add(new CompletableFuture<>());
+				return this.asked.get(this.asked.size() - 1);
+			});
+	}
+
+	void append(Change change) {
+		Configuration present = this.view.current();
+		this.view.advance(present.apply(new ChangeEntry(present.sequence() + 1, "c", change)));
+	}
+
+}
