--- a/core/src/main/java/org/plantainspur/core/health/HealthView.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthView.java
@@ -1,5 +1,6 @@
 package org.plantainspur.core.health;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -113,14 +114,7 @@
 	 * @return the ids
 	 */
 	public List<String> ejectedHeld(String service) {
-		long now = this.clock.millis();
-		return service(service).targets()
-			.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().ejectedAt(now))
-			.map(Map.Entry::getKey)
-			.sorted()
-			.toList();
+		return ejections(service).stream().map(PeerMessage.HeldEjection::targetId).toList();
 	}
 
 	/**
@@ -129,9 +123,13 @@
 	 * @return the ejections, ordered by target
 	 */
 	public List<PeerMessage.HeldEjection> ejections(String service) {
-		ServiceHealth held = service(service);
-		return ejectedHeld(service).stream()
-			.map((id) -> new PeerMessage.HeldEjection(id, held.target(id).requiredBudget()))
+		long now = this.clock.millis();
+		return service(service).targets()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().ejectedAt(now))
+			.map((entry) -> new PeerMessage.HeldEjection(entry.getKey(), entry.getValue().requiredBudget()))
+			.sorted(Comparator.comparing(PeerMessage.HeldEjection::targetId))
 			.toList();
 	}
 
