Assess each target once for a report

A coordinator assessed each healthy target three times for each report: to find the sickest, again for the suspicion and again for the verdict. Nothing that the judge knows changes in between. The assessments are now made once, after ejections whose hold time is over have ended, and used for the decision and the verdicts. suspects() answers for targets that are not sick, so that no judge has to assess again.

The tests of the judge, the coordinator, the budget and the exchange pass unchanged.

--- a/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthCoordinator.java
@@ -118,8 +118,14 @@
 			take(report, group, listed, now);
 			settled = this.settlement.settled(now) && this.current.getAsBoolean();
 		}
-		decide(staying, settled, now);
-		return verdicts(staying, group, settled, now);
+		restore(staying, settled, now);
+		// The judge learns nothing more for this report, so each target is assessed once.
+		Map<String, HealthJudge.Assessment> assessments = new HashMap<>();
+		staying.forEach((target) -> assessments.put(target.id(), this.judge.assess(target.id())));
+		if (settled) {
+			eject(staying, assessments, now);
+		}
+		return verdicts(staying, assessments, group, settled, now);
 	}
 
 	/**
@@ -198,7 +204,7 @@
 		return this.states.computeIfAbsent(targetId, (id) -> EjectionState.warm(this.clock.millis()));
 	}
 
-	private void decide(List<Target> staying, boolean settled, long now) {
+	private void restore(List<Target> staying, boolean settled, long now) {
 		if (!settled) {
 			// Without the right to eject, nothing is known to be in force.
 			this.states.values().stream().filter(EjectionState::ejected).forEach((state) -> state.readmit(now));
@@ -212,9 +218,10 @@
 		readmit(staying, now);
 		// Charges end while no report arrives, but the next answer carries these again.
 		charge(staying, now);
+	}
+
+	private void eject(List<Target> staying, Map<String, HealthJudge.Assessment> assessments, long now) {
 		List<Target> sickest = new ArrayList<>(staying);
-		Map<String, HealthJudge.Assessment> assessments = new HashMap<>();
-		staying.forEach((target) -> assessments.put(target.id(), this.judge.assess(target.id())));
 		sickest.sort(Comparator.comparingDouble(
 				(Target target) -> -assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY).sickness())
 			.thenComparing(Target::id));
@@ -229,7 +236,8 @@
 		List<Target> rejected = new ArrayList<>();
 		boolean suspected = false;
 		for (Target target : sickest) {
-			suspected |= !state(target.id()).ejected() && this.judge.suspects(target.id());
+			suspected |= sick.contains(target.id())
+					|| (!state(target.id()).ejected() && this.judge.suspects(target.id()));
 			HealthJudge.Assessment assessment = assessments.get(target.id());
 			if (assessment != null && sick.contains(target.id()) && this.exchange.permits(target.id())) {
 				int required = this.ledger.requiredBudget(target, now);
@@ -317,11 +325,12 @@
 		}
 	}
 
-	private PeerMessage.Verdicts verdicts(List<Target> staying, @Nullable String group, boolean settled, long now) {
+	private PeerMessage.Verdicts verdicts(List<Target> staying, Map<String, HealthJudge.Assessment> assessments,
+			@Nullable String group, boolean settled, long now) {
 		List<PeerMessage.Verdict> verdicts = new ArrayList<>();
 		for (Target target : staying) {
 			EjectionState state = state(target.id());
-			HealthJudge.Assessment assessment = this.judge.assess(target.id());
+			HealthJudge.Assessment assessment = assessments.getOrDefault(target.id(), HealthJudge.Assessment.HEALTHY);
 			boolean avoided = assessment.sick() || (group != null && assessment.avoidedBy().contains(group));
 			boolean withheld = group != null && state.ejected();
 			verdicts.add(new PeerMessage.Verdict(target.id(), withheld, withheld ? state.requiredBudget() : 0,
--- a/core/src/main/java/org/plantainspur/core/health/HealthJudge.java
+++ b/core/src/main/java/org/plantainspur/core/health/HealthJudge.java
@@ -26,12 +26,13 @@
 	Assessment assess(String targetId);
 
 	/**
-	 * Returns whether further evidence on a target should be collected at once.
+	 * Returns whether further evidence on a target that is not sick should be collected
+	 * at once.
 	 * @param targetId the target
-	 * @return whether it is sick or may soon be found so
+	 * @return whether it may soon be found sick
 	 */
 	default boolean suspects(String targetId) {
-		return assess(targetId).sick();
+		return false;
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
+++ b/core/src/main/java/org/plantainspur/core/health/PooledHealthJudge.java
@@ -184,8 +184,7 @@
 	@Override
 	public boolean suspects(String targetId) {
 		TargetCase target = this.cases.get(targetId);
-		return target != null
-				&& (target.failing.sumWith(failureRatios(target, sickNow())) >= SUSPICION || assess(targetId).sick());
+		return target != null && target.failing.sumWith(failureRatios(target, sickNow())) >= SUSPICION;
 	}
 
 	@Override
