Take the fencing timeout from one constant

The rate shares and the settlement of coordinators repeated the 3,000 ms that the currency rule defines; a change of one would have left the others unsafe. The value is the same.

--- a/core/src/main/java/org/plantainspur/core/health/Settlement.java
+++ b/core/src/main/java/org/plantainspur/core/health/Settlement.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.plantainspur.core.currency.FencingByAge;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.time.ClockMargin;
@@ -19,12 +20,10 @@
  */
 final class Settlement {
 
-	/** After this time without contact a member is fenced. */
-	static final long FENCING_MILLIS = 3000;
-
 	private static final long PRESENT = Long.MAX_VALUE;
 
-	private static final long WAIT_MILLIS = ClockMargin.lengthen(FENCING_MILLIS + EjectionLedger.LIFETIME_MILLIS);
+	private static final long WAIT_MILLIS = ClockMargin
+		.lengthen(FencingByAge.FENCING_TIMEOUT_MILLIS + EjectionLedger.LIFETIME_MILLIS);
 
 	/** Members, and removed ones that may still hold a verdict. */
 	private final Map<String, Long> removedAt = new HashMap<>();
--- a/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
+++ b/core/src/main/java/org/plantainspur/core/rate/ShareHistory.java
@@ -9,6 +9,7 @@
 
 import org.plantainspur.core.configuration.ClientAccount;
 import org.plantainspur.core.configuration.Configuration;
+import org.plantainspur.core.currency.FencingByAge;
 import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.time.ClockMargin;
 
@@ -27,8 +28,6 @@
 record ShareHistory(Configuration current, List<Past> past, Map<String, List<PastAccount>> accounts,
 		long knownFromMillis, boolean settled, long changedMillis) {
 
-	private static final long FENCING_MILLIS = 3000;
-
 	/**
 	 * How long a borrower may spend a loan, counted from before it asked. Loans carry at
 	 * most the burst in this time, so it is short for accounts with a small burst; an
@@ -43,7 +42,7 @@
 	 * After this time every host that missed a change is fenced, and the loans that it
 	 * gave before have ended.
 	 */
-	static final long TAKEOVER_MILLIS = ClockMargin.lengthen(FENCING_MILLIS) + LOAN_OUT_MILLIS;
+	static final long TAKEOVER_MILLIS = ClockMargin.lengthen(FencingByAge.FENCING_TIMEOUT_MILLIS) + LOAN_OUT_MILLIS;
 
 	static ShareHistory start(Configuration configuration, long now) {
 		return new ShareHistory(configuration, List.of(), Map.of(), now, settled(configuration), now);
--- a/core/src/test/java/org/plantainspur/core/health/HealthSchedule.java
+++ b/core/src/test/java/org/plantainspur/core/health/HealthSchedule.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 
 import org.plantainspur.core.configuration.Change;
+import org.plantainspur.core.currency.FencingByAge;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.Membership;
 import org.plantainspur.core.peer.PeerMessage;
@@ -458,7 +459,7 @@
 		private boolean current() {
 			int next = this.sequence + 1;
 			return next >= HealthSchedule.this.sequence.size() || HealthSchedule.this.now
-					- HealthSchedule.this.sequence.get(next).at() < Settlement.FENCING_MILLIS;
+					- HealthSchedule.this.sequence.get(next).at() < FencingByAge.FENCING_TIMEOUT_MILLIS;
 		}
 
 		private void report() {
