--- a/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
+++ b/core/src/main/java/org/plantainspur/core/rate/SharedRateLimiter.java
@@ -12,6 +12,7 @@
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.finding.Required;
 import org.plantainspur.core.membership.HomeHosts;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.PeerProgress;
@@ -57,25 +58,18 @@
 	private final ConcurrentMap<String, AccountLimit> limits = new ConcurrentHashMap<>();
 
 	private SharedRateLimiter(Builder builder) {
-		this.clock = required(builder.clock, "clock");
-		this.view = required(builder.view, "view");
-		this.currency = required(builder.currency, "currency");
-		this.link = required(builder.link, "link");
+		this.clock = Required.of(builder.clock, "clock");
+		this.view = Required.of(builder.view, "view");
+		this.currency = Required.of(builder.currency, "currency");
+		this.link = Required.of(builder.link, "link");
 		this.self = builder.self;
 		this.loanWait = builder.loanWait;
-		this.planner = new SharePlanner(required(builder.homeHosts, "homeHosts"), builder.self);
-		this.releases = new ReleaseWatch(required(builder.progress, "progress"), builder.self, this.clock);
+		this.planner = new SharePlanner(Required.of(builder.homeHosts, "homeHosts"), builder.self);
+		this.releases = new ReleaseWatch(Required.of(builder.progress, "progress"), builder.self, this.clock);
 		this.history = new AtomicReference<>(ShareHistory.start(this.view.current(), this.clock.millis()));
 		this.view.listen((configuration) -> history());
 	}
 
-	private static <T> T required(@Nullable T collaborator, String name) {
-		if (collaborator == null) {
-			throw new IllegalStateException("the builder's '" + name + "' is not set; call ." + name + "(...)");
-		}
-		return collaborator;
-	}
-
 	/**
 	 * Returns a builder; every collaborator must be set.
 	 * @param self this process
--- a/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
+++ b/core/src/main/java/org/plantainspur/core/request/StandardRequestPipeline.java
@@ -9,6 +9,7 @@
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.configuration.Route;
 import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.finding.Required;
 import org.plantainspur.core.health.OutcomeRecorder;
 import org.plantainspur.core.health.Quarantine;
 import org.plantainspur.core.once.OnceGate;
@@ -49,27 +50,21 @@
 	private final AtomicReference<Routing> routing;
 
 	private StandardRequestPipeline(Builder builder) {
-		this.clock = required(builder.clock, "clock");
-		this.view = required(builder.view, "view");
-		this.onceRuns = new OnceRuns(this.clock, required(builder.onceGate, "onceGate"),
-				required(builder.relay, "relay"));
-		this.rateLimiter = required(builder.rateLimiter, "rateLimiter");
-		this.admissionQueue = required(builder.admissionQueue, "admissionQueue");
-		this.retryPolicy = required(builder.retryPolicy, "retryPolicy");
-		this.quarantine = required(builder.quarantine, "quarantine");
-		this.accessCheck = new AccessCheck(this.view, required(builder.currency, "currency"), this::open);
-		this.attempts = new TargetAttempts(this.clock, this.accessCheck, required(builder.chooser, "chooser"),
-				required(builder.dispatcher, "dispatcher"), this.retryPolicy, required(builder.recorder, "recorder"));
+		this.clock = Required.of(builder.clock, "clock");
+		this.view = Required.of(builder.view, "view");
+		this.onceRuns = new OnceRuns(this.clock, Required.of(builder.onceGate, "onceGate"),
+				Required.of(builder.relay, "relay"));
+		this.rateLimiter = Required.of(builder.rateLimiter, "rateLimiter");
+		this.admissionQueue = Required.of(builder.admissionQueue, "admissionQueue");
+		this.retryPolicy = Required.of(builder.retryPolicy, "retryPolicy");
+		this.quarantine = Required.of(builder.quarantine, "quarantine");
+		this.accessCheck = new AccessCheck(this.view, Required.of(builder.currency, "currency"), this::open);
+		this.attempts = new TargetAttempts(this.clock, this.accessCheck, Required.of(builder.chooser, "chooser"),
+				Required.of(builder.dispatcher, "dispatcher"), this.retryPolicy,
+				Required.of(builder.recorder, "recorder"));
 		this.routing = new AtomicReference<>(Routing.of(Configuration.empty()));
 	}
 
-	private static <T> T required(@Nullable T collaborator, String name) {
-		if (collaborator == null) {
-			throw new IllegalStateException("the builder's '" + name + "' is not set; call ." + name + "(...)");
-		}
-		return collaborator;
-	}
-
 	/**
 	 * Returns a builder; every collaborator must be set.
 	 * @return the builder
--- a/core/src/main/java/org/plantainspur/core/routing/WeightedTwoChoiceChooser.java
+++ b/core/src/main/java/org/plantainspur/core/routing/WeightedTwoChoiceChooser.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.configuration.ConfigurationView;
+import org.plantainspur.core.finding.Required;
 import org.plantainspur.core.health.FloorGuard;
 import org.plantainspur.core.health.HealthView;
 import org.plantainspur.core.health.LocalWeights;
@@ -47,8 +48,8 @@
 	private WeightedTwoChoiceChooser(Builder builder) {
 		this.region = builder.region;
 		this.clock = builder.clock;
-		this.directory = required(builder.directory, "directory");
-		this.view = required(builder.view, "view");
+		this.directory = Required.of(builder.directory, "directory");
+		this.view = Required.of(builder.view, "view");
 		this.health = (builder.health != null) ? builder.health : new HealthView(builder.clock);
 		this.localWeights = (builder.localWeights != null) ? builder.localWeights : new LocalWeights(builder.clock);
 		this.limits = (builder.limits != null) ? builder.limits : new AdaptiveLimits(builder.clock);
@@ -56,13 +57,6 @@
 		this.random = builder.random;
 	}
 
-	private static <T> T required(@Nullable T collaborator, String name) {
-		if (collaborator == null) {
-			throw new IllegalStateException("the builder's '" + name + "' is not set; call ." + name + "(...)");
-		}
-		return collaborator;
-	}
-
 	/**
 	 * Returns a builder; the directory and the view must be set.
 	 * @param region this host's region
