--- a/core/src/main/java/org/plantainspur/core/routing/AdaptiveLimits.java
+++ b/core/src/main/java/org/plantainspur/core/routing/AdaptiveLimits.java
@@ -1,6 +1,5 @@
 package org.plantainspur.core.routing;
 
-import java.util.Collection;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -99,15 +98,6 @@
 		return slot != null && this.clock.millis() < slot.limit.get().shedAtMillis() + SHEDDING_MILLIS;
 	}
 
-	/**
-	 * Forgets idle targets that the platform no longer lists.
-	 * @param targetIds the targets that it lists
-	 */
-	public void retain(Collection<String> targetIds) {
-		this.slots.entrySet()
-			.removeIf((entry) -> !targetIds.contains(entry.getKey()) && entry.getValue().inFlight.get() == 0);
-	}
-
 	private Slot slot(String targetId) {
 		return this.slots.computeIfAbsent(targetId, (id) -> new Slot());
 	}
