--- a/core/src/test/java/org/plantainspur/core/health/LocalWeightsTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/LocalWeightsTests.java
@@ -1,12 +1,5 @@
 package org.plantainspur.core.health;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
-
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -14,6 +7,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.testing.ConcurrentCalls;
 import org.plantainspur.core.time.HandClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -118,19 +112,8 @@
 
 		@Test
 		void loseNoOutcomeEvenIfTheyAreTheFirstOfATarget() throws Exception {
-			ExecutorService threads = Executors.newFixedThreadPool(THREADS);
-			try {
-				List<Callable<Integer>> work = new ArrayList<>();
-				for (int i = 0; i < THREADS; i++) {
-					work.add(this::failOnceAtEachTarget);
-				}
-				for (Future<Integer> done : threads.invokeAll(work)) {
-					assertThat(done.get()).isEqualTo(TARGETS);
-				}
-			}
-			finally {
-				threads.shutdownNow();
-			}
+			assertThat(ConcurrentCalls.onEachThread(THREADS, this::failOnceAtEachTarget)).hasSize(THREADS)
+				.containsOnly(TARGETS);
 			for (int i = 0; i < TARGETS; i++) {
 				assertThat(LocalWeightsTests.this.weights.weight("t" + i)).as("target %s", i)
 					.isCloseTo(Math.pow(0.8, THREADS), within(1e-9));
--- a/core/src/test/java/org/plantainspur/core/request/RegionCountingDispatcherTests.java
+++ b/core/src/test/java/org/plantainspur/core/request/RegionCountingDispatcherTests.java
@@ -1,12 +1,6 @@
 package org.plantainspur.core.request;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -14,6 +8,7 @@
 
 import org.plantainspur.core.routing.CrossRegionTraffic;
 import org.plantainspur.core.routing.Target;
+import org.plantainspur.core.testing.ConcurrentCalls;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -93,19 +88,8 @@
 
 		@Test
 		void loseNoBytesAndMixNoClasses() throws Exception {
-			ExecutorService threads = Executors.newFixedThreadPool(THREADS);
-			try {
-				List<Callable<Integer>> work = new ArrayList<>();
-				for (int i = 0; i < THREADS; i++) {
-					work.add(this::dispatchAll);
-				}
-				for (Future<Integer> done : threads.invokeAll(work)) {
-					assertThat(done.get()).isEqualTo(DISPATCHES);
-				}
-			}
-			finally {
-				threads.shutdownNow();
-			}
+			assertThat(ConcurrentCalls.onEachThread(THREADS, this::dispatchAll)).hasSize(THREADS)
+				.containsOnly(DISPATCHES);
 			long each = (long) THREADS * DISPATCHES / 2;
 			assertThat(RegionCountingDispatcherTests.this.traffic.bytes()).containsExactly(
 					Map.entry("booking idempotent", each * (REQUEST_BYTES + 10)),
--- a/core/src/test/java/org/plantainspur/core/routing/CrossRegionTrafficTests.java
+++ b/core/src/test/java/org/plantainspur/core/routing/CrossRegionTrafficTests.java
@@ -1,18 +1,14 @@
 package org.plantainspur.core.routing;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CyclicBarrier;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.Future;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
+import org.plantainspur.core.testing.ConcurrentCalls;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -90,19 +86,8 @@
 
 		@Test
 		void loseNoBytesEvenOfTheFirstDispatchOfAClass() throws Exception {
-			ExecutorService threads = Executors.newFixedThreadPool(THREADS);
-			try {
-				List<Callable<Integer>> work = new ArrayList<>();
-				for (int i = 0; i < THREADS; i++) {
-					work.add(this::dispatchAll);
-				}
-				for (Future<Integer> done : threads.invokeAll(work)) {
-					assertThat(done.get()).isEqualTo(DISPATCHES);
-				}
-			}
-			finally {
-				threads.shutdownNow();
-			}
+			assertThat(ConcurrentCalls.onEachThread(THREADS, this::dispatchAll)).hasSize(THREADS)
+				.containsOnly(DISPATCHES);
 			assertThat(CrossRegionTrafficTests.this.traffic.bytes()).hasSize(CLASSES)
 				.allSatisfy((routeClass, bytes) -> assertThat(bytes).isEqualTo(7L * THREADS * DISPATCHES / CLASSES));
 		}
