Repeat reads of the platform in one place

Two loops worked out the interval from the number of members and scheduled the next read. AdminTests and GracefulStopTests, whose hosts poll, pass.

--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -99,8 +99,8 @@
 
 	@Override
 	public void start() {
-		PollSchedule schedule = new PollSchedule(this.settings.pollIntervalMillis());
-		this.updates.start(schedule);
+		PlatformPolls polls = new PlatformPolls(new PollSchedule(this.settings.pollIntervalMillis()), this.view);
+		this.updates.start(polls);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "heartbeat", this.heartbeats::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-configuration", this.peers::tick);
 		every(this.messages, HEARTBEAT_INTERVAL_MILLIS, "peer-targets", this.peerTargets::tick);
@@ -110,7 +110,7 @@
 		every(this.messages, DROP_IDLE_INTERVAL_MILLIS, "drop-idle-limits", this.limiter::dropIdle);
 		every(this.membership, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::keepMembership);
 		every(this.membership, DROP_IDLE_INTERVAL_MILLIS, "snapshot", this.snapshots::tick);
-		this.targetList.execute(() -> readTargetsRepeatedly(schedule));
+		polls.repeat(this.targetList, () -> run("target-list", this::readTargets));
 	}
 
 	@Override
@@ -145,13 +145,6 @@
 		}
 	}
 
-	private void readTargetsRepeatedly(PollSchedule schedule) {
-		run("target-list", this::readTargets);
-		int members = this.view.current().membership().members().size();
-		this.targetList.schedule(() -> readTargetsRepeatedly(schedule), schedule.intervalMillis(members),
-				TimeUnit.MILLISECONDS);
-	}
-
 	private void readTargets() {
 		try {
 			this.directory.set(this.targets.read());
--- a/host/src/main/java/org/plantainspur/host/ConfigurationUpdates.java
+++ b/host/src/main/java/org/plantainspur/host/ConfigurationUpdates.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -14,7 +13,6 @@
 import org.plantainspur.core.configuration.ConfigurationFollower;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.configuration.PeerConfiguration;
-import org.plantainspur.core.configuration.PollSchedule;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.peer.PeerLink;
 import org.plantainspur.core.peer.PeerMessage;
@@ -60,14 +58,8 @@
 		this.self = self;
 	}
 
-	void start(PollSchedule schedule) {
-		this.executor.execute(() -> pollRepeatedly(schedule));
-	}
-
-	private void pollRepeatedly(PollSchedule schedule) {
-		poll();
-		int members = this.view.current().membership().members().size();
-		this.executor.schedule(() -> pollRepeatedly(schedule), schedule.intervalMillis(members), TimeUnit.MILLISECONDS);
+	void start(PlatformPolls polls) {
+		polls.repeat(this.executor, this::poll);
 	}
 
 	/**
