Estimate each account's bucket on every host; send callers to three hosts of their domain

Change: every host estimates the fleet's bucket from its own requests and the others' reports; callers are sent to the first three hosts of their failure domain.

--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetBucket.java
@@ -0,0 +1,91 @@
+package org.plantainspur.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
+
+import org.plantainspur.core.desired.AccountRule;
+
+/**
+ * This host's estimate of the level of one account's token bucket, which all hosts share.
+ * Requests take from it at once; what other hosts take is predicted from the rates that
+ * they report, and corrected by the counts in their next reports.
+ */
+final class FleetBucket {
+
+	/** A host that has just started does not know what was used a moment ago. */
+	private static final double START_SHARE = 0.5;
+
+	private static final double THOUSAND = 1_000;
+
+	private final AtomicReference<State> state;
+
+	/** Used by the reporting thread only. */
+	private final Map<String, Source> sources = new HashMap<>();
+
+	FleetBucket(AccountRule rule, long now) {
+		this.state = new AtomicReference<>(new State(Math.max(1, rule.burst() * START_SHARE), now, 0));
+	}
+
+	boolean tryTake(AccountRule rule, long now) {
+		State before = this.state.get();
+		while (true) {
+			State filled = before.at(now, rule);
+			if (filled.level() < 1) {
+				return false;
+			}
+			if (this.state.compareAndSet(before, filled.plus(-1))) {
+				return true;
+			}
+			before = this.state.get();
+		}
+	}
+
+	// A source is a host, or a failure domain with the host that counts for it.
+	void reported(AccountRule rule, String name, Usage usage, long now) {
+		Source before = this.sources.get(name);
+		double correction = 0;
+		if (before != null && usage.count() >= before.usage().count()) {
+			double predicted = before.usage().ratePerSecond() * Math.max(0, now - before.atMs()) / THOUSAND;
+			correction = predicted - (usage.count() - before.usage().count());
+		}
+		this.sources.put(name, new Source(usage, now));
+		update(rule, correction, now);
+	}
+
+	void retain(AccountRule rule, Predicate<String> counts, long now) {
+		if (this.sources.keySet().removeIf(counts.negate())) {
+			update(rule, 0, now);
+		}
+	}
+
+	private void update(AccountRule rule, double correction, long now) {
+		double others = this.sources.values().stream().mapToDouble((source) -> source.usage().ratePerSecond()).sum();
+		this.state.updateAndGet((before) -> {
+			State filled = before.at(now, rule).plus(correction);
+			return new State(filled.level(), now, others);
+		});
+	}
+
+	private record State(double level, long atMs, double othersRate) {
+
+		State at(long now, AccountRule rule) {
+			double seconds = Math.max(0, now - this.atMs) / THOUSAND;
+			double largest = Math.max(1, rule.burst());
+			double refilled = this.level + seconds * (rule.ratePerSecond() - this.othersRate);
+			// Predictions alone do not take the bucket far below empty.
+			double lowest = Math.min(this.level, -largest);
+			return new State(Math.max(lowest, Math.min(largest, refilled)), Math.max(now, this.atMs), this.othersRate);
+		}
+
+		State plus(double tokens) {
+			return new State(this.level + tokens, this.atMs, this.othersRate);
+		}
+
+	}
+
+	private record Source(Usage usage, long atMs) {
+	}
+
+}
--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -13,19 +13,27 @@
  * @param peerAddress where it takes beats, {@code ip:port}
  * @param taking whether it takes new callers
  * @param version the version of its desired state
- * @param demand the requests a second of each account that reach it
+ * @param usage what it passed on, by account
  * @param failedTargets identities of the targets that failed since the last beat
- * @param digests the demand of whole failure domains, told by the host that speaks for
- * its own
+ * @param digests the usage of whole failure domains
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
-		boolean taking, long version, Map<String, Double> demand, List<String> failedTargets,
-		List<DomainDemand> digests) {
+		boolean taking, long version, Map<String, Usage> usage, List<String> failedTargets, List<DomainUsage> digests) {
 
 	public HostBeat {
-		demand = Map.copyOf(demand);
+		usage = Map.copyOf(usage);
 		failedTargets = List.copyOf(failedTargets);
 		digests = List.copyOf(digests);
 	}
 
+	/**
+	 * Returns the beat with other digests.
+	 * @param others the digests
+	 * @return a copy
+	 */
+	public HostBeat withDigests(List<DomainUsage> others) {
+		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
+				this.taking, this.version, this.usage, this.failedTargets, others);
+	}
+
 }
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
@@ -0,0 +1,75 @@
+package org.plantainspur.core.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts what this host passes on for each account.
+ */
+public final class UsageMeter {
+
+	/** Follows a change within about a second, and smooths the gaps between requests. */
+	private static final double TIME_CONSTANT_MS = 1_000;
+
+	/** The others learn at once of this many requests of an account. */
+	static final int UNREPORTED = 4;
+
+	private static final double LEAST_RATE = 0.01;
+
+	private final ConcurrentMap<String, LongAdder> counts = new ConcurrentHashMap<>();
+
+	private final Map<String, Usage> reported = new HashMap<>();
+
+	private final ConcurrentMap<String, LongAdder> unreported = new ConcurrentHashMap<>();
+
+	private final AtomicBoolean urgent = new AtomicBoolean();
+
+	/**
+	 * Records a request that is passed on.
+	 * @param account the account's name
+	 */
+	public void passed(String account) {
+		this.counts.computeIfAbsent(account, (name) -> new LongAdder()).increment();
+		LongAdder news = this.unreported.computeIfAbsent(account, (name) -> new LongAdder());
+		news.increment();
+		if (news.sum() >= UNREPORTED) {
+			this.urgent.set(true);
+		}
+	}
+
+	/**
+	 * Returns whether the other hosts should be told now.
+	 * @return {@code true} once an account has used much since the last report
+	 */
+	public boolean urgent() {
+		return this.urgent.get();
+	}
+
+	/**
+	 * Takes the usage for a report. Called by one thread.
+	 * @param elapsedMs the time since the last call, in milliseconds
+	 * @return the usage of the accounts that were used of late
+	 */
+	public Map<String, Usage> report(long elapsedMs) {
+		this.urgent.set(false);
+		this.unreported.clear();
+		double gain = 1 - Math.exp(-elapsedMs / TIME_CONSTANT_MS);
+		Map<String, Usage> report = new HashMap<>();
+		this.counts.forEach((account, adder) -> {
+			long count = adder.sum();
+			Usage before = this.reported.getOrDefault(account, Usage.NONE);
+			double rate = (count - before.count()) * 1_000.0 / Math.max(1, elapsedMs);
+			Usage usage = new Usage(count, before.ratePerSecond() + (rate - before.ratePerSecond()) * gain);
+			this.reported.put(account, usage);
+			if (usage.ratePerSecond() >= LEAST_RATE) {
+				report.put(account, usage);
+			}
+		});
+		return report;
+	}
+
+}
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -3,25 +3,32 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 
+import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.DesiredStateView;
-import org.plantainspur.core.fleet.DemandMeter;
-import org.plantainspur.core.fleet.DemandShareLimiter;
-import org.plantainspur.core.fleet.DomainDemand;
+import org.plantainspur.core.fleet.DomainTally;
+import org.plantainspur.core.fleet.DomainUsage;
+import org.plantainspur.core.fleet.EntryChoice;
+import org.plantainspur.core.fleet.FirstHostsChoice;
+import org.plantainspur.core.fleet.FleetLimiter;
 import org.plantainspur.core.fleet.FleetView;
 import org.plantainspur.core.fleet.HostBeat;
 import org.plantainspur.core.fleet.Neighbours;
+import org.plantainspur.core.fleet.Usage;
+import org.plantainspur.core.fleet.UsageMeter;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreAnswer;
 import org.plantainspur.core.store.StoredRow;
@@ -43,8 +50,17 @@
 
 	private static final long BEAT_MS = 500;
 
-	/** One in this many beats of the host that speaks goes to other failure domains. */
-	private static final int DIGEST_EVERY = 2;
+	/** How often it is looked whether the others should be told sooner. */
+	private static final long LOOK_MS = 100;
+
+	/** Failures that come together go out together. */
+	private static final long URGENT_MS = 10;
+
+	/** Bytes between failure domains are billed. */
+	private static final long DIGEST_MS = 900;
+
+	/** Hosts of a failure domain that callers are sent to. */
+	private static final int ENTRY_HOSTS = 3;
 
 	/** Reading the hosts once after the start finds those that started together. */
 	private static final long FIND_HOSTS_MS = 1_500;
@@ -59,9 +75,9 @@
 
 	private final DesiredStateView desired;
 
-	private final DemandMeter meter;
+	private final UsageMeter meter;
 
-	private final DemandShareLimiter limiter;
+	private final FleetLimiter limiter;
 
 	private final TargetDirectory targets;
 
@@ -83,13 +99,21 @@
 
 	private final AtomicReference<HostBeat> own;
 
+	private final DomainTally tally = new DomainTally();
+
+	private final EntryChoice entries = new FirstHostsChoice(ENTRY_HOSTS);
+
+	private final AtomicBoolean beatPending = new AtomicBoolean();
+
+	private final EventLoop loop;
+
 	private long lastBeatMs;
 
-	private int beats;
+	private long lastDigestMs;
 
-	FleetTask(GatewaySettings settings, Clock clock, DesiredStateView desired, DemandMeter meter,
-			DemandShareLimiter limiter, TargetDirectory targets, TargetResults results, Store store,
-			BooleanSupplier stopping, EventLoopGroup control) {
+	FleetTask(GatewaySettings settings, Clock clock, DesiredStateView desired, UsageMeter meter, FleetLimiter limiter,
+			TargetDirectory targets, TargetResults results, Store store, BooleanSupplier stopping, EventLoop loop) {
+		this.loop = loop;
 		this.settings = settings;
 		this.clock = clock;
 		this.desired = desired;
@@ -103,35 +127,35 @@
 		this.own = new AtomicReference<>(new HostBeat(settings.host(), System.currentTimeMillis(),
 				settings.failureDomain(), text(settings.callerAddress()), text(settings.peerAddress()), false, -1,
 				Map.of(), List.of(), List.of()));
-		this.channel = new BeatChannel(settings.peerAddress(), control, this::heard);
+		this.channel = new BeatChannel(settings.peerAddress(), loop, this::heard);
 	}
 
 	private static String text(InetSocketAddress address) {
 		return address.getHostString() + ":" + address.getPort();
 	}
 
-	void start(EventLoop loop) {
+	void start() {
 		this.lastBeatMs = this.clock.millis();
-		loop.scheduleWithFixedDelay(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
-		register(loop);
-		loop.schedule(() -> findHosts(loop), FIND_HOSTS_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::regularBeat, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+		register();
+		this.loop.schedule(this::findHosts, FIND_HOSTS_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void register(EventLoop loop) {
+	private void register() {
 		this.store.put(HOSTS_TABLE, this.settings.host(), this.codec.encode(this.own.get())).thenAccept((answer) -> {
 			if (!(answer instanceof StoreAnswer.Rows)) {
-				loop.schedule(() -> register(loop), RETRY_MS, TimeUnit.MILLISECONDS);
+				this.loop.schedule(this::register, RETRY_MS, TimeUnit.MILLISECONDS);
 			}
 		});
 	}
 
-	private void findHosts(EventLoop loop) {
+	private void findHosts() {
 		this.store.list(HOSTS_TABLE, "").thenAccept((answer) -> {
 			boolean read = answer instanceof StoreAnswer.Rows;
 			if (answer instanceof StoreAnswer.Rows rows) {
 				rows.rows().forEach(this::found);
 			}
-			loop.schedule(() -> findHosts(loop), read ? FIND_HOSTS_AGAIN_MS : RETRY_MS, TimeUnit.MILLISECONDS);
+			this.loop.schedule(this::findHosts, read ? FIND_HOSTS_AGAIN_MS : RETRY_MS, TimeUnit.MILLISECONDS);
 		});
 	}
 
@@ -146,8 +170,15 @@
 		if (beat.host().equals(this.settings.host())) {
 			return;
 		}
-		this.view.heard(beat);
+		List<DomainUsage> news = this.view.heard(beat);
 		this.known.put(beat.host(), beat);
+		DesiredState state = this.desired.current();
+		if (beat.failureDomain().equals(this.settings.failureDomain())) {
+			this.limiter.reported(state, beat.host(), beat.usage());
+		}
+		news.stream()
+			.filter((digest) -> !digest.failureDomain().equals(this.settings.failureDomain()))
+			.forEach((digest) -> this.limiter.reported(state, source(digest), digest.accounts()));
 		for (String id : beat.failedTargets()) {
 			Target target = this.targets.target(id);
 			if (target != null) {
@@ -156,44 +187,73 @@
 		}
 	}
 
+	private static String source(DomainUsage digest) {
+		return digest.failureDomain() + "/" + digest.host();
+	}
+
 	/**
-	 * Tells the hosts of this failure domain of a target's failure with the next beat.
+	 * Tells the hosts of this failure domain of a target's failure at once.
 	 * @param target the target
 	 */
 	void targetFailed(Target target) {
 		this.failed.add(target.entry().id());
+		urgent();
+	}
+
+	private void urgent() {
+		if (this.beatPending.compareAndSet(false, true)) {
+			this.loop.schedule(this::beat, URGENT_MS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void regularBeat() {
+		if (this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.meter.urgent()) {
+			beat();
+		}
 	}
 
 	private void beat() {
+		this.beatPending.set(false);
 		long now = this.clock.millis();
-		Map<String, Double> demand = this.meter.update(now - this.lastBeatMs);
+		Map<String, Usage> usage = this.meter.report(now - this.lastBeatMs);
 		this.lastBeatMs = now;
+		HostBeat beat = ownBeat(usage, takeFailed());
+		this.own.set(beat);
+		List<HostBeat> domain = this.view.domain(beat);
+		int rank = domain.indexOf(beat);
+		boolean relays = rank < FleetView.LISTENERS_PER_DOMAIN;
+		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat, domainAddresses());
+		if (rank == 0 && now - this.lastDigestMs >= DIGEST_MS) {
+			this.lastDigestMs = now;
+			DomainUsage sum = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
+					this.tally.sum(domain));
+			this.channel.send(beat.withDigests(List.of(sum)), listenersElsewhere());
+		}
+		forgetSources(domain);
+	}
+
+	private HostBeat ownBeat(Map<String, Usage> usage, List<String> failedNow) {
+		HostBeat before = this.own.get();
+		boolean taking = this.desired.current().known() && !this.stopping.getAsBoolean();
+		return new HostBeat(before.host(), before.start(), before.failureDomain(), before.callerAddress(),
+				before.peerAddress(), taking, this.desired.current().version(), usage, failedNow, List.of());
+	}
+
+	private List<String> takeFailed() {
 		List<String> failedNow = new ArrayList<>();
 		String id = this.failed.poll();
 		while (id != null) {
 			failedNow.add(id);
 			id = this.failed.poll();
 		}
-		HostBeat before = this.own.get();
-		boolean taking = this.desired.current().known() && !this.stopping.getAsBoolean();
-		HostBeat beat = new HostBeat(before.host(), before.start(), before.failureDomain(), before.callerAddress(),
-				before.peerAddress(), taking, this.desired.current().version(), demand, failedNow, List.of());
-		this.own.set(beat);
-		List<HostBeat> domain = this.view.domain(beat);
-		boolean speaks = this.view.speaks(domain, beat);
-		HostBeat full = speaks ? withDigests(beat, this.view.others(beat.failureDomain())) : beat;
-		this.channel.send(full, domainAddresses());
-		if (speaks && this.beats++ % DIGEST_EVERY == 0) {
-			DomainDemand sum = this.view.sum(domain, beat.failureDomain(), System.currentTimeMillis());
-			this.channel.send(withDigests(beat, List.of(sum)), listenersElsewhere());
-		}
-		FleetView.Shares shares = this.view.shares(beat);
-		this.limiter.shares(shares.byAccount(), shares.unknown());
+		return failedNow;
 	}
 
-	private static HostBeat withDigests(HostBeat beat, List<DomainDemand> digests) {
-		return new HostBeat(beat.host(), beat.start(), beat.failureDomain(), beat.callerAddress(), beat.peerAddress(),
-				beat.taking(), beat.version(), beat.demand(), beat.failedTargets(), digests);
+	private void forgetSources(List<HostBeat> domain) {
+		Set<String> sources = new HashSet<>();
+		domain.forEach((beat) -> sources.add(beat.host()));
+		this.view.others(this.settings.failureDomain()).forEach((digest) -> sources.add(source(digest)));
+		this.limiter.retain(this.desired.current(), sources::contains);
 	}
 
 	private List<String> domainAddresses() {
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -14,8 +14,8 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 import org.plantainspur.core.desired.DesiredStateView;
-import org.plantainspur.core.fleet.DemandMeter;
-import org.plantainspur.core.fleet.DemandShareLimiter;
+import org.plantainspur.core.fleet.FleetLimiter;
+import org.plantainspur.core.fleet.UsageMeter;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.Admission;
 import org.plantainspur.core.proxy.AttemptRules;
@@ -91,13 +91,13 @@
 		EventLoopGroup control = new NioEventLoopGroup(1, new DefaultThreadFactory("control"));
 		EventLoopGroup requests = new NioEventLoopGroup(REQUEST_THREADS, new DefaultThreadFactory("requests"));
 		EventLoop loop = control.next();
-		DemandMeter meter = new DemandMeter();
-		DemandShareLimiter limiter = new DemandShareLimiter(this.clock, meter);
+		UsageMeter meter = new UsageMeter();
+		FleetLimiter limiter = new FleetLimiter(this.clock, meter);
 		Store store = this.ports.store(new HttpCalls(loop, this.settings.storeAddress()));
 		Place place = new Place(this.settings.failureDomain(), this.settings.regions());
 		TargetResults results = new TargetResults(this.clock);
 		FleetTask fleet = new FleetTask(this.settings, this.clock, this.desired, meter, limiter, this.targets, results,
-				store, this.stopping::get, control);
+				store, this.stopping::get, loop);
 		RetryBudget budget = new RetryBudget(this.settings.retryRatio() * RETRY_RATIO_USED,
 				this.settings.retryConstant() * RETRY_CONSTANT_USED / EXPECTED_HOSTS);
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
@@ -110,7 +110,7 @@
 		new StoreTask(this.ports, store, this.clock, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS),
 				this.desired, this.targets, this.log)
 			.start();
-		fleet.start(loop);
+		fleet.start();
 		this.listening.add(callers.listen(this.settings.callerAddress()));
 		listenForPages(control, fleet);
 		this.log.event("started", "host", this.settings.host(), "failureDomain", this.settings.failureDomain());
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
@@ -13,8 +13,9 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
-import org.plantainspur.core.fleet.DomainDemand;
+import org.plantainspur.core.fleet.DomainUsage;
 import org.plantainspur.core.fleet.HostBeat;
+import org.plantainspur.core.fleet.Usage;
 
 /**
  * Encodes beats as MessagePack arrays that begin with the format's number.
@@ -39,15 +40,15 @@
 				.packString(beat.peerAddress())
 				.packBoolean(beat.taking())
 				.packLong(beat.version());
-			packDemand(packer, beat.demand());
+			packUsage(packer, beat.usage());
 			packer.packArrayHeader(beat.failedTargets().size());
 			for (String target : beat.failedTargets()) {
 				packer.packString(target);
 			}
 			packer.packArrayHeader(beat.digests().size());
-			for (DomainDemand digest : beat.digests()) {
-				packer.packString(digest.failureDomain()).packLong(digest.stampMs()).packInt(digest.hosts());
-				packDemand(packer, digest.demand());
+			for (DomainUsage digest : beat.digests()) {
+				packer.packString(digest.failureDomain()).packString(digest.host()).packLong(digest.stampMs());
+				packUsage(packer, digest.accounts());
 			}
 			return packer.toByteArray();
 		}
@@ -56,10 +57,12 @@
 		}
 	}
 
-	private static void packDemand(MessageBufferPacker packer, Map<String, Double> demand) throws IOException {
-		packer.packMapHeader(demand.size());
-		for (Map.Entry<String, Double> entry : demand.entrySet()) {
-			packer.packString(entry.getKey()).packFloat(entry.getValue().floatValue());
+	private static void packUsage(MessageBufferPacker packer, Map<String, Usage> usage) throws IOException {
+		packer.packMapHeader(usage.size());
+		for (Map.Entry<String, Usage> entry : usage.entrySet()) {
+			packer.packString(entry.getKey())
+				.packLong(entry.getValue().count())
+				.packFloat((float) entry.getValue().ratePerSecond());
 		}
 	}
 
@@ -75,20 +78,20 @@
 			}
 			return new HostBeat(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
 					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackLong(),
-					unpackDemand(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
+					unpackUsage(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			return null;
 		}
 	}
 
-	private static Map<String, Double> unpackDemand(MessageUnpacker unpacker) throws IOException {
+	private static Map<String, Usage> unpackUsage(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackMapHeader();
-		Map<String, Double> demand = new HashMap<>();
+		Map<String, Usage> usage = new HashMap<>();
 		for (int i = 0; i < size; i++) {
-			demand.put(unpacker.unpackString(), (double) unpacker.unpackFloat());
+			usage.put(unpacker.unpackString(), new Usage(unpacker.unpackLong(), unpacker.unpackFloat()));
 		}
-		return demand;
+		return usage;
 	}
 
 	private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
@@ -100,12 +103,12 @@
 		return strings;
 	}
 
-	private static List<DomainDemand> unpackDigests(MessageUnpacker unpacker) throws IOException {
+	private static List<DomainUsage> unpackDigests(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackArrayHeader();
-		List<DomainDemand> digests = new ArrayList<>();
+		List<DomainUsage> digests = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
-			digests.add(new DomainDemand(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackInt(),
-					unpackDemand(unpacker)));
+			digests.add(new DomainUsage(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong(),
+					unpackUsage(unpacker)));
 		}
 		return digests;
 	}
