--- a/core/src/main/java/org/plantainspur/core/fleet/FleetBucket.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetBucket.java
@@ -17,6 +17,14 @@
 	/** A host that has just started does not know what was used a moment ago. */
 	private static final double START_SHARE = 0.5;
 
+	static final double NOT_TAKEN = -1;
+
+	/** Hosts report this often while an account presses on its limit. */
+	private static final double REPORT_SECONDS = 0.15;
+
+	/** The rest of the bucket serves the account's bursts. */
+	private static final double LARGEST_RESERVE = 0.3;
+
 	private static final double THOUSAND = 1_000;
 
 	private final AtomicReference<State> state;
@@ -28,15 +36,25 @@
 		this.state = new AtomicReference<>(new State(Math.max(1, rule.burst() * START_SHARE), now, 0));
 	}
 
-	boolean tryTake(AccountRule rule, long now) {
+	/**
+	 * Takes a token.
+	 * @param rule the account
+	 * @param now the reading of the clock
+	 * @return the part of the bucket that is still full, or a negative number if no token
+	 * could be taken
+	 */
+	double tryTake(AccountRule rule, long now) {
 		State before = this.state.get();
 		while (true) {
 			State filled = before.at(now, rule);
-			if (filled.level() < 1) {
-				return false;
+			double largest = Math.max(1, rule.burst());
+			// What the others take before they are heard again.
+			double reserve = Math.min(largest * LARGEST_RESERVE, filled.othersRate() * REPORT_SECONDS);
+			if (filled.level() < 1 + reserve) {
+				return NOT_TAKEN;
 			}
 			if (this.state.compareAndSet(before, filled.plus(-1))) {
-				return true;
+				return Math.max(0, filled.level() - 1) / largest;
 			}
 			before = this.state.get();
 		}
--- a/core/src/main/java/org/plantainspur/core/fleet/FleetLimiter.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetLimiter.java
@@ -18,6 +18,9 @@
  */
 public final class FleetLimiter implements AccountLimiter {
 
+	/** Below this part of its bucket an account presses on its limit. */
+	private static final double PRESSED = 0.5;
+
 	private final Clock clock;
 
 	private final UsageMeter meter;
@@ -34,11 +37,12 @@
 		if (!account.limited()) {
 			return true;
 		}
-		boolean taken = bucket(account).tryTake(account, this.clock.millis());
-		if (taken) {
-			this.meter.passed(account.name());
+		double left = bucket(account).tryTake(account, this.clock.millis());
+		if (left < 0) {
+			return false;
 		}
-		return taken;
+		this.meter.passed(account.name(), left < PRESSED);
+		return true;
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
@@ -64,6 +64,20 @@
 		return hosts;
 	}
 
+	/**
+	 * Returns what the other hosts of a failure domain have read from the store.
+	 * @param domain its hosts, as from {@link #domain}
+	 * @param own this host's own beat
+	 * @return their readings
+	 */
+	public List<ReadDuty.Reading> readings(List<HostBeat> domain, HostBeat own) {
+		return domain.stream()
+			.filter((beat) -> !beat.host().equals(own.host()))
+			.map((beat) -> new ReadDuty.Reading(beat, beat.tablesVersion(),
+					beat.storeAgeMs() + this.neighbours.silenceMs(beat.host())))
+			.toList();
+	}
+
 	/**
 	 * Returns the sums of the other failure domains that are still used.
 	 * @param own the failure domain to leave out
--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -13,12 +13,15 @@
  * @param peerAddress where it takes beats, {@code ip:port}
  * @param taking whether it takes new callers
  * @param version the version of its desired state
+ * @param tablesVersion the sum of the versions of the newest changes that it has read
+ * @param storeAgeMs the time since the store answered it, in milliseconds
  * @param usage what it passed on, by account
  * @param failedTargets identities of the targets that failed since the last beat
  * @param digests the usage of whole failure domains
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
-		boolean taking, long version, Map<String, Usage> usage, List<String> failedTargets, List<DomainUsage> digests) {
+		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
+		List<String> failedTargets, List<DomainUsage> digests) {
 
 	public HostBeat {
 		usage = Map.copyOf(usage);
@@ -33,7 +36,7 @@
 	 */
 	public HostBeat withDigests(List<DomainUsage> others) {
 		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
-				this.taking, this.version, this.usage, this.failedTargets, others);
+				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.failedTargets, others);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/fleet/Neighbours.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/Neighbours.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.jspecify.annotations.Nullable;
-
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -53,13 +51,13 @@
 	}
 
 	/**
-	 * Returns the last beat of a host, however old.
+	 * Returns the time since a host was last heard.
 	 * @param host the host's name
-	 * @return the beat, or {@code null} if the host was never heard
+	 * @return the time in milliseconds, {@link Long#MAX_VALUE} if it was never heard
 	 */
-	public @Nullable HostBeat last(String host) {
+	public long silenceMs(String host) {
 		Heard last = this.heard.get(host);
-		return (last != null) ? last.beat() : null;
+		return (last != null) ? this.clock.millis() - last.atMs() : Long.MAX_VALUE;
 	}
 
 	private record Heard(HostBeat beat, long atMs) {
--- a/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
@@ -31,12 +31,14 @@
 	/**
 	 * Records a request that is passed on.
 	 * @param account the account's name
+	 * @param pressed whether the account presses on its limit, so that the others should
+	 * know soon
 	 */
-	public void passed(String account) {
+	public void passed(String account, boolean pressed) {
 		this.counts.computeIfAbsent(account, (name) -> new LongAdder()).increment();
 		LongAdder news = this.unreported.computeIfAbsent(account, (name) -> new LongAdder());
 		news.increment();
-		if (news.sum() >= UNREPORTED) {
+		if (pressed || news.sum() >= UNREPORTED) {
 			this.urgent.set(true);
 		}
 	}
--- a/core/src/main/java/org/plantainspur/core/store/Store.java
+++ b/core/src/main/java/org/plantainspur/core/store/Store.java
@@ -3,27 +3,9 @@
 import java.util.concurrent.CompletionStage;
 
 /**
- * The platform's table store. All calls return at once; the stages complete with an
- * answer, never exceptionally.
+ * The platform's table store.
  */
-public interface Store {
-
-	/**
-	 * Reads a table whole or from a key on.
-	 * @param table the table
-	 * @param from the first key, empty for all
-	 * @return the rows as of one moment
-	 */
-	CompletionStage<StoreAnswer> list(String table, String from);
-
-	/**
-	 * Waits for changes of a table.
-	 * @param table the table
-	 * @param after the store's version up to which changes are known
-	 * @param waitMs how long to wait for a change, in milliseconds
-	 * @return the changed rows, none if nothing changed meanwhile
-	 */
-	CompletionStage<StoreAnswer> changes(String table, long after, long waitMs);
+public interface Store extends TableReader {
 
 	/**
 	 * Writes one row without a condition.
--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -2,22 +2,22 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.plantainspur.core.time.Clock;
 
 /**
- * Follows one table of the store: reads it whole, then waits for changes, and reads it
- * whole again when the store no longer keeps the changes. All steps run on the
- * scheduler's thread.
+ * Keeps a copy of one table. While it follows the store it reads the table whole, then
+ * waits for changes, and reads it whole again when the store no longer keeps the changes.
+ * While it does not, it takes changes from another host when told to. All steps run on
+ * the scheduler's thread.
  */
 public final class TableFollower {
 
 	/** The store is priced by call; a burst of changes is read in one. */
 	static final long PAUSE_BETWEEN_READS_MS = 150;
 
-	/** A table that is quiet costs one call in this time. */
-	static final long WAIT_FOR_CHANGE_MS = 5_000;
+	/** Tells the hosts that rely on this one within a second that the store is away. */
+	static final long WAIT_FOR_CHANGE_MS = 1_000;
 
 	/** Kept well below the time within which a change must be in force (2.5 s). */
 	static final long RETRY_MS = 400;
@@ -32,13 +32,19 @@
 
 	private final Listener listener;
 
-	private final AtomicLong lastAnswerMs = new AtomicLong(Long.MIN_VALUE);
-
-	private final AtomicLong lastFailureMs = new AtomicLong(Long.MIN_VALUE);
+	private final TableCopy copy = new TableCopy();
 
 	private final List<StoredRow> partial = new ArrayList<>();
 
-	private long version;
+	private boolean following;
+
+	private boolean calling;
+
+	private boolean complete;
+
+	private long lastAnswerMs = Long.MIN_VALUE / 2;
+
+	private long lastFailureMs = Long.MIN_VALUE / 2;
 
 	public TableFollower(String table, Store store, Clock clock, Scheduler scheduler, Listener listener) {
 		this.table = table;
@@ -49,18 +55,77 @@
 	}
 
 	/**
-	 * Begins to follow the table.
+	 * Begins or ends to follow the store. A call that runs is not withdrawn.
+	 * @param follow whether to follow
 	 */
-	public void start() {
-		this.scheduler.after(0, () -> list(""));
+	public void follow(boolean follow) {
+		this.following = follow;
+		if (follow && !this.calling) {
+			read();
+		}
 	}
 
 	/**
-	 * Returns when the store last answered a read of this table.
-	 * @return the reading of the clock, {@link Long#MIN_VALUE} before the first answer
+	 * Takes the changes that another host has read.
+	 * @param source the other host
 	 */
-	public long lastAnswerMs() {
-		return this.lastAnswerMs.get();
+	public void fetch(TableReader source) {
+		if (this.calling || !this.complete) {
+			return;
+		}
+		this.calling = true;
+		source.changes(this.table, this.copy.version(), 0)
+			.thenAccept((answer) -> this.scheduler.after(0, () -> fetched(answer)));
+	}
+
+	private void fetched(StoreAnswer answer) {
+		this.calling = false;
+		if (answer instanceof StoreAnswer.Rows rows) {
+			apply(rows);
+		}
+		else {
+			// The other host cannot help; one read of the store can.
+			read();
+			return;
+		}
+		if (this.following) {
+			read();
+		}
+	}
+
+	/**
+	 * Returns whether the table has been read whole.
+	 * @return {@code true} after the first read
+	 */
+	public boolean complete() {
+		return this.complete;
+	}
+
+	/**
+	 * Returns the copy, to be read on the scheduler's thread.
+	 * @return the copy
+	 */
+	public TableCopy copy() {
+		return this.copy;
+	}
+
+	/**
+	 * Returns the time since the store last answered a read of this table.
+	 * @return the time in milliseconds
+	 */
+	public long sinceAnswerMs() {
+		return this.clock.millis() - this.lastAnswerMs;
+	}
+
+	private void read() {
+		this.calling = true;
+		if (this.complete) {
+			this.store.changes(this.table, this.copy.version(), WAIT_FOR_CHANGE_MS)
+				.thenAccept((answer) -> this.scheduler.after(0, () -> changed(answer)));
+		}
+		else {
+			list("");
+		}
 	}
 
 	private void list(String from) {
@@ -68,61 +133,65 @@
 	}
 
 	private void listed(StoreAnswer answer) {
-		if (answer instanceof StoreAnswer.Rows rows) {
-			answered();
-			this.partial.addAll(rows.rows());
-			if (rows.more() && !rows.rows().isEmpty()) {
-				// The smallest key greater than the last one.
-				list(rows.rows().get(rows.rows().size() - 1).key() + "\0");
-				return;
-			}
-			List<StoredRow> all = List.copyOf(this.partial);
+		if (!(answer instanceof StoreAnswer.Rows rows)) {
 			this.partial.clear();
-			this.version = rows.version();
-			this.listener.replaced(all, sinceFailureMs());
-			follow();
+			failed(answer);
 			return;
 		}
+		this.partial.addAll(rows.rows());
+		if (rows.more() && !rows.rows().isEmpty()) {
+			// The smallest key greater than the last one.
+			list(rows.rows().get(rows.rows().size() - 1).key() + "\0");
+			return;
+		}
+		this.lastAnswerMs = this.clock.millis();
+		List<StoredRow> all = List.copyOf(this.partial);
 		this.partial.clear();
-		failed(answer);
-		this.scheduler.after(RETRY_MS, () -> list(""));
-	}
-
-	private void follow() {
-		this.store.changes(this.table, this.version, WAIT_FOR_CHANGE_MS)
-			.thenAccept((answer) -> this.scheduler.after(0, () -> followed(answer)));
+		this.copy.replace(all, rows.version());
+		this.complete = true;
+		this.listener.replaced(all, sinceFailureMs());
+		next(0);
 	}
 
-	private void followed(StoreAnswer answer) {
+	private void changed(StoreAnswer answer) {
 		if (answer instanceof StoreAnswer.Rows rows) {
-			answered();
-			this.version = Math.max(this.version, rows.version());
-			if (!rows.rows().isEmpty()) {
-				this.listener.changed(rows.rows(), sinceFailureMs());
-			}
-			this.scheduler.after(rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS, this::follow);
+			this.lastAnswerMs = this.clock.millis();
+			apply(rows);
+			next(rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS);
 		}
 		else if (answer instanceof StoreAnswer.HistoryLost) {
-			list("");
+			this.complete = false;
+			read();
 		}
 		else {
 			failed(answer);
-			this.scheduler.after(RETRY_MS, this::follow);
 		}
 	}
 
-	private void answered() {
-		this.lastAnswerMs.set(this.clock.millis());
-	}
-
-	private long sinceFailureMs() {
-		long failed = this.lastFailureMs.get();
-		return (failed != Long.MIN_VALUE) ? this.clock.millis() - failed : Long.MAX_VALUE;
+	private void apply(StoreAnswer.Rows rows) {
+		this.copy.apply(rows.rows(), rows.version());
+		if (!rows.rows().isEmpty()) {
+			this.listener.changed(rows.rows(), sinceFailureMs());
+		}
 	}
 
 	private void failed(StoreAnswer answer) {
-		this.lastFailureMs.set(this.clock.millis());
+		this.lastFailureMs = this.clock.millis();
 		this.listener.unavailable(answer);
+		next(RETRY_MS);
+	}
+
+	private void next(long delayMs) {
+		this.scheduler.after(delayMs, () -> {
+			this.calling = false;
+			if (this.following) {
+				read();
+			}
+		});
+	}
+
+	private long sinceFailureMs() {
+		return this.clock.millis() - this.lastFailureMs;
 	}
 
 	/**
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
@@ -0,0 +1,104 @@
+package org.plantainspur.core.proxy;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.desired.RouteRule;
+import org.plantainspur.core.desired.ServiceShare;
+import org.plantainspur.core.target.AttemptOutcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class AttemptRulesTests {
+
+	private final RetryBudget budget = new RetryBudget(0.1, 5);
+
+	private final AttemptRules rules = new AttemptRules(this.budget);
+
+	private static RouteRule route(boolean idempotent) {
+		return new RouteRule("r", "h", "/", idempotent, 1_000, 500, 0, List.of(new ServiceShare("s", 1)), 2, false);
+	}
+
+	private AttemptRules.Next after(boolean idempotent, AttemptOutcome outcome) {
+		return this.rules.after(route(idempotent), "s", outcome, 1, 0, false);
+	}
+
+	@Nested
+	class NonIdempotent {
+
+		@Test
+		void isNeverSentAgainOnceItMayHaveRun() {
+			assertThat(after(false, new AttemptOutcome.Broken("reset")))
+				.isEqualTo(new AttemptRules.Refuse(Refusal.BROKEN));
+			assertThat(after(false, new AttemptOutcome.TimedOut()))
+				.isEqualTo(new AttemptRules.Refuse(Refusal.TIMED_OUT));
+			assertThat(after(false, new AttemptOutcome.Answered(500, false))).isEqualTo(new AttemptRules.Deliver());
+		}
+
+		@Test
+		void goesToAnotherTargetWhenItHasNotRun() {
+			assertThat(after(false, new AttemptOutcome.Declined(503, false))).isEqualTo(new AttemptRules.Retry());
+			assertThat(after(false, new AttemptOutcome.NotSent("refused"))).isEqualTo(new AttemptRules.Retry());
+		}
+
+		@Test
+		void isNeverToldThatItHasNotRunWhenItMayHave() {
+			assertThat(Refusal.BROKEN.notRun()).isFalse();
+			assertThat(Refusal.TIMED_OUT.notRun()).isFalse();
+			for (Refusal refusal : Refusal.values()) {
+				if (!refusal.notRun()) {
+					assertThat(refusal.status()).isNotIn(429, 503, 408, 421);
+				}
+			}
+		}
+
+	}
+
+	@Nested
+	class Idempotent {
+
+		@Test
+		void isSentAgainAfterAnyFailureWithinTheRoutesAttempts() {
+			assertThat(after(true, new AttemptOutcome.Broken("reset"))).isEqualTo(new AttemptRules.Retry());
+			assertThat(AttemptRulesTests.this.rules.after(route(true), "s", new AttemptOutcome.Broken("reset"), 2, 0,
+					false))
+				.isEqualTo(new AttemptRules.Refuse(Refusal.BROKEN));
+		}
+
+		@Test
+		void isNotSentAgainWhenItsTimeIsUp() {
+			assertThat(AttemptRulesTests.this.rules.after(route(true), "s", new AttemptOutcome.TimedOut(), 1, 0, true))
+				.isEqualTo(new AttemptRules.Refuse(Refusal.TIMED_OUT));
+		}
+
+	}
+
+	@Nested
+	class Budget {
+
+		@Test
+		void retriesEndWithTheBudget() {
+			for (int i = 0; i < 5; i++) {
+				assertThat(after(true, new AttemptOutcome.Broken("reset"))).isEqualTo(new AttemptRules.Retry());
+			}
+			assertThat(after(true, new AttemptOutcome.Broken("reset")))
+				.isEqualTo(new AttemptRules.Refuse(Refusal.BROKEN));
+		}
+
+		@Test
+		void tenRequestsEarnOneRetryAtARatioOfATenth() {
+			RetryBudget empty = new RetryBudget(0.1, 1);
+			assertThat(empty.tryTake("s")).isTrue();
+			assertThat(empty.tryTake("s")).isFalse();
+			for (int i = 0; i < 10; i++) {
+				empty.earn("s");
+			}
+			assertThat(empty.tryTake("s")).isTrue();
+			assertThat(empty.tryTake("s")).isFalse();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -0,0 +1,178 @@
+package org.plantainspur.core.target;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class NearestFreeChooserTests {
+
+	private final HandClock clock = new HandClock();
+
+	private final TargetDirectory directory = new TargetDirectory(this.clock);
+
+	private final TargetResults results = new TargetResults(this.clock);
+
+	private final NearestFreeChooser chooser = new NearestFreeChooser(this.directory,
+			new Place("pdx-a", Map.of("pdx-a", "pdx", "pdx-b", "pdx", "sea-a", "sea")), 0.7, this.clock, () -> 0.5);
+
+	private static TargetEntry entry(String id, String domain, boolean leaving) {
+		return new TargetEntry(id, "booking", "127.0.0.1", 80, domain, 4, leaving, 0);
+	}
+
+	private void list(TargetEntry... entries) {
+		this.directory.replace(List.of(entries));
+	}
+
+	private String choose(String... tried) {
+		Target target = this.chooser.choose("booking", Set.of(tried));
+		return (target != null) ? target.entry().id() : "none";
+	}
+
+	private void load(String id, int requests) {
+		Target target = this.directory.target(id);
+		assertThat(target).isNotNull();
+		for (int i = 0; i < requests; i++) {
+			this.results.sent(target);
+		}
+	}
+
+	private void fail(String id) {
+		Target target = this.directory.target(id);
+		assertThat(target).isNotNull();
+		this.results.sent(target);
+		this.results.ended(target, "route", new AttemptOutcome.Broken("reset"), 10);
+	}
+
+	@Nested
+	class Distance {
+
+		@Test
+		void workStaysInTheFailureDomainWhileItHasRoom() {
+			list(entry("near", "pdx-a", false), entry("far", "pdx-b", false), entry("farther", "sea-a", false));
+			load("near", 3);
+			assertThat(choose()).isEqualTo("near");
+		}
+
+		@Test
+		void workLeavesAFailureDomainThatIsFull() {
+			list(entry("near", "pdx-a", false), entry("far", "pdx-b", false), entry("farther", "sea-a", false));
+			load("near", 6);
+			assertThat(choose()).isEqualTo("far");
+		}
+
+	}
+
+	@Nested
+	class Failures {
+
+		@Test
+		void aTargetThatFailedGetsNoWorkForASecond() {
+			list(entry("sick", "pdx-a", false), entry("well", "pdx-b", false), entry("w2", "sea-a", false),
+					entry("w3", "sea-a", false));
+			fail("sick");
+			assertThat(choose()).isEqualTo("well");
+			NearestFreeChooserTests.this.clock.advance(Target.Trust.FIRST_AVOIDANCE_MS);
+			assertThat(choose()).isEqualTo("sick");
+		}
+
+		@Test
+		void aSecondFailureKeepsWorkAwayForLonger() {
+			list(entry("sick", "pdx-a", false), entry("well", "pdx-b", false), entry("w2", "sea-a", false),
+					entry("w3", "sea-a", false));
+			fail("sick");
+			NearestFreeChooserTests.this.clock.advance(Target.Trust.FIRST_AVOIDANCE_MS);
+			fail("sick");
+			NearestFreeChooserTests.this.clock.advance(Target.Trust.FIRST_AVOIDANCE_MS);
+			assertThat(choose()).isEqualTo("well");
+		}
+
+		@Test
+		void aFloorOfTheTargetsGetsWorkWhenManyFail() {
+			List<TargetEntry> all = new ArrayList<>();
+			for (int i = 0; i < 10; i++) {
+				all.add(entry("t" + i, "pdx-a", false));
+			}
+			NearestFreeChooserTests.this.directory.replace(all);
+			for (int i = 0; i < 4; i++) {
+				fail("t" + i);
+				NearestFreeChooserTests.this.clock.advance(10);
+			}
+			for (int i = 4; i < 10; i++) {
+				load("t" + i, 8);
+			}
+			assertThat(choose()).as("the one that failed first").isEqualTo("t0");
+		}
+
+		@Test
+		void aTargetWhoseAddressAnotherOneHasIsLeftAlone() {
+			list(entry("gone", "pdx-a", false), entry("well", "sea-a", false), entry("w2", "sea-a", false),
+					entry("w3", "sea-a", false));
+			Target gone = NearestFreeChooserTests.this.directory.target("gone");
+			assertThat(gone).isNotNull();
+			NearestFreeChooserTests.this.results.sent(gone);
+			NearestFreeChooserTests.this.results.ended(gone, "route", new AttemptOutcome.Declined(421, true), 5);
+			NearestFreeChooserTests.this.clock.advance(5_000);
+			assertThat(choose()).isNotEqualTo("gone");
+		}
+
+	}
+
+	@Nested
+	class Listing {
+
+		@Test
+		void aLeavingTargetGetsNoWork() {
+			list(entry("leaving", "pdx-a", true), entry("staying", "sea-a", false));
+			assertThat(choose()).isEqualTo("staying");
+		}
+
+		@Test
+		void aRequestIsNotSentToTheSameTargetTwice() {
+			list(entry("one", "pdx-a", false));
+			assertThat(choose("one")).isEqualTo("none");
+		}
+
+		@Test
+		void whatIsKnownOfATargetOutlivesAnUpdateOfTheList() {
+			list(entry("one", "pdx-a", false), entry("two", "pdx-a", false));
+			load("one", 2);
+			list(entry("one", "pdx-a", false), entry("two", "pdx-a", false), entry("three", "sea-a", false));
+			assertThat(choose()).isEqualTo("two");
+		}
+
+	}
+
+	@Nested
+	class Slowness {
+
+		@Test
+		void aTargetThatTakesFiveTimesAsLongGetsLess() {
+			list(entry("slow", "pdx-a", false), entry("usual", "pdx-a", false));
+			for (int i = 0; i < 20; i++) {
+				answer("usual", 100);
+			}
+			for (int i = 0; i < 4; i++) {
+				answer("slow", 500);
+			}
+			load("usual", 1);
+			assertThat(choose()).isEqualTo("usual");
+		}
+
+		private void answer(String id, long tookMs) {
+			Target target = NearestFreeChooserTests.this.directory.target(id);
+			assertThat(target).isNotNull();
+			NearestFreeChooserTests.this.results.sent(target);
+			NearestFreeChooserTests.this.results.ended(target, "route", new AttemptOutcome.Answered(200, true), tookMs);
+		}
+
+	}
+
+}
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -27,8 +27,10 @@
 import org.plantainspur.core.fleet.FleetView;
 import org.plantainspur.core.fleet.HostBeat;
 import org.plantainspur.core.fleet.Neighbours;
+import org.plantainspur.core.fleet.ReadDuty;
 import org.plantainspur.core.fleet.Usage;
 import org.plantainspur.core.fleet.UsageMeter;
+import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreAnswer;
 import org.plantainspur.core.store.StoredRow;
@@ -38,6 +40,7 @@
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.peer.BeatChannel;
 import org.plantainspur.gateway.peer.BeatCodec;
+import org.plantainspur.gateway.peer.PeerTables;
 
 /**
  * Tells the other hosts about this one and takes what they tell. Runs on the control
@@ -65,7 +68,7 @@
 	/** Reading the hosts once after the start finds those that started together. */
 	private static final long FIND_HOSTS_MS = 1_500;
 
-	private static final long FIND_HOSTS_AGAIN_MS = 20_000;
+	private static final long FIND_HOSTS_AGAIN_MS = 30_000;
 
 	private static final long RETRY_MS = 1_000;
 
@@ -85,6 +88,12 @@
 
 	private final Store store;
 
+	private final StoreTask tables;
+
+	private final PeerTables peerTables;
+
+	private final ReadDuty duty = new ReadDuty();
+
 	private final BooleanSupplier stopping;
 
 	private final BeatCodec codec = new BeatCodec();
@@ -107,12 +116,18 @@
 
 	private final EventLoop loop;
 
+	private final DecisionLog log;
+
+	private boolean reading = true;
+
 	private long lastBeatMs;
 
 	private long lastDigestMs;
 
 	FleetTask(GatewaySettings settings, Clock clock, DesiredStateView desired, UsageMeter meter, FleetLimiter limiter,
-			TargetDirectory targets, TargetResults results, Store store, BooleanSupplier stopping, EventLoop loop) {
+			TargetDirectory targets, TargetResults results, Store store, StoreTask tables, BooleanSupplier stopping,
+			EventLoop loop, DecisionLog log) {
+		this.log = log;
 		this.loop = loop;
 		this.settings = settings;
 		this.clock = clock;
@@ -122,11 +137,13 @@
 		this.targets = targets;
 		this.results = results;
 		this.store = store;
+		this.tables = tables;
+		this.peerTables = new PeerTables(loop);
 		this.stopping = stopping;
 		this.view = new FleetView(new Neighbours(clock), clock);
 		this.own = new AtomicReference<>(new HostBeat(settings.host(), System.currentTimeMillis(),
-				settings.failureDomain(), text(settings.callerAddress()), text(settings.peerAddress()), false, -1,
-				Map.of(), List.of(), List.of()));
+				settings.failureDomain(), text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0,
+				Long.MAX_VALUE / 4, Map.of(), List.of(), List.of()));
 		this.channel = new BeatChannel(settings.peerAddress(), loop, this::heard);
 	}
 
@@ -136,7 +153,7 @@
 
 	void start() {
 		this.lastBeatMs = this.clock.millis();
-		this.loop.scheduleWithFixedDelay(this::regularBeat, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
 		register();
 		this.loop.schedule(this::findHosts, FIND_HOSTS_MS, TimeUnit.MILLISECONDS);
 	}
@@ -206,12 +223,30 @@
 		}
 	}
 
-	private void regularBeat() {
-		if (this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.meter.urgent()) {
+	private void look() {
+		readDuty();
+		boolean newer = this.tables.version() > this.own.get().tablesVersion();
+		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.meter.urgent()) {
 			beat();
 		}
 	}
 
+	private void readDuty() {
+		HostBeat beat = this.own.get();
+		List<HostBeat> domain = this.view.domain(beat);
+		ReadDuty.Decision decision = this.duty.decide(domain.get(0).host().equals(beat.host()), this.tables.complete(),
+				this.tables.version(), this.view.readings(domain, beat), this.clock.millis());
+		if (decision.readStore() != this.reading) {
+			this.reading = decision.readStore();
+			this.tables.follow(this.reading);
+			this.log.event("read-duty", "readsStore", this.reading, "first", domain.get(0).host());
+		}
+		ReadDuty.Reading ahead = decision.ahead();
+		if (ahead != null) {
+			this.tables.fetch(this.peerTables.of(ahead.beat().peerAddress()));
+		}
+	}
+
 	private void beat() {
 		this.beatPending.set(false);
 		long now = this.clock.millis();
@@ -236,7 +271,8 @@
 		HostBeat before = this.own.get();
 		boolean taking = this.desired.current().known() && !this.stopping.getAsBoolean();
 		return new HostBeat(before.host(), before.start(), before.failureDomain(), before.callerAddress(),
-				before.peerAddress(), taking, this.desired.current().version(), usage, failedNow, List.of());
+				before.peerAddress(), taking, this.desired.current().version(), this.tables.version(),
+				this.tables.storeAgeMs(), usage, failedNow, List.of());
 	}
 
 	private List<String> takeFailed() {
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -20,6 +20,7 @@
 import org.plantainspur.core.proxy.Admission;
 import org.plantainspur.core.proxy.AttemptRules;
 import org.plantainspur.core.proxy.RetryBudget;
+import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.target.NearestFreeChooser;
 import org.plantainspur.core.target.Place;
@@ -31,6 +32,7 @@
 import org.plantainspur.gateway.http.PageServer;
 import org.plantainspur.gateway.http.ProxyParts;
 import org.plantainspur.gateway.log.GatewayMetrics;
+import org.plantainspur.gateway.peer.PeerTables;
 
 /**
  * An entry host for small machines: proxies callers' requests, follows the store, and
@@ -96,8 +98,11 @@
 		Store store = this.ports.store(new HttpCalls(loop, this.settings.storeAddress()));
 		Place place = new Place(this.settings.failureDomain(), this.settings.regions());
 		TargetResults results = new TargetResults(this.clock);
+		Scheduler scheduler = (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS);
+		StoreTask tables = new StoreTask(this.ports, store, this.clock, scheduler, this.desired, this.targets,
+				this.log);
 		FleetTask fleet = new FleetTask(this.settings, this.clock, this.desired, meter, limiter, this.targets, results,
-				store, this.stopping::get, loop);
+				store, tables, this.stopping::get, loop, this.log);
 		RetryBudget budget = new RetryBudget(this.settings.retryRatio() * RETRY_RATIO_USED,
 				this.settings.retryConstant() * RETRY_CONSTANT_USED / EXPECTED_HOSTS);
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
@@ -107,31 +112,38 @@
 				results, new AttemptRules(budget), budget, fleet::targetFailed, this.stopping::get, this.log,
 				this.metrics);
 		CallerServer callers = new CallerServer(parts, requests);
-		new StoreTask(this.ports, store, this.clock, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS),
-				this.desired, this.targets, this.log)
-			.start();
+		tables.start();
 		fleet.start();
 		this.listening.add(callers.listen(this.settings.callerAddress()));
-		listenForPages(control, fleet);
+		listenForPages(control, fleet, tables);
 		this.log.event("started", "host", this.settings.host(), "failureDomain", this.settings.failureDomain());
 		return new GracefulStop(this.stopping, callers::openRequests, this.settings.graceMs(), this.log);
 	}
 
-	private void listenForPages(EventLoopGroup control, FleetTask fleet) {
+	private void listenForPages(EventLoopGroup control, FleetTask fleet, StoreTask tables) {
 		page(control, this.settings.readyAddress(), new PageServer().page(this.ports.readyPath(), (query) -> ready()));
 		page(control, this.settings.directoryAddress(), new PageServer().page(this.ports.directoryPath(),
 				this.ports.directoryPage(fleet::callerAddresses, DIRECTORY_VALID_MS)));
 		page(control, this.settings.metricsAddress(), new PageServer().page("/metrics",
-				(query) -> new PageServer.Page(200, "text/plain; version=0.0.4", this.metrics.text())));
+				(query) -> PageServer.Page.text(200, "text/plain; version=0.0.4", this.metrics.text())));
+		page(control, this.settings.peerAddress(), new PageServer().page(PeerTables.PATH, tables::peerPage));
 	}
 
 	private void page(EventLoopGroup control, InetSocketAddress address, PageServer server) {
 		this.listening.add(server.listen(address, control));
 	}
 
+	/**
+	 * Returns where the host listens.
+	 * @return the addresses of its callers' port and its pages
+	 */
+	public List<InetSocketAddress> addresses() {
+		return this.listening.stream().map((channel) -> (InetSocketAddress) channel.localAddress()).toList();
+	}
+
 	private PageServer.Page ready() {
 		boolean ready = this.desired.current().known() && !this.stopping.get() && !this.targets.ids().isEmpty();
-		return new PageServer.Page(ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
+		return PageServer.Page.text(ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
@@ -12,9 +12,12 @@
 import org.plantainspur.core.store.StoreAnswer;
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.store.TableFollower;
+import org.plantainspur.core.store.TableReader;
 import org.plantainspur.core.target.TargetDirectory;
 import org.plantainspur.core.target.TargetEntry;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.gateway.http.PageServer;
+import org.plantainspur.gateway.peer.RowsCodec;
 
 /**
  * Follows the desired state and the list of targets in the store.
@@ -27,6 +30,8 @@
 	 */
 	private static final long LAPSED_RETURN_MS = 2_000;
 
+	private final RowsCodec rowsCodec = new RowsCodec();
+
 	private final PlatformPorts ports;
 
 	private final Scheduler scheduler;
@@ -58,8 +63,49 @@
 	}
 
 	void start() {
-		this.desiredFollower.start();
-		this.targetFollower.start();
+		follow(true);
+	}
+
+	// Begins or ends to follow the store.
+	void follow(boolean follow) {
+		this.scheduler.after(0, () -> {
+			this.desiredFollower.follow(follow);
+			this.targetFollower.follow(follow);
+		});
+	}
+
+	// Takes the changes that another host has read.
+	void fetch(TableReader source) {
+		this.desiredFollower.fetch(source);
+		this.targetFollower.fetch(source);
+	}
+
+	boolean complete() {
+		return this.desiredFollower.complete() && this.targetFollower.complete();
+	}
+
+	// The sum of the versions of the newest changes that were read.
+	long version() {
+		return this.desiredFollower.copy().latestChange() + this.targetFollower.copy().latestChange();
+	}
+
+	// The time since the store answered for the table that it answered longest ago.
+	long storeAgeMs() {
+		return Math.max(this.desiredFollower.sinceAnswerMs(), this.targetFollower.sinceAnswerMs());
+	}
+
+	// Answers another host that takes changes from this one.
+	PageServer.Page peerPage(PageServer.Query query) {
+		String table = query.values().getOrDefault("table", "");
+		String after = query.values().getOrDefault("after", "");
+		TableFollower follower = table.equals(this.ports.targetTable()) ? this.targetFollower : this.desiredFollower;
+		if (!after.matches("\\d{1,18}") || !follower.complete()) {
+			return new PageServer.Page(503, RowsCodec.TYPE, new byte[0]);
+		}
+		StoreAnswer answer = follower.copy().changes(Long.parseLong(after));
+		return (answer instanceof StoreAnswer.Rows rows)
+				? new PageServer.Page(200, RowsCodec.TYPE, this.rowsCodec.encode(rows))
+				: new PageServer.Page(410, RowsCodec.TYPE, new byte[0]);
 	}
 
 	private abstract class Rows implements TableFollower.Listener {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/PageServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/PageServer.java
@@ -74,12 +74,12 @@
 
 	private Page answer(FullHttpRequest request) {
 		if (request.decoderResult().isFailure()) {
-			return new Page(400, "text/plain", "");
+			return Page.text(400, "text/plain", "");
 		}
 		QueryStringDecoder decoder = new QueryStringDecoder(request.uri());
 		Function<Query, Page> page = this.pages.get(decoder.path());
 		if (page == null) {
-			return new Page(404, "text/plain", "");
+			return Page.text(404, "text/plain", "");
 		}
 		Map<String, String> values = new HashMap<>();
 		decoder.parameters().forEach((name, all) -> values.put(name, all.get(0)));
@@ -101,7 +101,19 @@
 	 * @param type the content type
 	 * @param body the content
 	 */
-	public record Page(int status, String type, String body) {
+	public record Page(int status, String type, byte[] body) {
+
+		/**
+		 * Returns a page of text.
+		 * @param status the HTTP status
+		 * @param type the content type
+		 * @param text the content
+		 * @return the page
+		 */
+		public static Page text(int status, String type, String text) {
+			return new Page(status, type, text.getBytes(StandardCharsets.UTF_8));
+		}
+
 	}
 
 	private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
@@ -110,8 +122,7 @@
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
 			Page page = answer(request);
 			DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-					HttpResponseStatus.valueOf(page.status()),
-					Unpooled.wrappedBuffer(page.body().getBytes(StandardCharsets.UTF_8)));
+					HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(page.body()));
 			response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.type());
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
@@ -39,7 +39,9 @@
 				.packString(beat.callerAddress())
 				.packString(beat.peerAddress())
 				.packBoolean(beat.taking())
-				.packLong(beat.version());
+				.packLong(beat.version())
+				.packLong(beat.tablesVersion())
+				.packLong(beat.storeAgeMs());
 			packUsage(packer, beat.usage());
 			packer.packArrayHeader(beat.failedTargets().size());
 			for (String target : beat.failedTargets()) {
@@ -78,7 +80,8 @@
 			}
 			return new HostBeat(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
 					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackLong(),
-					unpackUsage(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
+					unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker), unpackStrings(unpacker),
+					unpackDigests(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			return null;
--- /dev/null
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/RowsCodec.java
@@ -0,0 +1,67 @@
+package org.plantainspur.gateway.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+import org.plantainspur.core.store.StoreAnswer;
+import org.plantainspur.core.store.StoredRow;
+
+/**
+ * Encodes rows that one host takes from another, as MessagePack.
+ */
+public final class RowsCodec {
+
+	/** The content type of the rows. */
+	public static final String TYPE = "application/msgpack";
+
+	/**
+	 * Encodes rows.
+	 * @param rows the rows
+	 * @return their bytes
+	 */
+	public byte[] encode(StoreAnswer.Rows rows) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packLong(rows.version()).packArrayHeader(rows.rows().size());
+			for (StoredRow row : rows.rows()) {
+				packer.packString(row.key()).packLong(row.version()).packBoolean(row.removed());
+				packer.packBinaryHeader(row.value().length).writePayload(row.value());
+			}
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Decodes rows.
+	 * @param bytes their bytes
+	 * @return the rows, or {@link StoreAnswer.Unavailable} if they cannot be read
+	 */
+	public StoreAnswer decode(byte[] bytes) {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			long version = unpacker.unpackLong();
+			int size = unpacker.unpackArrayHeader();
+			List<StoredRow> rows = new ArrayList<>();
+			for (int i = 0; i < size; i++) {
+				String key = unpacker.unpackString();
+				long rowVersion = unpacker.unpackLong();
+				boolean removed = unpacker.unpackBoolean();
+				byte[] value = unpacker.readPayload(unpacker.unpackBinaryHeader());
+				rows.add(new StoredRow(key, value, rowVersion, removed));
+			}
+			return new StoreAnswer.Rows(rows, version, false);
+		}
+		catch (IOException | MessagePackException ex) {
+			return new StoreAnswer.Unavailable("rows of another host cannot be read: " + ex.getMessage());
+		}
+	}
+
+}
