--- a/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
@@ -50,6 +50,17 @@
 		return new Refuse((outcome instanceof AttemptOutcome.TimedOut) ? Refusal.TIMED_OUT : Refusal.BROKEN);
 	}
 
+	/**
+	 * Decides whether an attempt that takes long is given up for another one.
+	 * @param route the request's route
+	 * @param service the service that runs it
+	 * @param sentAttempts the attempts that have reached a target, this one included
+	 * @return whether another attempt may be made; it is then taken out of the budget
+	 */
+	public boolean giveUpSlow(RouteRule route, String service, int sentAttempts) {
+		return route.idempotent() && mayRepeat(route, service, sentAttempts);
+	}
+
 	private boolean mayRepeat(RouteRule route, String service, int sentAttempts) {
 		return sentAttempts < route.maxAttempts() && this.budget.tryTake(service);
 	}
--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -22,6 +22,12 @@
 	/** A round trip of 60 ms and the narrow link between regions. */
 	static final double OTHER_REGION_PENALTY = 1.5;
 
+	/** More than any occupation costs, so that any other target goes first. */
+	private static final double AVOIDED = 100;
+
+	/** After this time a request that cannot be repeated may be the trial as well. */
+	private static final double TRIAL_BY_ANY_MS = 2_000;
+
 	/** At least this part of a service's targets gets work, however many fail. */
 	private final double floorShare;
 
@@ -43,7 +49,7 @@
 	}
 
 	@Override
-	public @Nullable Target choose(String service, Set<String> tried) {
+	public @Nullable Target choose(String service, Set<String> tried, boolean idempotent) {
 		List<Target> targets = this.directory.targets(service);
 		long now = this.clock.millis();
 		long avoided = targets.stream().filter((target) -> target.trust().avoided(now)).count();
@@ -52,7 +58,7 @@
 		double bestCost = Double.MAX_VALUE;
 		for (Target target : targets) {
 			if (!tried.contains(target.entry().id())) {
-				double cost = cost(target, belowFloor, now);
+				double cost = cost(target, belowFloor, idempotent, now);
 				if (cost < bestCost) {
 					best = target;
 					bestCost = cost;
@@ -62,17 +68,29 @@
 		return best;
 	}
 
-	private double cost(Target target, boolean belowFloor, long now) {
+	private double cost(Target target, boolean belowFloor, boolean idempotent, long now) {
 		double cost = target.occupation(now) * target.slowness(now) + (target.slowness(now) - 1) * 0.25
 				+ penalty(target) + this.random.getAsDouble() * 0.2;
 		Target.Trust trust = target.trust();
 		if (trust.avoided(now)) {
 			// Below the floor the targets that failed longest ago get work again.
-			cost += belowFloor ? 1 + (trust.avoidUntilMs() - now) / 2_000.0 : 100;
+			cost += belowFloor ? 1 + (trust.avoidUntilMs() - now) / 2_000.0 : AVOIDED;
+		}
+		else if (trust.onTrial()) {
+			cost += trialCost(target, idempotent, now - trust.avoidUntilMs());
 		}
 		return cost;
 	}
 
+	// One request at a time shows whether a target is well again, if possible one that
+	// can be repeated.
+	private static double trialCost(Target target, boolean idempotent, long sinceMs) {
+		if (target.inFlight() > 0) {
+			return AVOIDED / 2;
+		}
+		return idempotent ? 0 : Math.max(0, 1 - sinceMs / TRIAL_BY_ANY_MS);
+	}
+
 	private double penalty(Target target) {
 		return switch (this.place.to(target.entry().failureDomain())) {
 			case SAME_DOMAIN -> 0;
--- a/core/src/main/java/org/plantainspur/core/target/Target.java
+++ b/core/src/main/java/org/plantainspur/core/target/Target.java
@@ -152,6 +152,10 @@
 			return (nowMs >= this.avoidUntilMs) ? FULL : this;
 		}
 
+		boolean onTrial() {
+			return this.failures > 0;
+		}
+
 		boolean avoided(long nowMs) {
 			return nowMs < this.avoidUntilMs;
 		}
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -32,7 +32,7 @@
 	}
 
 	private String choose(String... tried) {
-		Target target = this.chooser.choose("booking", Set.of(tried));
+		Target target = this.chooser.choose("booking", Set.of(tried), true);
 		return (target != null) ? target.entry().id() : "none";
 	}
 
@@ -125,6 +125,34 @@
 
 	}
 
+	@Nested
+	class Trials {
+
+		@Test
+		void onlyOneRequestAtATimeTriesATargetThatFailed() {
+			list(entry("sick", "pdx-a", false), entry("well", "sea-a", false), entry("w2", "sea-a", false),
+					entry("w3", "sea-a", false));
+			fail("sick");
+			NearestFreeChooserTests.this.clock.advance(Target.Trust.FIRST_AVOIDANCE_MS);
+			assertThat(choose()).isEqualTo("sick");
+			load("sick", 1);
+			assertThat(choose()).isNotEqualTo("sick");
+		}
+
+		@Test
+		void aRequestThatCannotBeRepeatedIsNotTheFirstToTry() {
+			list(entry("sick", "pdx-a", false), entry("well", "pdx-a", false));
+			fail("sick");
+			load("well", 2);
+			NearestFreeChooserTests.this.clock.advance(Target.Trust.FIRST_AVOIDANCE_MS);
+			Target chosen = NearestFreeChooserTests.this.chooser.choose("booking", Set.of(), false);
+			assertThat(chosen).isNotNull();
+			assertThat(chosen.entry().id()).isEqualTo("well");
+			assertThat(choose()).isEqualTo("sick");
+		}
+
+	}
+
 	@Nested
 	class Listing {
 
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -63,7 +63,7 @@
 	private static final long DIGEST_MS = 900;
 
 	/** Hosts of a failure domain that callers are sent to. */
-	private static final int ENTRY_HOSTS = 3;
+	static final int ENTRY_HOSTS = 3;
 
 	/** Reading the hosts once after the start finds those that started together. */
 	private static final long FIND_HOSTS_MS = 1_500;
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -39,7 +39,7 @@
  * tells the other hosts about itself. For example
  * {@code new GatewayHost(settings, ports, log).start()}.
  */
-public final class GatewayHost {
+public final class GatewayHost implements AutoCloseable {
 
 	/**
 	 * Two threads carry requests. One core is enough for a host's share of the traffic;
@@ -51,16 +51,14 @@
 	private static final long DIRECTORY_VALID_MS = 2_000;
 
 	/**
-	 * The constant part of the retry budget is meant for all hosts; each takes its part
-	 * of half of it, since hosts that restart begin with a full part.
+	 * The constant part of the retry budget is meant for all hosts that carry traffic;
+	 * each takes its part of half of it, since hosts that restart begin with a full part.
 	 */
 	private static final double RETRY_CONSTANT_USED = 0.5;
 
 	/** The rest of the ratio covers windows in which requests of a moment before end. */
 	private static final double RETRY_RATIO_USED = 0.7;
 
-	private static final int EXPECTED_HOSTS = 40;
-
 	private final GatewaySettings settings;
 
 	private final PlatformPorts ports;
@@ -77,6 +75,11 @@
 
 	private final List<Channel> listening = new ArrayList<>();
 
+	private final EventLoopGroup control = new NioEventLoopGroup(1, new DefaultThreadFactory("control", true));
+
+	private final EventLoopGroup requests = new NioEventLoopGroup(REQUEST_THREADS,
+			new DefaultThreadFactory("requests"));
+
 	private final TargetDirectory targets = new TargetDirectory(this.clock);
 
 	public GatewayHost(GatewaySettings settings, PlatformPorts ports, DecisionLog log) {
@@ -90,9 +93,7 @@
 	 * @return what stops the host
 	 */
 	public GracefulStop start() {
-		EventLoopGroup control = new NioEventLoopGroup(1, new DefaultThreadFactory("control"));
-		EventLoopGroup requests = new NioEventLoopGroup(REQUEST_THREADS, new DefaultThreadFactory("requests"));
-		EventLoop loop = control.next();
+		EventLoop loop = this.control.next();
 		UsageMeter meter = new UsageMeter();
 		FleetLimiter limiter = new FleetLimiter(this.clock, meter);
 		Store store = this.ports.store(new HttpCalls(loop, this.settings.storeAddress()));
@@ -104,33 +105,34 @@
 		FleetTask fleet = new FleetTask(this.settings, this.clock, this.desired, meter, limiter, this.targets, results,
 				store, tables, this.stopping::get, loop, this.log);
 		RetryBudget budget = new RetryBudget(this.settings.retryRatio() * RETRY_RATIO_USED,
-				this.settings.retryConstant() * RETRY_CONSTANT_USED / EXPECTED_HOSTS);
+				this.settings.retryConstant() * RETRY_CONSTANT_USED
+						/ (Math.max(1, this.settings.regions().size()) * FleetTask.ENTRY_HOSTS));
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
 				new Admission(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new NearestFreeChooser(this.targets, place, this.settings.floorShare(), this.clock,
 						() -> ThreadLocalRandom.current().nextDouble()),
 				results, new AttemptRules(budget), budget, fleet::targetFailed, this.stopping::get, this.log,
 				this.metrics);
-		CallerServer callers = new CallerServer(parts, requests);
+		CallerServer callers = new CallerServer(parts, this.requests);
 		tables.start();
 		fleet.start();
 		this.listening.add(callers.listen(this.settings.callerAddress()));
-		listenForPages(control, fleet, tables);
+		listenForPages(fleet, tables);
 		this.log.event("started", "host", this.settings.host(), "failureDomain", this.settings.failureDomain());
 		return new GracefulStop(this.stopping, callers::openRequests, this.settings.graceMs(), this.log);
 	}
 
-	private void listenForPages(EventLoopGroup control, FleetTask fleet, StoreTask tables) {
-		page(control, this.settings.readyAddress(), new PageServer().page(this.ports.readyPath(), (query) -> ready()));
-		page(control, this.settings.directoryAddress(), new PageServer().page(this.ports.directoryPath(),
+	private void listenForPages(FleetTask fleet, StoreTask tables) {
+		page(this.settings.readyAddress(), new PageServer().page(this.ports.readyPath(), (query) -> ready()));
+		page(this.settings.directoryAddress(), new PageServer().page(this.ports.directoryPath(),
 				this.ports.directoryPage(fleet::callerAddresses, DIRECTORY_VALID_MS)));
-		page(control, this.settings.metricsAddress(), new PageServer().page("/metrics",
+		page(this.settings.metricsAddress(), new PageServer().page("/metrics",
 				(query) -> PageServer.Page.text(200, "text/plain; version=0.0.4", this.metrics.text())));
-		page(control, this.settings.peerAddress(), new PageServer().page(PeerTables.PATH, tables::peerPage));
+		page(this.settings.peerAddress(), new PageServer().page(PeerTables.PATH, tables::peerPage));
 	}
 
-	private void page(EventLoopGroup control, InetSocketAddress address, PageServer server) {
-		this.listening.add(server.listen(address, control));
+	private void page(InetSocketAddress address, PageServer server) {
+		this.listening.add(server.listen(address, this.control));
 	}
 
 	/**
@@ -141,6 +143,17 @@
 		return this.listening.stream().map((channel) -> (InetSocketAddress) channel.localAddress()).toList();
 	}
 
+	/**
+	 * Ends the host at once, as the end of its process would.
+	 */
+	@Override
+	public void close() {
+		this.control.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+		this.requests.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+		this.control.terminationFuture().syncUninterruptibly();
+		this.requests.terminationFuture().syncUninterruptibly();
+	}
+
 	private PageServer.Page ready() {
 		boolean ready = this.desired.current().known() && !this.stopping.get() && !this.targets.ids().isEmpty();
 		return PageServer.Page.text(ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -138,7 +138,7 @@
 	}
 
 	private void attempt(RouteRule admittedRoute) {
-		Target target = this.parts.chooser().choose(this.service, this.tried);
+		Target target = this.parts.chooser().choose(this.service, this.tried, admittedRoute.idempotent());
 		if (target == null) {
 			refuse((this.sentAttempts > 0) ? Refusal.ALL_DECLINED : Refusal.NO_TARGET);
 			return;
@@ -299,8 +299,16 @@
 			boolean another = this.admittedRoute.idempotent() && usual > 0
 					&& Exchange.this.sentAttempts < this.admittedRoute.maxAttempts();
 			if (another && patienceMs + usual < leftMs()) {
-				this.patience = Exchange.this.loop.schedule(() -> end(new AttemptOutcome.TimedOut(), false), patienceMs,
-						TimeUnit.MILLISECONDS);
+				this.patience = Exchange.this.loop.schedule(this::slow, patienceMs, TimeUnit.MILLISECONDS);
+			}
+		}
+
+		private void slow() {
+			if (!this.ended && Exchange.this.parts.rules()
+				.giveUpSlow(this.admittedRoute, Exchange.this.service, Exchange.this.sentAttempts)) {
+				record(new AttemptOutcome.TimedOut());
+				cancelConnection();
+				attempt(this.admittedRoute);
 			}
 		}
 
--- /dev/null
+++ b/standins/src/main/java/org/plantainspur/standins/tablestore/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * A stand-in for the users' table store: rows with versions, transactions, range reads
+ * and a feed of changes.
+ */
+@NullMarked
+package org.plantainspur.standins.tablestore;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -0,0 +1,205 @@
+package org.plantainspur.standins.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.DatagramSocket;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+import org.plantainspur.gateway.GatewayHost;
+import org.plantainspur.gateway.GracefulStop;
+import org.plantainspur.platform.PlatformHost;
+import org.plantainspur.standins.http.Handler;
+import org.plantainspur.standins.http.Response;
+import org.plantainspur.standins.http.StandInServer;
+import org.plantainspur.standins.tablestore.TableStoreStandIn;
+
+/**
+ * Entry hosts on loopback before a stand-in of the table store and scripted targets.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+	static final String KEY = "key-of-mill";
+
+	private static final int TIMEOUT_MS = 5_000;
+
+	private final TableStoreStandIn store = new TableStoreStandIn();
+
+	private final List<AutoCloseable> opened = new ArrayList<>();
+
+	private final List<String> log = new CopyOnWriteArrayList<>();
+
+	private int version = 0x10;
+
+	GatewayFixture() throws IOException {
+		desire(KEY);
+	}
+
+	TableStoreStandIn store() {
+		return this.store;
+	}
+
+	List<String> log() {
+		return this.log;
+	}
+
+	/** Writes a new desired state in which an account holds a key. */
+	void desire(String key) {
+		this.version += 3;
+		this.store.put("op", "config", """
+				{"version":"%08x","routes":{"columns":["name","host","prefix","routeType","timeoutMs","targetLatencyMs",
+				"priority","maxAttempts","public","service"],"rows":[
+				["read","jobs.example","/read/","safe",2000,500,0,2,false,"s"],
+				["book","jobs.example","/book/","non_idempotent",2000,500,0,2,false,"s"]]},
+				"services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/health",100]]},
+				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+				"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
+				"rows":[["mill",["%s"],0,1000,1000]]}}""".formatted(this.version, key));
+	}
+
+	/** Lists a target that answers with a handler. */
+	StandInServer target(String id, Handler handler) throws IOException {
+		StandInServer server = new StandInServer("127.0.0.1", 0, handler);
+		this.opened.add(server);
+		list(id, server.port(), "ready");
+		return server;
+	}
+
+	void list(String id, int port, String state) {
+		this.store.put("servers", id, """
+				{"service":"s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":4,"state":"%s",
+				"coldLeftMs":0,"seq":1}""".formatted(port, state));
+	}
+
+	static Response ok(String requestId, String text) {
+		return Response.text(200, text)
+			.with("X-Plantainspur-Attempt-Id", requestId)
+			.with("X-Plantainspur-Response-Signature", "signed");
+	}
+
+	Host host(String name) throws IOException {
+		int[] ports = freePorts();
+		String settings = """
+				nodeName=%s
+				ip=127.0.0.1
+				zone=a
+				zones.a=r
+				listen.front=127.0.0.1:%d
+				listen.ready=127.0.0.1:%d
+				listen.directory=127.0.0.1:%d
+				internalPorts=%d,%d
+				platform.address=127.0.0.1:%d
+				bounds=graceS=3,retryBudgetRatio=0.2,budgetExtra=60
+				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, this.store.port());
+		GatewayHost gateway = PlatformHost.of("node.conf", settings,
+				(event, fields) -> this.log.add(name + " " + event + " " + List.of(fields)));
+		Host host = new Host(gateway.start(), ports[0], ports[1], ports[2]);
+		this.opened.add(gateway);
+		await(() -> call(host.readyPort(), "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+		return host;
+	}
+
+	// The peer port serves UDP and TCP, and the port after it serves metrics.
+	private static int[] freePorts() throws IOException {
+		int[] ports = new int[4];
+		for (int i = 0; i < 3; i++) {
+			try (ServerSocket socket = new ServerSocket(0)) {
+				ports[i] = socket.getLocalPort();
+			}
+		}
+		for (int port = 20_000 + (int) (System.nanoTime() % 10_000); port < 32_000; port += 2) {
+			try (ServerSocket tcp = new ServerSocket(port);
+					ServerSocket next = new ServerSocket(port + 1);
+					DatagramSocket udp = new DatagramSocket(port)) {
+				ports[3] = port;
+				return ports;
+			}
+			catch (IOException ex) {
+				// Taken; the next pair is tried.
+			}
+		}
+		throw new IOException("no pair of ports is free");
+	}
+
+	static String request(String method, String path, String id, String extra) {
+		return method + " " + path + " HTTP/1.1\r\nHost: jobs.example\r\nX-Plantainspur-Attempt-Id: " + id
+				+ "\r\nX-Plantainspur-Deadline-Ms: 2000\r\nAuthorization: Bearer " + KEY + "\r\n" + extra + "\r\n";
+	}
+
+	/** Sends a request on a connection of its own and returns all that comes back. */
+	static String call(int port, String request) {
+		try (Socket socket = new Socket("127.0.0.1", port)) {
+			socket.setSoTimeout(TIMEOUT_MS);
+			socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+			return read(socket.getInputStream());
+		}
+		catch (IOException ex) {
+			return "failed: " + ex.getMessage();
+		}
+	}
+
+	static String read(InputStream input) throws IOException {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		int expected = Integer.MAX_VALUE;
+		while (bytes.size() < expected) {
+			int next = input.read();
+			if (next < 0) {
+				break;
+			}
+			bytes.write(next);
+			if (expected == Integer.MAX_VALUE && next == '\n') {
+				expected = expectedLength(bytes.toString(StandardCharsets.ISO_8859_1));
+			}
+		}
+		return bytes.toString(StandardCharsets.ISO_8859_1);
+	}
+
+	private static int expectedLength(String head) {
+		if (!head.endsWith("\r\n\r\n")) {
+			return Integer.MAX_VALUE;
+		}
+		for (String line : head.split("\r\n")) {
+			if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+				return head.length() + Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+			}
+		}
+		return Integer.MAX_VALUE;
+	}
+
+	static void await(BooleanSupplier condition) {
+		long end = System.nanoTime() + TIMEOUT_MS * 1_000_000L;
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() > end) {
+				throw new AssertionError("not within " + TIMEOUT_MS + " ms");
+			}
+			pause(20);
+		}
+	}
+
+	static void pause(long milliseconds) {
+		try {
+			Thread.sleep(milliseconds);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void close() throws Exception {
+		for (int i = this.opened.size() - 1; i >= 0; i--) {
+			this.opened.get(i).close();
+		}
+		this.store.close();
+	}
+
+	record Host(GracefulStop stop, int port, int readyPort, int directoryPort) {
+	}
+
+}
