Choose targets by the expected loss, with a two-state belief in their sickness

Cause: about a third of the targets fail 85% of their work for seconds at a time while the rest fails 1%. Sound answers of doubtful targets are told to the failure domain.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -17,15 +17,17 @@
  * @param storeAgeMs the time since the store answered it, in milliseconds
  * @param usage what it passed on, by account
  * @param failedTargets identities of the targets that failed since the last beat
+ * @param soundTargets identities of doubtful targets that answered well since then
  * @param digests the usage of whole failure domains
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
 		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
-		List<String> failedTargets, List<DomainUsage> digests) {
+		List<String> failedTargets, List<String> soundTargets, List<DomainUsage> digests) {
 
 	public HostBeat {
 		usage = Map.copyOf(usage);
 		failedTargets = List.copyOf(failedTargets);
+		soundTargets = List.copyOf(soundTargets);
 		digests = List.copyOf(digests);
 	}
 
@@ -36,7 +38,8 @@
 	 */
 	public HostBeat withDigests(List<DomainUsage> others) {
 		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
-				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.failedTargets, others);
+				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.failedTargets,
+				this.soundTargets, others);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/target/TargetResults.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetResults.java
@@ -7,8 +7,13 @@
  */
 public final class TargetResults {
 
+	/** Below this a further success says little. */
+	private static final double DOUBTED = 0.05;
+
 	private final Clock clock;
 
+	private final ServiceFailures failures = new ServiceFailures();
+
 	private final UsualTimes usualTimes = new UsualTimes();
 
 	public TargetResults(Clock clock) {
@@ -33,26 +38,35 @@
 	public void ended(Target target, String route, AttemptOutcome outcome, long tookMs) {
 		target.ended();
 		long now = this.clock.millis();
-		if (outcome instanceof AttemptOutcome.Answered answered) {
-			if (answered.sound()) {
-				target.took(tookMs / this.usualTimes.observe(route, tookMs), now);
-				target.succeeded(now);
-			}
-			else {
-				target.failed(now);
-			}
+		String service = target.entry().service();
+		if (outcome instanceof AttemptOutcome.Answered answered && answered.sound()) {
+			target.took(tookMs / this.usualTimes.observe(route, tookMs), now);
+			target.succeeded(now);
+			this.failures.record(service, false);
 		}
 		else if (outcome instanceof AttemptOutcome.Declined declined) {
 			if (declined.otherTarget()) {
 				target.gone(now);
 			}
+			else {
+				target.declined(now);
+			}
 		}
-		else if (outcome instanceof AttemptOutcome.NotSent || outcome instanceof AttemptOutcome.Broken
-				|| outcome instanceof AttemptOutcome.TimedOut) {
+		else if (!(outcome instanceof AttemptOutcome.Cancelled)) {
 			target.failed(now);
+			this.failures.record(service, true);
 		}
 	}
 
+	/**
+	 * Returns the share of a service's attempts that failed of late.
+	 * @param service the service
+	 * @return from 0 to 1
+	 */
+	public double failureShare(String service) {
+		return this.failures.of(service);
+	}
+
 	/**
 	 * Returns the usual time of a route's answers.
 	 * @param route the route's name
@@ -70,4 +84,21 @@
 		target.failed(this.clock.millis());
 	}
 
+	/**
+	 * Records that another host saw a target answer well.
+	 * @param target the target
+	 */
+	public void succeededElsewhere(Target target) {
+		target.succeeded(this.clock.millis());
+	}
+
+	/**
+	 * Returns whether a success of a target is news to other hosts.
+	 * @param target the target
+	 * @return {@code true} if the target was not known to be well
+	 */
+	public boolean doubted(Target target) {
+		return target.belief().now(this.clock.millis()) > DOUBTED;
+	}
+
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -415,11 +415,15 @@
 				pending.cancel(false);
 			}
 			long tookMs = Exchange.this.parts.clock().millis() - this.beganMs;
+			boolean doubted = Exchange.this.parts.results().doubted(this.target);
 			Exchange.this.parts.results().ended(this.target, this.admittedRoute.name(), outcome, tookMs);
 			if (outcome instanceof AttemptOutcome.Broken || outcome instanceof AttemptOutcome.NotSent
 					|| outcome instanceof AttemptOutcome.TimedOut
 					|| outcome instanceof AttemptOutcome.Answered answered && !answered.sound()) {
-				Exchange.this.parts.failures().failed(this.target);
+				Exchange.this.parts.news().failed(this.target);
+			}
+			else if (doubted && outcome instanceof AttemptOutcome.Answered) {
+				Exchange.this.parts.news().sound(this.target);
 			}
 			Exchange.this.attempts.append(Exchange.this.attempts.isEmpty() ? "" : "; ")
 				.append(this.target.entry().id())
