--- a/core/src/main/java/org/plantainspur/core/proxy/Admission.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/Admission.java
@@ -33,18 +33,18 @@
 	 */
 	public Decision decide(DesiredState state, String host, String path, @Nullable String key) {
 		if (!state.known()) {
-			return new Refused(Refusal.NO_DESIRED_STATE);
+			return new Refused(Refusal.NO_DESIRED_STATE, null);
 		}
 		RouteRule route = state.route(host, path);
 		if (route == null) {
-			return new Refused(Refusal.NO_ROUTE);
+			return new Refused(Refusal.NO_ROUTE, null);
 		}
 		AccountRule account = (key != null) ? state.accountOfKey(key) : null;
 		if (account == null && state.keyed() && !route.open()) {
-			return new Refused(Refusal.KEY_NOT_VALID);
+			return new Refused(Refusal.KEY_NOT_VALID, null);
 		}
 		if (account != null && !this.limiter.tryAcquire(account)) {
-			return new Refused(Refusal.OVER_LIMIT);
+			return new Refused(Refusal.OVER_LIMIT, account);
 		}
 		return new Admitted(route, account, route.service(this.random.getAsDouble()));
 	}
@@ -70,8 +70,9 @@
 	 * The request must not run.
 	 *
 	 * @param refusal why
+	 * @param account the account of its key, if that is known
 	 */
-	public record Refused(Refusal refusal) implements Decision {
+	public record Refused(Refusal refusal, @Nullable AccountRule account) implements Decision {
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/target/SicknessBelief.java
+++ b/core/src/main/java/org/plantainspur/core/target/SicknessBelief.java
@@ -38,6 +38,12 @@
 		return sick * FAILURES_WHEN_SICK + (1 - sick) * FAILURES_WHEN_WELL;
 	}
 
+	// How little is known: 0 just after a result, towards 1 when nothing was heard for
+	// long.
+	double staleness(long nowMs) {
+		return 1 - Math.exp(-Math.max(0, nowMs - this.atMs) / TIME_CONSTANT_MS);
+	}
+
 	SicknessBelief afterFailure(long nowMs) {
 		return after(nowMs, FAILURES_WHEN_SICK, FAILURES_WHEN_WELL);
 	}
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -154,6 +154,36 @@
 
 	}
 
+	@Nested
+	class Trials {
+
+		@Test
+		void idempotentRequestsTryATargetOfWhichLittleIsKnown() {
+			list(entry("sick", "pdx-a", false), entry("well", "pdx-a", false));
+			fail("sick");
+			NearestFreeChooserTests.this.clock.advance(8_000);
+			answer("well", 100);
+			answer("well", 100);
+			assertThat(choose()).as("cannot be repeated").isEqualTo("well");
+			Target tried = NearestFreeChooserTests.this.chooser.choose("booking", Set.of(), true);
+			assertThat(tried).isNotNull();
+			assertThat(tried.entry().id()).isEqualTo("sick");
+		}
+
+		@Test
+		void onlyOneOfThemAtATime() {
+			list(entry("sick", "pdx-a", false), entry("well", "pdx-a", false));
+			fail("sick");
+			NearestFreeChooserTests.this.clock.advance(8_000);
+			answer("well", 100);
+			load("sick", 1);
+			Target tried = NearestFreeChooserTests.this.chooser.choose("booking", Set.of(), true);
+			assertThat(tried).isNotNull();
+			assertThat(tried.entry().id()).isEqualTo("well");
+		}
+
+	}
+
 	@Nested
 	class Listing {
 
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
@@ -198,8 +198,8 @@
 			if (entry != null) {
 				TargetEntry before = StoreTask.this.listed.put(row.key(), entry);
 				if (before == null || before.leaving() != entry.leaving()) {
-					StoreTask.this.log.event("target", "id", entry.id(), "service", entry.service(), "leaving",
-							entry.leaving(), "storeVersion", row.version());
+					StoreTask.this.log.event("target", "id", entry.id(), "service", entry.service(), "failureDomain",
+							entry.failureDomain(), "leaving", entry.leaving(), "storeVersion", row.version());
 				}
 			}
 			else {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -104,6 +104,7 @@
 		String host = this.request.headers().get(HttpHeaderNames.HOST, "");
 		Admission.Decision decision = this.parts.admission().decide(state, host, this.request.uri(), key());
 		if (decision instanceof Admission.Refused refused) {
+			this.account = refused.account();
 			refuse(refused.refusal());
 		}
 		else if (decision instanceof Admission.Admitted admitted) {
