--- a/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
@@ -64,6 +64,15 @@
 		return hosts;
 	}
 
+	/**
+	 * Returns the time since a host was last heard.
+	 * @param beat a beat of the host
+	 * @return the time in milliseconds
+	 */
+	public long silenceMs(HostBeat beat) {
+		return this.neighbours.silenceMs(beat.host());
+	}
+
 	/**
 	 * Returns what the other hosts of a failure domain have read from the store.
 	 * @param domain its hosts, as from {@link #domain}
--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -16,12 +16,13 @@
  * @param tablesVersion the sum of the versions of the newest changes that it has read
  * @param storeAgeMs the time since the store answered it, in milliseconds
  * @param usage what it passed on, by account
+ * @param pressed whether an account pressed on its limit there since the last beat
  * @param failedTargets identities of the targets that failed since the last beat
  * @param soundTargets identities of doubtful targets that answered well since then
  * @param digests the usage of whole failure domains
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
-		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
+		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage, boolean pressed,
 		List<String> failedTargets, List<String> soundTargets, List<DomainUsage> digests) {
 
 	public HostBeat {
@@ -38,8 +39,8 @@
 	 */
 	public HostBeat withDigests(List<DomainUsage> others) {
 		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
-				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.failedTargets,
-				this.soundTargets, others);
+				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.pressed,
+				this.failedTargets, this.soundTargets, others);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
@@ -28,6 +28,8 @@
 
 	private final AtomicBoolean urgent = new AtomicBoolean();
 
+	private final AtomicBoolean pressed = new AtomicBoolean();
+
 	/**
 	 * Records a request that is passed on.
 	 * @param account the account's name
@@ -38,6 +40,9 @@
 		this.counts.computeIfAbsent(account, (name) -> new LongAdder()).increment();
 		LongAdder news = this.unreported.computeIfAbsent(account, (name) -> new LongAdder());
 		news.increment();
+		if (pressed) {
+			this.pressed.set(true);
+		}
 		if (pressed || news.sum() >= UNREPORTED) {
 			this.urgent.set(true);
 		}
@@ -51,6 +56,14 @@
 		return this.urgent.get();
 	}
 
+	/**
+	 * Returns whether an account has pressed on its limit since the last call.
+	 * @return {@code true} once an account used much of its bucket
+	 */
+	public boolean takePressed() {
+		return this.pressed.getAndSet(false);
+	}
+
 	/**
 	 * Takes the usage for a report. Called by one thread.
 	 * @param elapsedMs the time since the last call, in milliseconds
--- a/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
@@ -14,6 +14,9 @@
 	 */
 	static final int MAX_UNSENT_ATTEMPTS = 3;
 
+	/** A service that declines this often has no room for seconds. */
+	static final int MAX_DECLINED_ATTEMPTS = 4;
+
 	private final RetryBudget budget;
 
 	public AttemptRules(RetryBudget budget) {
@@ -41,8 +44,10 @@
 			return (!timeIsUp && unsentAttempts < MAX_UNSENT_ATTEMPTS) ? new Retry() : new Refuse(Refusal.NO_TARGET);
 		}
 		if (outcome instanceof AttemptOutcome.Declined) {
-			return (!timeIsUp && mayRepeat(route, service, sentAttempts)) ? new Retry()
-					: new Refuse(Refusal.ALL_DECLINED);
+			if (timeIsUp || sentAttempts >= MAX_DECLINED_ATTEMPTS || !this.budget.tryTake(service)) {
+				return new Refuse(Refusal.ALL_DECLINED);
+			}
+			return (sentAttempts < route.maxAttempts()) ? new Retry() : new RetryTried();
 		}
 		if (route.idempotent() && !timeIsUp && mayRepeat(route, service, sentAttempts)) {
 			return new Retry();
@@ -80,6 +85,13 @@
 	public record Retry() implements Next {
 	}
 
+	/**
+	 * One of the targets that declined is asked again after a moment: the route allows no
+	 * further target.
+	 */
+	public record RetryTried() implements Next {
+	}
+
 	/**
 	 * The caller gets an answer of the host's own.
 	 *
--- a/core/src/main/java/org/plantainspur/core/proxy/RetryBudget.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/RetryBudget.java
@@ -2,32 +2,45 @@
 
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.plantainspur.core.time.Clock;
 
 /**
  * This host's part of the fleet's budget for attempts beyond the first, by service. The
- * budget of a window is a share of the requests plus a constant; each request earns its
- * share here, and the constant is divided among the hosts.
+ * fleet may make a share of its requests plus a constant in each window; each request
+ * earns its share here, and the constant flows back over the window.
  */
 public final class RetryBudget {
 
-	/** Fixed-point unit: thousandths of an attempt. */
-	private static final long ATTEMPT = 1_000;
+	/** Ten tenths of an attempt are one. */
+	private static final double ROUNDING = 1e-9;
+
+	private static final double THOUSAND = 1_000;
+
+	private final Clock clock;
 
-	private final long earnedPerRequest;
+	private final double earnedPerRequest;
 
-	private final long largest;
+	private final double largest;
 
-	private final ConcurrentMap<String, AtomicLong> tokens = new ConcurrentHashMap<>();
+	private final double perSecond;
+
+	private final ConcurrentMap<String, AtomicReference<Level>> levels = new ConcurrentHashMap<>();
 
 	/**
 	 * Creates a budget.
-	 * @param ratio the attempts that each request earns; below the fleet's ratio
-	 * @param constant the attempts that this host may make at once, at least 1
+	 * @param clock the host's clock
+	 * @param ratio the attempts that each request earns
+	 * @param constant the attempts of a window that need no requests
+	 * @param windowMs the length of a window, in milliseconds
 	 */
-	public RetryBudget(double ratio, double constant) {
-		this.earnedPerRequest = (long) (ratio * ATTEMPT);
-		this.largest = (long) (Math.max(1, constant) * ATTEMPT);
+	public RetryBudget(Clock clock, double ratio, double constant, long windowMs) {
+		this.clock = clock;
+		this.earnedPerRequest = ratio;
+		// A full budget and what flows back in one window together make the constant.
+		this.largest = Math.max(1, constant / 2);
+		this.perSecond = constant / 2 / (windowMs / THOUSAND);
 	}
 
 	/**
@@ -35,7 +48,8 @@
 	 * @param service its service
 	 */
 	public void earn(String service) {
-		tokens(service).updateAndGet((level) -> Math.min(this.largest, level + this.earnedPerRequest));
+		long now = this.clock.millis();
+		level(service).updateAndGet((level) -> refilled(level, now, this.earnedPerRequest));
 	}
 
 	/**
@@ -44,19 +58,34 @@
 	 * @return whether the attempt may be made
 	 */
 	public boolean tryTake(String service) {
-		AtomicLong level = tokens(service);
-		long before = level.get();
-		while (before >= ATTEMPT) {
-			if (level.compareAndSet(before, before - ATTEMPT)) {
+		long now = this.clock.millis();
+		AtomicReference<Level> level = level(service);
+		Level before = level.get();
+		while (true) {
+			Level present = refilled(before, now, 0);
+			if (present.tokens() < 1 - ROUNDING) {
+				return false;
+			}
+			if (level.compareAndSet(before, new Level(present.tokens() - 1, now))) {
 				return true;
 			}
 			before = level.get();
 		}
-		return false;
 	}
 
-	private AtomicLong tokens(String service) {
-		return this.tokens.computeIfAbsent(service, (name) -> new AtomicLong(this.largest));
+	private Level refilled(Level level, long now, double earned) {
+		double flowed = Math.max(0, now - level.atMs()) / THOUSAND * this.perSecond;
+		// What requests earn may be saved up to the same amount once more.
+		double most = (earned > 0) ? this.largest * 2 : Math.max(this.largest, level.tokens());
+		return new Level(Math.min(most, level.tokens() + flowed + earned), Math.max(now, level.atMs()));
+	}
+
+	private AtomicReference<Level> level(String service) {
+		return this.levels.computeIfAbsent(service,
+				(name) -> new AtomicReference<>(new Level(this.largest, this.clock.millis())));
+	}
+
+	private record Level(double tokens, long atMs) {
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -14,7 +14,7 @@
 public final class TableFollower {
 
 	/** The store is priced by call; a burst of changes is read in one. */
-	static final long PAUSE_BETWEEN_READS_MS = 150;
+	static final long PAUSE_BETWEEN_READS_MS = 400;
 
 	/** Tells the hosts that rely on this one within a second that the store is away. */
 	static final long WAIT_FOR_CHANGE_MS = 1_000;
--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -2,8 +2,8 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -89,14 +89,14 @@
 	}
 
 	@Override
-	public @Nullable Target choose(String service, Set<String> tried, boolean idempotent) {
+	public @Nullable Target choose(String service, Predicate<Target> eligible, boolean idempotent) {
 		List<Target> targets = this.directory.targets(service);
 		long now = this.clock.millis();
 		double spared = sparedAbove(service, targets, now);
 		Target best = null;
 		double bestCost = Double.MAX_VALUE;
 		for (Target target : targets) {
-			if (!tried.contains(target.entry().id())) {
+			if (eligible.test(target)) {
 				double cost = cost(target, spared, idempotent, now);
 				if (cost < bestCost) {
 					best = target;
--- a/core/src/main/java/org/plantainspur/core/target/TargetChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetChooser.java
@@ -1,6 +1,6 @@
 package org.plantainspur.core.target;
 
-import java.util.Set;
+import java.util.function.Predicate;
 
 import org.jspecify.annotations.Nullable;
 
@@ -12,10 +12,10 @@
 	/**
 	 * Returns the target for the next attempt of a request.
 	 * @param service the service
-	 * @param tried the identities of the targets that the request was sent to already
+	 * @param eligible whether the request may be sent to a target
 	 * @param idempotent whether the request may be repeated if the target fails
-	 * @return the target, or {@code null} if the service has no other target
+	 * @return the target, or {@code null} if the service has no eligible one
 	 */
-	@Nullable Target choose(String service, Set<String> tried, boolean idempotent);
+	@Nullable Target choose(String service, Predicate<Target> eligible, boolean idempotent);
 
 }
--- a/core/src/main/java/org/plantainspur/core/target/TargetResults.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetResults.java
@@ -76,6 +76,14 @@
 		return this.usualTimes.of(route);
 	}
 
+	/**
+	 * Records that a request takes much longer than usual and goes on.
+	 * @param target the target that works on it
+	 */
+	public void overdue(Target target) {
+		target.failed(this.clock.millis());
+	}
+
 	/**
 	 * Records that another host saw a target fail.
 	 * @param target the target
--- a/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
+++ b/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
@@ -8,12 +8,15 @@
 import org.plantainspur.core.desired.RouteRule;
 import org.plantainspur.core.desired.ServiceShare;
 import org.plantainspur.core.target.AttemptOutcome;
+import org.plantainspur.core.time.HandClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class AttemptRulesTests {
 
-	private final RetryBudget budget = new RetryBudget(0.1, 5);
+	private final HandClock clock = new HandClock();
+
+	private final RetryBudget budget = new RetryBudget(this.clock, 0.1, 10, 10_000);
 
 	private final AttemptRules rules = new AttemptRules(this.budget);
 
@@ -87,9 +90,31 @@
 				.isEqualTo(new AttemptRules.Refuse(Refusal.BROKEN));
 		}
 
+		@Test
+		void theConstantFlowsBackOverTheWindow() {
+			int taken = 0;
+			for (int i = 0; i < 100; i++) {
+				taken += AttemptRulesTests.this.budget.tryTake("s") ? 1 : 0;
+				AttemptRulesTests.this.clock.advance(100);
+			}
+			assertThat(taken).as("in one window, of a constant of 10").isBetween(9, 10);
+		}
+
+		@Test
+		void aRequestThatAllTargetsOfItsRouteDeclinedIsOfferedToThemAgain() {
+			RouteRule route = route(false);
+			AttemptOutcome declined = new AttemptOutcome.Declined(503, false);
+			assertThat(AttemptRulesTests.this.rules.after(route, "s", declined, 1, 0, false))
+				.isEqualTo(new AttemptRules.Retry());
+			assertThat(AttemptRulesTests.this.rules.after(route, "s", declined, 2, 0, false))
+				.isEqualTo(new AttemptRules.RetryTried());
+			assertThat(AttemptRulesTests.this.rules.after(route, "s", declined, 4, 0, false))
+				.isEqualTo(new AttemptRules.Refuse(Refusal.ALL_DECLINED));
+		}
+
 		@Test
 		void tenRequestsEarnOneRetryAtARatioOfATenth() {
-			RetryBudget empty = new RetryBudget(0.1, 1);
+			RetryBudget empty = new RetryBudget(AttemptRulesTests.this.clock, 0.1, 2, 10_000);
 			assertThat(empty.tryTake("s")).isTrue();
 			assertThat(empty.tryTake("s")).isFalse();
 			for (int i = 0; i < 10; i++) {
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -33,7 +33,8 @@
 	}
 
 	private String choose(String... tried) {
-		Target target = this.chooser.choose("booking", Set.of(tried), false);
+		Target target = this.chooser.choose("booking", (candidate) -> !Set.of(tried).contains(candidate.entry().id()),
+				false);
 		return (target != null) ? target.entry().id() : "none";
 	}
 
@@ -165,7 +166,7 @@
 			answer("well", 100);
 			answer("well", 100);
 			assertThat(choose()).as("cannot be repeated").isEqualTo("well");
-			Target tried = NearestFreeChooserTests.this.chooser.choose("booking", Set.of(), true);
+			Target tried = NearestFreeChooserTests.this.chooser.choose("booking", (target) -> true, true);
 			assertThat(tried).isNotNull();
 			assertThat(tried.entry().id()).isEqualTo("sick");
 		}
@@ -177,7 +178,7 @@
 			NearestFreeChooserTests.this.clock.advance(8_000);
 			answer("well", 100);
 			load("sick", 1);
-			Target tried = NearestFreeChooserTests.this.chooser.choose("booking", Set.of(), true);
+			Target tried = NearestFreeChooserTests.this.chooser.choose("booking", (target) -> true, true);
 			assertThat(tried).isNotNull();
 			assertThat(tried.entry().id()).isEqualTo("well");
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -62,7 +62,16 @@
 	private static final long URGENT_MS = 10;
 
 	/** Bytes between failure domains are billed. */
-	private static final long DIGEST_MS = 900;
+	private static final long DIGEST_MS = 2_900;
+
+	/** While an account presses on its limit the other failure domains must know soon. */
+	private static final long DIGEST_PRESSED_MS = 400;
+
+	/**
+	 * Two digests of another failure domain may be lost before its speaker counts as
+	 * down.
+	 */
+	private static final long SPEAKER_SILENCE_MS = 7_000;
 
 	/** Hosts of a failure domain that callers are sent to. */
 	static final int ENTRY_HOSTS = 3;
@@ -145,7 +154,7 @@
 		this.view = new FleetView(new Neighbours(clock), clock);
 		this.own = new AtomicReference<>(new HostBeat(settings.host(), System.currentTimeMillis(),
 				settings.failureDomain(), text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0,
-				Long.MAX_VALUE / 4, Map.of(), List.of(), List.of(), List.of()));
+				Long.MAX_VALUE / 4, Map.of(), false, List.of(), List.of(), List.of()));
 		this.channel = new BeatChannel(settings.peerAddress(), loop, this::heard);
 	}
 
@@ -265,7 +274,8 @@
 		int rank = domain.indexOf(beat);
 		boolean relays = rank < FleetView.LISTENERS_PER_DOMAIN;
 		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat, domainAddresses());
-		if (rank == 0 && now - this.lastDigestMs >= DIGEST_MS) {
+		boolean pressed = domain.stream().anyMatch(HostBeat::pressed);
+		if (rank == 0 && now - this.lastDigestMs >= (pressed ? DIGEST_PRESSED_MS : DIGEST_MS)) {
 			this.lastDigestMs = now;
 			DomainUsage sum = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
 					this.tally.sum(domain));
@@ -279,7 +289,7 @@
 		boolean taking = this.desired.current().known() && !this.stopping.getAsBoolean();
 		return new HostBeat(before.host(), before.start(), before.failureDomain(), before.callerAddress(),
 				before.peerAddress(), taking, this.desired.current().version(), this.tables.version(),
-				this.tables.storeAgeMs(), usage, failedNow, soundNow, List.of());
+				this.tables.storeAgeMs(), usage, this.meter.takePressed(), failedNow, soundNow, List.of());
 	}
 
 	private static List<String> takeAll(Queue<String> queue) {
@@ -307,8 +317,9 @@
 			.toList();
 	}
 
-	// The speaker of another failure domain is the first by name that lives there; this
-	// host does not know which live, so it tries the first few.
+	// The host that spoke last for another failure domain lives there; of a domain that
+	// was
+	// not heard, the first few are tried.
 	private List<String> listenersElsewhere() {
 		Map<String, List<HostBeat>> byDomain = new HashMap<>();
 		this.known.values()
@@ -318,11 +329,16 @@
 			.forEach((beat) -> byDomain.computeIfAbsent(beat.failureDomain(), (name) -> new ArrayList<>()).add(beat));
 		return byDomain.values()
 			.stream()
-			.flatMap((hosts) -> hosts.stream().limit(FleetView.LISTENERS_PER_DOMAIN))
+			.flatMap((hosts) -> listeners(hosts).stream())
 			.map(HostBeat::peerAddress)
 			.toList();
 	}
 
+	private List<HostBeat> listeners(List<HostBeat> hosts) {
+		List<HostBeat> heard = hosts.stream().filter((beat) -> this.view.silenceMs(beat) < SPEAKER_SILENCE_MS).toList();
+		return heard.isEmpty() ? hosts.stream().limit(FleetView.LISTENERS_PER_DOMAIN).toList() : heard.subList(0, 1);
+	}
+
 	/**
 	 * Returns where callers of a failure domain may connect.
 	 * @param failureDomain the callers' failure domain
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -51,13 +51,10 @@
 	private static final long DIRECTORY_VALID_MS = 2_000;
 
 	/**
-	 * The constant part of the retry budget is meant for all hosts that carry traffic;
-	 * each takes its part of half of it, since hosts that restart begin with a full part.
+	 * The part of the fleet's retry budget that is used. The rest is a margin for hosts
+	 * that restart with a full budget and for windows that cut through a burst.
 	 */
-	private static final double RETRY_CONSTANT_USED = 0.5;
-
-	/** The rest of the ratio covers windows in which requests of a moment before end. */
-	private static final double RETRY_RATIO_USED = 0.7;
+	private static final double RETRY_BUDGET_USED = 0.8;
 
 	private final GatewaySettings settings;
 
@@ -104,9 +101,9 @@
 				this.log);
 		FleetTask fleet = new FleetTask(this.settings, this.clock, this.desired, meter, limiter, this.targets, results,
 				store, tables, this.stopping::get, loop, this.log);
-		RetryBudget budget = new RetryBudget(this.settings.retryRatio() * RETRY_RATIO_USED,
-				this.settings.retryConstant() * RETRY_CONSTANT_USED
-						/ (Math.max(1, this.settings.regions().size()) * FleetTask.ENTRY_HOSTS));
+		int carrying = Math.max(1, this.settings.regions().size()) * FleetTask.ENTRY_HOSTS;
+		RetryBudget budget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_USED,
+				this.settings.retryConstant() * RETRY_BUDGET_USED / carrying, this.settings.retryWindowMs());
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
 				new Admission(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new NearestFreeChooser(this.targets, results, place, this.settings.floorShare(), this.clock,
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
@@ -36,6 +36,8 @@
 
 	private final double retryConstant;
 
+	private final long retryWindowMs;
+
 	private final double floorShare;
 
 	private final long graceMs;
@@ -52,6 +54,7 @@
 		this.storeAddress = Required.of(builder.storeAddress, "storeAddress");
 		this.retryRatio = builder.retryRatio;
 		this.retryConstant = builder.retryConstant;
+		this.retryWindowMs = builder.retryWindowMs;
 		this.floorShare = builder.floorShare;
 		this.graceMs = builder.graceMs;
 	}
@@ -153,6 +156,14 @@
 		return this.retryConstant;
 	}
 
+	/**
+	 * Returns the length of the windows of the retry budget.
+	 * @return the time in milliseconds
+	 */
+	public long retryWindowMs() {
+		return this.retryWindowMs;
+	}
+
 	/**
 	 * Returns the part of a service's targets that gets work whatever they do.
 	 * @return from 0 to 1
@@ -196,6 +207,8 @@
 
 		private double retryConstant = 10;
 
+		private long retryWindowMs = 10_000;
+
 		private double floorShare = 0.7;
 
 		private long graceMs = 6_000;
@@ -297,12 +310,14 @@
 		/**
 		 * Sets the fleet's budget of attempts beyond the first.
 		 * @param ratio the attempts for each request
-		 * @param constant the attempts besides
+		 * @param constant the attempts besides, in each window
+		 * @param windowMs the length of a window, in milliseconds
 		 * @return this builder
 		 */
-		public Builder retryBudget(double ratio, double constant) {
+		public Builder retryBudget(double ratio, double constant, long windowMs) {
 			this.retryRatio = ratio;
 			this.retryConstant = constant;
+			this.retryWindowMs = windowMs;
 			return this;
 		}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -43,6 +43,9 @@
 	/** An attempt of an idempotent request is given up after this many usual times. */
 	private static final double PATIENCE_FACTOR = 4;
 
+	/** A full queue has room again after a part of a request's time. */
+	private static final long RETRY_TRIED_MS = 100;
+
 	private static final long LEAST_PATIENCE_MS = 400;
 
 	private final ProxyParts parts;
@@ -61,6 +64,8 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	private boolean onlyTried;
+
 	private final StringBuilder attempts = new StringBuilder();
 
 	private @Nullable RouteRule route;
@@ -139,7 +144,9 @@
 	}
 
 	private void attempt(RouteRule admittedRoute) {
-		Target target = this.parts.chooser().choose(this.service, this.tried, admittedRoute.idempotent());
+		Target target = this.parts.chooser()
+			.choose(this.service, (candidate) -> this.tried.contains(candidate.entry().id()) == this.onlyTried,
+					admittedRoute.idempotent());
 		if (target == null) {
 			refuse((this.sentAttempts > 0) ? Refusal.ALL_DECLINED : Refusal.NO_TARGET);
 			return;
@@ -184,6 +191,14 @@
 		if (next instanceof AttemptRules.Retry && admittedRoute != null) {
 			attempt(admittedRoute);
 		}
+		else if (next instanceof AttemptRules.RetryTried && admittedRoute != null) {
+			this.onlyTried = true;
+			this.loop.schedule(() -> {
+				if (!this.done && this.current == null) {
+					attempt(admittedRoute);
+				}
+			}, RETRY_TRIED_MS, TimeUnit.MILLISECONDS);
+		}
 		else if (next instanceof AttemptRules.Refuse refuse) {
 			refuse(refuse.refusal());
 		}
@@ -297,20 +312,27 @@
 		private void waitPatiently() {
 			double usual = Exchange.this.parts.results().usualMs(this.admittedRoute.name());
 			long patienceMs = (long) Math.max(LEAST_PATIENCE_MS, usual * PATIENCE_FACTOR);
-			boolean another = this.admittedRoute.idempotent() && usual > 0
-					&& Exchange.this.sentAttempts < this.admittedRoute.maxAttempts();
-			if (another && patienceMs + usual < leftMs()) {
-				this.patience = Exchange.this.loop.schedule(this::slow, patienceMs, TimeUnit.MILLISECONDS);
+			if (usual > 0 && patienceMs < leftMs()) {
+				this.patience = Exchange.this.loop.schedule(() -> overdue(usual), patienceMs, TimeUnit.MILLISECONDS);
 			}
 		}
 
-		private void slow() {
-			if (!this.ended && Exchange.this.parts.rules()
-				.giveUpSlow(this.admittedRoute, Exchange.this.service, Exchange.this.sentAttempts)) {
+		private void overdue(double usualMs) {
+			if (this.ended) {
+				return;
+			}
+			boolean another = usualMs < leftMs() && Exchange.this.parts.rules()
+				.giveUpSlow(this.admittedRoute, Exchange.this.service, Exchange.this.sentAttempts);
+			if (another) {
 				record(new AttemptOutcome.TimedOut());
 				cancelConnection();
 				attempt(this.admittedRoute);
 			}
+			else {
+				// The request goes on, but others should not wait behind it.
+				Exchange.this.parts.results().overdue(this.target);
+				Exchange.this.parts.news().failed(this.target);
+			}
 		}
 
 		private FullHttpRequest targetRequest() {
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
@@ -43,6 +43,7 @@
 				.packLong(beat.tablesVersion())
 				.packLong(beat.storeAgeMs());
 			packUsage(packer, beat.usage());
+			packer.packBoolean(beat.pressed());
 			packStrings(packer, beat.failedTargets());
 			packStrings(packer, beat.soundTargets());
 			packer.packArrayHeader(beat.digests().size());
@@ -85,8 +86,8 @@
 			}
 			return new HostBeat(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
 					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackLong(),
-					unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker), unpackStrings(unpacker),
-					unpackStrings(unpacker), unpackDigests(unpacker));
+					unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker), unpacker.unpackBoolean(),
+					unpackStrings(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			return null;
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -284,6 +285,40 @@
 
 	}
 
+	@Nested
+	class SilentTargets {
+
+		@Test
+		void aTargetThatHoldsARequestGetsNoFurtherOnesMeanwhile() throws Exception {
+			AtomicReference<String> holder = new AtomicReference<>("");
+			for (String id : List.of("i-1", "i-2")) {
+				GatewayTests.this.fixture.target(id, (exchange) -> {
+					if (id(exchange).startsWith("slow")) {
+						holder.set(id);
+						exchange.pause(5_000);
+					}
+					answer(exchange);
+				});
+			}
+			GatewayFixture.Host host = GatewayTests.this.fixture.host("a1");
+			for (int i = 0; i < 10; i++) {
+				assertThat(book(host, "r" + i)).startsWith("HTTP/1.1 200");
+			}
+			Thread caller = new Thread(() -> book(host, "slow"));
+			caller.start();
+			GatewayFixture.await(() -> !holder.get().isEmpty());
+			GatewayFixture.pause(600);
+			for (int i = 0; i < 10; i++) {
+				book(host, "after" + i);
+			}
+			caller.join();
+			assertThat(GatewayTests.this.runs.stream()
+				.filter((run) -> String.valueOf(run.header("X-Plantainspur-Attempt-Id")).startsWith("after"))
+				.map((run) -> run.header("X-Plantainspur-Expect-Instance"))).doesNotContain(holder.get());
+		}
+
+	}
+
 	@Nested
 	class StoreAway {
 
