Name the listed hosts in the directory after a restart, not only this one

Change: for 1.5 s the directory takes the hosts listed in the store to be alive, and answers nothing before it has read them.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -43,4 +43,14 @@
 				this.failedTargets, this.soundTargets, others);
 	}
 
+	/**
+	 * Returns the beat of a host that is taken to take callers until it is heard.
+	 * @return a copy
+	 */
+	public HostBeat presumedTaking() {
+		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress, true,
+				this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.pressed, this.failedTargets,
+				this.soundTargets, this.digests);
+	}
+
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Queue;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
@@ -73,6 +74,9 @@
 	 */
 	private static final long SPEAKER_SILENCE_MS = 7_000;
 
+	/** By then beats of all hosts of the failure domain have come. */
+	private static final long LEARNING_MS = 1_500;
+
 	/** Hosts of a failure domain that callers are sent to. */
 	static final int ENTRY_HOSTS = 3;
 
@@ -131,6 +135,10 @@
 
 	private boolean reading = true;
 
+	private volatile boolean foundHosts;
+
+	private final long startedMs;
+
 	private long lastBeatMs;
 
 	private long lastDigestMs;
@@ -140,6 +148,7 @@
 			EventLoop loop, DecisionLog log) {
 		this.log = log;
 		this.loop = loop;
+		this.startedMs = clock.millis();
 		this.settings = settings;
 		this.clock = clock;
 		this.desired = desired;
@@ -185,6 +194,7 @@
 			boolean read = answer instanceof StoreAnswer.Rows;
 			if (answer instanceof StoreAnswer.Rows rows) {
 				rows.rows().forEach(this::found);
+				this.foundHosts = true;
 			}
 			this.loop.schedule(this::findHosts, read ? FIND_HOSTS_AGAIN_MS : RETRY_MS, TimeUnit.MILLISECONDS);
 		});
@@ -275,7 +285,8 @@
 		boolean relays = rank < FleetView.LISTENERS_PER_DOMAIN;
 		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat, domainAddresses());
 		boolean pressed = domain.stream().anyMatch(HostBeat::pressed);
-		if (rank == 0 && now - this.lastDigestMs >= (pressed ? DIGEST_PRESSED_MS : DIGEST_MS)) {
+		boolean speaks = rank == 0 && now - this.startedMs >= LEARNING_MS;
+		if (speaks && now - this.lastDigestMs >= (pressed ? DIGEST_PRESSED_MS : DIGEST_MS)) {
 			this.lastDigestMs = now;
 			DomainUsage sum = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
 					this.tally.sum(domain));
@@ -340,12 +351,32 @@
 	}
 
 	/**
-	 * Returns where callers of a failure domain may connect.
-	 * @param failureDomain the callers' failure domain
-	 * @return addresses, this host's own included
+	 * Returns where callers of this failure domain may connect.
+	 * @return addresses, empty while this host does not know the others
 	 */
-	List<String> callerAddresses(String failureDomain) {
-		return this.view.domain(this.own.get()).stream().filter(HostBeat::taking).map(HostBeat::callerAddress).toList();
+	List<String> callerAddresses() {
+		HostBeat beat = this.own.get();
+		long sinceStartMs = this.clock.millis() - this.startedMs;
+		List<HostBeat> hosts = this.view.domain(beat);
+		if (sinceStartMs < LEARNING_MS) {
+			if (!this.foundHosts) {
+				return List.of();
+			}
+			hosts = withListed(hosts);
+		}
+		return this.entries.choose(hosts).stream().map(HostBeat::callerAddress).toList();
+	}
+
+	// Beats of the others have not come yet. If each host named itself only, all of them
+	// would carry traffic after a restart of the whole fleet.
+	private List<HostBeat> withListed(List<HostBeat> heard) {
+		Map<String, HostBeat> hosts = new TreeMap<>();
+		this.known.values()
+			.stream()
+			.filter((beat) -> beat.failureDomain().equals(this.settings.failureDomain()))
+			.forEach((beat) -> hosts.put(beat.host(), beat.presumedTaking()));
+		heard.forEach((beat) -> hosts.put(beat.host(), beat.presumedTaking()));
+		return List.copyOf(hosts.values());
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/PlatformPorts.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PlatformPorts.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 
@@ -71,10 +72,10 @@
 
 	/**
 	 * Returns the page that tells callers where to connect.
-	 * @param addresses gives the addresses for a failure domain
+	 * @param addresses gives the addresses of the hosts that take callers
 	 * @param validMs how long callers may keep the answer, in milliseconds
 	 * @return the page
 	 */
-	Function<PageServer.Query, PageServer.Page> directoryPage(Function<String, List<String>> addresses, long validMs);
+	Function<PageServer.Query, PageServer.Page> directoryPage(Supplier<List<String>> addresses, long validMs);
 
 }
