--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
@@ -0,0 +1,101 @@
+package org.plantainspur.core.fleet;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.time.HandClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class FleetViewTests {
+
+	private final HandClock clock = new HandClock();
+
+	private final FleetView view = new FleetView(new Neighbours(this.clock), this.clock);
+
+	private static HostBeat beat(String host, long start, String domain, boolean taking, DomainUsage... digests) {
+		return new HostBeat(host, start, domain, host + ":80", host + ":81", taking, 1, 1, 0, Map.of(), false,
+				List.of(), List.of(), List.of(digests));
+	}
+
+	private static DomainUsage digest(String domain, long stampMs) {
+		return new DomainUsage(domain, "b1", stampMs, Map.of("mill", new Usage(stampMs, 1)));
+	}
+
+	@Nested
+	class Domain {
+
+		private final HostBeat own = beat("a2", 1, "a", true);
+
+		@Test
+		void itsHostsAreThoseHeardOfLateInOrderOfTheirNames() {
+			FleetViewTests.this.view.heard(beat("a3", 1, "a", true));
+			FleetViewTests.this.view.heard(beat("a1", 1, "a", true));
+			FleetViewTests.this.view.heard(beat("b1", 1, "b", true));
+			assertThat(FleetViewTests.this.view.domain(this.own)).extracting(HostBeat::host)
+				.containsExactly("a1", "a2", "a3");
+			FleetViewTests.this.clock.advance(Neighbours.SILENCE_MS);
+			assertThat(FleetViewTests.this.view.domain(this.own)).extracting(HostBeat::host).containsExactly("a2");
+		}
+
+		@Test
+		void aBeatOfAnEarlierProcessDoesNotReplaceALaterOne() {
+			FleetViewTests.this.view.heard(beat("a1", 9, "a", true));
+			FleetViewTests.this.view.heard(beat("a1", 3, "a", false));
+			assertThat(FleetViewTests.this.view.domain(this.own).get(0).taking()).isTrue();
+		}
+
+		@Test
+		void callersAreSentToTheFirstHostsThatTakeThem() {
+			EntryChoice choice = new FirstHostsChoice(2);
+			assertThat(choice.choose(List.of(beat("a1", 1, "a", false), beat("a2", 1, "a", true),
+					beat("a3", 1, "a", true), beat("a4", 1, "a", true))))
+				.extracting(HostBeat::host)
+				.containsExactly("a2", "a3");
+		}
+
+	}
+
+	@Nested
+	class Digests {
+
+		@Test
+		void onlyTheNewestOfADomainIsNews() {
+			assertThat(FleetViewTests.this.view.heard(beat("b1", 1, "b", true, digest("b", 5)))).hasSize(1);
+			assertThat(FleetViewTests.this.view.heard(beat("a1", 1, "a", true, digest("b", 5)))).isEmpty();
+			assertThat(FleetViewTests.this.view.heard(beat("b1", 1, "b", true, digest("b", 4)))).isEmpty();
+			assertThat(FleetViewTests.this.view.others("a")).containsExactly(digest("b", 5));
+		}
+
+		@Test
+		void aDomainThatIsSilentIsForgottenInTheEnd() {
+			FleetViewTests.this.view.heard(beat("b1", 1, "b", true, digest("b", 5)));
+			FleetViewTests.this.clock.advance(FleetView.DIGEST_VALID_MS);
+			assertThat(FleetViewTests.this.view.others("a")).isEmpty();
+		}
+
+	}
+
+	@Nested
+	class Sums {
+
+		@Test
+		void countsGoOnRisingWhenAHostStartsAgain() {
+			DomainTally tally = new DomainTally();
+			assertThat(tally.sum(List.of(using("a1", 100), using("a2", 50))).get("mill").count()).isZero();
+			assertThat(tally.sum(List.of(using("a1", 110), using("a2", 55))).get("mill").count()).isEqualTo(15);
+			assertThat(tally.sum(List.of(using("a1", 3), using("a2", 60))).get("mill").count()).isEqualTo(20);
+			assertThat(tally.sum(List.of(using("a1", 7), using("a2", 60))).get("mill").count()).isEqualTo(24);
+		}
+
+		private HostBeat using(String host, long count) {
+			return new HostBeat(host, 1, "a", "x:1", "x:2", true, 1, 1, 0, Map.of("mill", new Usage(count, 1)), false,
+					List.of(), List.of(), List.of());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/plantainspur/gateway/log/JsonLineLogTests.java
@@ -0,0 +1,111 @@
+package org.plantainspur.gateway.log;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class JsonLineLogTests {
+
+	@Nested
+	class Lines {
+
+		@Test
+		void aLineIsOneJsonObjectWithTypedValues() throws Exception {
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			CountDownLatch flushed = new CountDownLatch(1);
+			JsonLineLog log = new JsonLineLog(new OutputStream() {
+
+				@Override
+				public void write(int value) {
+					out.write(value);
+				}
+
+				@Override
+				public void flush() {
+					flushed.countDown();
+				}
+
+			}, () -> 17).start();
+			log.event("request", "id", "a\"b\n", "status", 200, "kept", true);
+			assertThat(flushed.await(2, TimeUnit.SECONDS)).isTrue();
+			assertThat(out.toString(StandardCharsets.UTF_8))
+				.isEqualTo("{\"ts\":17,\"event\":\"request\",\"id\":\"a\\\"b\\n\",\"status\":200,\"kept\":true}\n");
+		}
+
+	}
+
+	@Nested
+	class Overload {
+
+		@Test
+		void aBlockedOutputNeverHoldsACallerUpAndTheDroppedLinesAreCounted() throws Exception {
+			CountDownLatch release = new CountDownLatch(1);
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			JsonLineLog log = new JsonLineLog(new OutputStream() {
+
+				@Override
+				public void write(int value) throws IOException {
+					write(new byte[] { (byte) value }, 0, 1);
+				}
+
+				@Override
+				public void write(byte[] bytes, int offset, int length) throws IOException {
+					try {
+						release.await();
+					}
+					catch (InterruptedException ex) {
+						throw new IOException(ex);
+					}
+					out.write(bytes, offset, length);
+				}
+
+			}, () -> 0).start();
+			for (int i = 0; i < 2_000; i++) {
+				log.event("request", "number", i);
+			}
+			assertThat(log.dropped()).isGreaterThan(1_000);
+			release.countDown();
+			for (int i = 0; i < 100 && !out.toString(StandardCharsets.UTF_8).contains("linesDropped"); i++) {
+				Thread.sleep(20);
+			}
+			assertThat(out.toString(StandardCharsets.UTF_8)).contains("\"linesDropped\":");
+		}
+
+	}
+
+	@Nested
+	class Metrics {
+
+		@Test
+		void countersAndQuantilesAreWrittenAsText() {
+			GatewayMetrics metrics = new GatewayMetrics();
+			metrics.count("requests_total", "answered");
+			metrics.count("requests_total", "answered");
+			metrics.took("mill", 100);
+			assertThat(metrics.text()).contains("plantainspur_requests_total{kind=\"answered\"} 2\n")
+				.contains("plantainspur_request_ms{account=\"mill\",quantile=\"0.5\"} 100\n")
+				.contains("plantainspur_request_ms_count{account=\"mill\"} 1\n");
+		}
+
+		@Test
+		void accountsBeyondTheBoundShareOneHistogram() {
+			GatewayMetrics metrics = new GatewayMetrics();
+			for (int i = 0; i < 500; i++) {
+				metrics.took("account-" + i, 1);
+			}
+			assertThat(metrics.text().lines().filter((line) -> line.contains("_count")))
+				.hasSizeLessThanOrEqualTo(GatewayMetrics.MAX_ACCOUNTS + 1);
+			assertThat(metrics.text()).contains("account=\"other\"");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -0,0 +1,94 @@
+package org.plantainspur.gateway.peer;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.fleet.DomainUsage;
+import org.plantainspur.core.fleet.HostBeat;
+import org.plantainspur.core.fleet.Usage;
+import org.plantainspur.core.store.StoreAnswer;
+import org.plantainspur.core.store.StoredRow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeerCodecTests {
+
+	private static final HostBeat BEAT = new HostBeat("a1", 1_700_000_000_000L, "pdx-a", "10.0.0.1:80", "10.0.0.1:81",
+			true, 12, 900, 40, Map.of("mill", new Usage(7, 2.5)), true, List.of("i-1"), List.of("i-2", "i-3"),
+			List.of(new DomainUsage("sea-a", "b1", 5, Map.of("mill", new Usage(9, 0.5)))));
+
+	@Nested
+	class Beats {
+
+		private final BeatCodec codec = new BeatCodec();
+
+		@Test
+		void aBeatComesBackAsItWas() {
+			assertThat(this.codec.decode(this.codec.encode(BEAT))).isEqualTo(BEAT);
+		}
+
+		@Test
+		void aBeatThatIsCutShortIsDropped() {
+			byte[] bytes = this.codec.encode(BEAT);
+			for (int length = 0; length < bytes.length; length++) {
+				assertThat(this.codec.decode(Arrays.copyOf(bytes, length))).isNull();
+			}
+		}
+
+		@Test
+		void aBeatOfAnotherFormatIsDropped() {
+			byte[] bytes = this.codec.encode(BEAT);
+			bytes[0] = 99;
+			assertThat(this.codec.decode(bytes)).isNull();
+		}
+
+	}
+
+	/**
+	 * Datagrams may come from anywhere.
+	 */
+	static class Noise {
+
+		@Property(tries = 500, seed = "42")
+		void anyBytesAreDroppedWithoutAnException(@ForAll("bytes") byte[] bytes) {
+			new BeatCodec().decode(bytes);
+			assertThat(new RowsCodec().decode(bytes)).isNotNull();
+		}
+
+		@Provide
+		Arbitrary<byte[]> bytes() {
+			return Arbitraries.bytes().array(byte[].class).ofMaxSize(200);
+		}
+
+	}
+
+	@Nested
+	class Rows {
+
+		private final RowsCodec codec = new RowsCodec();
+
+		@Test
+		void rowsComeBackAsTheyWere() {
+			StoreAnswer.Rows rows = new StoreAnswer.Rows(List.of(new StoredRow("a", new byte[] { 1, 2 }, 5, false),
+					new StoredRow("b", new byte[0], 6, true)), 9, false);
+			assertThat(this.codec.decode(this.codec.encode(rows))).isInstanceOfSatisfying(StoreAnswer.Rows.class,
+					(decoded) -> {
+						assertThat(decoded.version()).isEqualTo(9);
+						assertThat(decoded.rows()).hasSize(2);
+						assertThat(decoded.rows().get(0).value()).containsExactly(1, 2);
+						assertThat(decoded.rows().get(1).removed()).isTrue();
+					});
+		}
+
+	}
+
+}
