--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -7,6 +7,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.junit.jupiter.api.Nested;
@@ -56,7 +57,8 @@
 	/**
 	 * Datagrams may come from anywhere.
 	 */
-	static class Noise {
+	@Group
+	class Noise {
 
 		@Property(tries = 500, seed = "42")
 		void anyBytesAreDroppedWithoutAnException(@ForAll("bytes") byte[] bytes) {
