Tell a changed rate of an account to the other failure domains at once; bound an account's debt

Change: a digest goes out when a rate changes by 30%, at most every 0.3 s; the debt is at most half a burst. The test of hosts that start together now reports as hosts do, at once while an account presses on its limit.

--- a/core/src/main/java/org/plantainspur/core/fleet/FleetBucket.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetBucket.java
@@ -22,6 +22,12 @@
 	/** The rest of the bucket serves the account's bursts. */
 	private static final double LARGEST_RESERVE = 0.3;
 
+	/**
+	 * What was passed on beyond the bucket is repaid by refusing the account; a large
+	 * debt would refuse it for seconds in which it is owed its rate.
+	 */
+	private static final double LARGEST_DEBT = 0.5;
+
 	private static final double THOUSAND = 1_000;
 
 	private final AtomicReference<State> state;
@@ -100,9 +106,8 @@
 			double seconds = Math.max(0, now - this.atMs) / THOUSAND;
 			double largest = Math.max(1, rule.burst());
 			double refilled = this.level + seconds * (rule.ratePerSecond() - this.othersRate);
-			// Predictions alone do not take the bucket far below empty.
-			double lowest = Math.min(this.level, -largest);
-			return new State(Math.max(lowest, Math.min(largest, refilled)), Math.max(now, this.atMs), this.othersRate);
+			return new State(Math.max(-LARGEST_DEBT * largest, Math.min(largest, refilled)), Math.max(now, this.atMs),
+					this.othersRate);
 		}
 
 		// What the others take before they are heard again.
--- a/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
@@ -12,8 +12,8 @@
  */
 public final class UsageMeter {
 
-	/** Follows a change within about a second, and smooths the gaps between requests. */
-	private static final double TIME_CONSTANT_MS = 1_000;
+	/** Follows a change within a second, and smooths the gaps between requests. */
+	private static final double TIME_CONSTANT_MS = 600;
 
 	/** The others learn at once of this many requests of an account. */
 	static final int UNREPORTED = 4;
--- a/core/src/test/java/org/plantainspur/core/fleet/FleetLimiterTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetLimiterTests.java
@@ -47,6 +47,10 @@
 		}
 	}
 
+	private boolean urgent() {
+		return this.hosts.stream().anyMatch((one) -> one.meter().urgent());
+	}
+
 	// Each host gets the same number of requests in each step of 100 ms.
 	private int play(int seconds, double ratePerSecond) {
 		int passed = 0;
@@ -59,9 +63,8 @@
 				owed--;
 				passed += this.hosts.get(host++ % this.hosts.size()).limiter().tryAcquire(ACCOUNT) ? 1 : 0;
 			}
-			boolean urgent = this.hosts.stream().anyMatch((one) -> one.meter().urgent());
-			if (urgent || step % 5 == 4) {
-				report(urgent ? 100 : 500);
+			if (urgent() || step % 5 == 4) {
+				report(urgent() ? 100 : 500);
 			}
 		}
 		return passed;
@@ -92,6 +95,18 @@
 				.isGreaterThanOrEqualTo(30 * 5 * 8 / 10);
 		}
 
+		@Test
+		void anAccountAtTwiceItsRateIsServedEvenly() {
+			for (int i = 0; i < 12; i++) {
+				host();
+			}
+			play(6, 19);
+			play(2, 60);
+			for (int second = 0; second < 10; second++) {
+				assertThat(play(1, 60)).as("in second " + second + ", of a rate of 30").isBetween(15, 45);
+			}
+		}
+
 		@Test
 		void hostsThatAllStartAtOnceDoNotEachBeginWithTheWholeBurst() {
 			for (int i = 0; i < 12; i++) {
@@ -105,8 +120,8 @@
 					passed += one.limiter().tryAcquire(ACCOUNT) ? 1 : 0;
 				}
 				// They hear each other after one and a half seconds.
-				if (step % 5 == 4) {
-					report(500, step >= 15);
+				if (urgent() || step % 5 == 4) {
+					report(urgent() ? 100 : 500, step >= 15);
 				}
 			}
 			assertThat(passed).isLessThanOrEqualTo((int) ((30 * 5 + 30) * 1.1 + 20));
--- a/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
@@ -79,6 +79,37 @@
 
 	}
 
+	@Nested
+	class Schedule {
+
+		private final DigestSchedule schedule = new DigestSchedule();
+
+		private boolean due(double rate, boolean pressed, long now) {
+			return this.schedule.due(Map.of("mill", new Usage(0, rate)), pressed, now);
+		}
+
+		@Test
+		void sumsThatHardlyChangeGoOutSeldom() {
+			assertThat(due(10, false, 0)).isTrue();
+			assertThat(due(11, false, 1_000)).isFalse();
+			assertThat(due(9, false, DigestSchedule.UNCHANGED_MS)).isTrue();
+		}
+
+		@Test
+		void aSuddenRiseIsToldAtOnce() {
+			assertThat(due(10, false, 0)).isTrue();
+			assertThat(due(20, false, 100)).isFalse();
+			assertThat(due(20, false, DigestSchedule.CHANGED_MS)).isTrue();
+		}
+
+		@Test
+		void anAccountThatPressesOnItsLimitIsToldOften() {
+			assertThat(due(10, true, 0)).isTrue();
+			assertThat(due(10, true, DigestSchedule.CHANGED_MS)).isTrue();
+		}
+
+	}
+
 	@Nested
 	class Sums {
 
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -21,6 +21,7 @@
 
 import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.DesiredStateView;
+import org.plantainspur.core.fleet.DigestSchedule;
 import org.plantainspur.core.fleet.DomainTally;
 import org.plantainspur.core.fleet.DomainUsage;
 import org.plantainspur.core.fleet.EntryChoice;
@@ -62,12 +63,6 @@
 	/** Failures that come together go out together. */
 	private static final long URGENT_MS = 10;
 
-	/** Bytes between failure domains are billed. */
-	private static final long DIGEST_MS = 2_900;
-
-	/** While an account presses on its limit the other failure domains must know soon. */
-	private static final long DIGEST_PRESSED_MS = 400;
-
 	/**
 	 * Two digests of another failure domain may be lost before its speaker counts as
 	 * down.
@@ -125,6 +120,8 @@
 
 	private final DomainTally tally = new DomainTally();
 
+	private final DigestSchedule digestSchedule = new DigestSchedule();
+
 	private final EntryChoice entries = new FirstHostsChoice(ENTRY_HOSTS);
 
 	private final AtomicBoolean beatPending = new AtomicBoolean();
@@ -141,8 +138,6 @@
 
 	private long lastBeatMs;
 
-	private long lastDigestMs;
-
 	FleetTask(GatewaySettings settings, Clock clock, DesiredStateView desired, UsageMeter meter, FleetLimiter limiter,
 			TargetDirectory targets, TargetResults results, Store store, StoreTask tables, BooleanSupplier stopping,
 			EventLoop loop, DecisionLog log) {
@@ -284,13 +279,13 @@
 		int rank = domain.indexOf(beat);
 		boolean relays = rank < FleetView.LISTENERS_PER_DOMAIN;
 		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat, domainAddresses());
-		boolean pressed = domain.stream().anyMatch(HostBeat::pressed);
-		boolean speaks = rank == 0 && now - this.startedMs >= LEARNING_MS;
-		if (speaks && now - this.lastDigestMs >= (pressed ? DIGEST_PRESSED_MS : DIGEST_MS)) {
-			this.lastDigestMs = now;
-			DomainUsage sum = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
-					this.tally.sum(domain));
-			this.channel.send(beat.withDigests(List.of(sum)), listenersElsewhere());
+		if (rank == 0 && now - this.startedMs >= LEARNING_MS) {
+			Map<String, Usage> sums = this.tally.sum(domain);
+			if (this.digestSchedule.due(sums, domain.stream().anyMatch(HostBeat::pressed), now)) {
+				DomainUsage digest = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
+						sums);
+				this.channel.send(beat.withDigests(List.of(digest)), listenersElsewhere());
+			}
 		}
 		forgetSources(domain);
 	}
