--- a/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
@@ -20,6 +20,9 @@
 	/** The request is not proper HTTP. */
 	MALFORMED(400, true, 0),
 
+	/** The request's line or headers are larger than the desired state allows. */
+	HEADERS_TOO_LARGE(431, true, 0),
+
 	/** The service has no target that could run the request. */
 	NO_TARGET(503, true, 400),
 
--- a/gateway/src/main/java/org/plantainspur/gateway/GracefulStop.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GracefulStop.java
@@ -15,7 +15,7 @@
 	private static final double SERVE_SHARE = 0.83;
 
 	/** Answers still on their way to callers; the process is killed after the grace. */
-	private static final long KILL_MARGIN_MS = 700;
+	private static final long KILL_MARGIN_MS = 900;
 
 	private static final long LOOK_MS = 50;
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -1,12 +1,15 @@
 package org.plantainspur.gateway.http;
 
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -102,8 +105,9 @@
 	void start() {
 		DesiredState state = this.parts.desired().current();
 		this.versionUsed = state.version();
-		if (this.request.decoderResult().isFailure() || !this.request.uri().startsWith("/")) {
-			refuse(Refusal.MALFORMED);
+		DecoderResult decoded = this.request.decoderResult();
+		if (decoded.isFailure() || !this.request.uri().startsWith("/")) {
+			refuse((decoded.cause() instanceof TooLongFrameException) ? Refusal.HEADERS_TOO_LARGE : Refusal.MALFORMED);
 			return;
 		}
 		String host = this.request.headers().get(HttpHeaderNames.HOST, "");
@@ -235,7 +239,7 @@
 			response.headers().set(this.parts.headers().requestId(), this.requestId);
 		}
 		this.answers.answer(response);
-		finish(refusal.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'), refusal.status());
+		finish(refusal.name().toLowerCase(Locale.ROOT).replace('_', '-'), refusal.status());
 	}
 
 	private void finish(String outcome, int status) {
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -107,6 +107,31 @@
 
 	}
 
+	@Nested
+	class Limits {
+
+		@Test
+		void headersAndBodiesAboveTheLimitsAreRefused() throws IOException {
+			GatewayTests.this.fixture.target("i-1", GatewayTests.this::answer);
+			GatewayFixture.Host host = GatewayTests.this.fixture.host("a1");
+			String headers = GatewayFixture.request("GET", "/read/1", "r1", "X-Long: " + "x".repeat(20_000) + "\r\n");
+			assertThat(GatewayFixture.call(host.port(), headers)).startsWith("HTTP/1.1 431");
+			String body = GatewayFixture.request("POST", "/book/1", "r2", "Content-Length: 70000\r\n");
+			assertThat(GatewayFixture.call(host.port(), body)).startsWith("HTTP/1.1 413");
+			assertThat(GatewayTests.this.runs).isEmpty();
+		}
+
+		@Test
+		void aMalformedRequestLineIsRefused() throws IOException {
+			GatewayTests.this.fixture.target("i-1", GatewayTests.this::answer);
+			GatewayFixture.Host host = GatewayTests.this.fixture.host("a1");
+			assertThat(GatewayFixture.call(host.port(), "GET\r\n\r\n")).startsWith("HTTP/1.1 400");
+			assertThat(GatewayFixture.call(host.port(), "GET http://jobs.example/read/1 HTTP/1.1\r\n\r\n"))
+				.startsWith("HTTP/1.1 400");
+		}
+
+	}
+
 	@Nested
 	class AtMostOnce {
 
