--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -47,8 +47,11 @@
 	 */
 	private static final int REQUEST_THREADS = 2;
 
-	/** Callers ask again after this time, so a host that is gone is soon avoided. */
-	private static final long DIRECTORY_VALID_MS = 2_000;
+	/**
+	 * Callers ask again after this time, and some only after three times as long; a host
+	 * that stops must not have callers any more when its grace time ends.
+	 */
+	private static final long DIRECTORY_VALID_MS = 1_000;
 
 	/**
 	 * The part of the fleet's retry budget that is used. The rest is a margin for hosts
