Split the table of hosts and the targets' messages out of the long classes

HostBook keeps the addresses of the other hosts, TargetMessages translates to and from targets. An exception in a periodic or store task is logged now; before, it would have ended the task without a line. Behaviour is otherwise unchanged.

--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -2,15 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Queue;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -35,15 +32,12 @@
 import org.plantainspur.core.fleet.UsageMeter;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.store.Store;
-import org.plantainspur.core.store.StoreAnswer;
-import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.target.Target;
 import org.plantainspur.core.target.TargetDirectory;
 import org.plantainspur.core.target.TargetResults;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.http.ProxyParts;
 import org.plantainspur.gateway.peer.BeatChannel;
-import org.plantainspur.gateway.peer.BeatCodec;
 import org.plantainspur.gateway.peer.PeerTables;
 
 /**
@@ -52,9 +46,6 @@
  */
 final class FleetTask implements ProxyParts.TargetNews {
 
-	/** The table of the store in which hosts find each other. */
-	private static final String HOSTS_TABLE = "plantainspur-hosts";
-
 	private static final long BEAT_MS = 500;
 
 	/** How often it is looked whether the others should be told sooner. */
@@ -63,38 +54,22 @@
 	/** Failures that come together go out together. */
 	private static final long URGENT_MS = 10;
 
-	/**
-	 * Two digests of another failure domain may be lost before its speaker counts as
-	 * down.
-	 */
-	private static final long SPEAKER_SILENCE_MS = 7_000;
-
 	/** By then beats of all hosts of the failure domain have come. */
 	private static final long LEARNING_MS = 1_500;
 
 	/** Hosts of a failure domain that callers are sent to. */
 	static final int ENTRY_HOSTS = 3;
 
-	/** Finds hosts whose beats were all lost. */
-	private static final long FIND_HOSTS_AGAIN_MS = 60_000;
-
-	private static final long RETRY_MS = 1_000;
+	/** The store has not answered yet. */
+	private static final long NEVER_MS = Long.MAX_VALUE / 4;
 
 	private final GatewaySettings settings;
 
 	private final Clock clock;
 
-	private final DesiredStateView desired;
-
-	private final UsageMeter meter;
+	private final Shared shared;
 
-	private final FleetLimiter limiter;
-
-	private final TargetDirectory targets;
-
-	private final TargetResults results;
-
-	private final Store store;
+	private final HostBook book;
 
 	private final StoreTask tables;
 
@@ -104,8 +79,6 @@
 
 	private final BooleanSupplier stopping;
 
-	private final BeatCodec codec = new BeatCodec();
-
 	private final FleetView view;
 
 	private final BeatChannel channel;
@@ -114,8 +87,6 @@
 
 	private final Queue<String> sound = new ConcurrentLinkedQueue<>();
 
-	private final Map<String, HostBeat> known = new ConcurrentHashMap<>();
-
 	private final AtomicReference<HostBeat> own;
 
 	private final DomainTally tally = new DomainTally();
@@ -132,33 +103,27 @@
 
 	private boolean reading = true;
 
-	private volatile boolean foundHosts;
-
 	private final long startedMs;
 
 	private long lastBeatMs;
 
-	FleetTask(GatewaySettings settings, Clock clock, DesiredStateView desired, UsageMeter meter, FleetLimiter limiter,
-			TargetDirectory targets, TargetResults results, Store store, StoreTask tables, BooleanSupplier stopping,
-			EventLoop loop, DecisionLog log) {
-		this.log = log;
-		this.loop = loop;
-		this.startedMs = clock.millis();
+	FleetTask(GatewaySettings settings, Clock clock, Shared shared, Store store, StoreTask tables,
+			BooleanSupplier stopping, EventLoop loop, DecisionLog log) {
 		this.settings = settings;
 		this.clock = clock;
-		this.desired = desired;
-		this.meter = meter;
-		this.limiter = limiter;
-		this.targets = targets;
-		this.results = results;
-		this.store = store;
+		this.shared = shared;
 		this.tables = tables;
-		this.peerTables = new PeerTables(loop);
 		this.stopping = stopping;
+		this.loop = loop;
+		this.log = log;
+		this.startedMs = clock.millis();
+		this.peerTables = new PeerTables(loop);
 		this.view = new FleetView(new Neighbours(clock), clock);
-		this.own = new AtomicReference<>(new HostBeat(settings.host(), System.currentTimeMillis(),
-				settings.failureDomain(), text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0,
-				Long.MAX_VALUE / 4, Map.of(), false, List.of(), List.of(), List.of()));
+		HostBeat first = new HostBeat(settings.host(), System.currentTimeMillis(), settings.failureDomain(),
+				text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0, NEVER_MS, Map.of(), false,
+				List.of(), List.of(), List.of());
+		this.own = new AtomicReference<>(first);
+		this.book = new HostBook(store, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS), first);
 		this.channel = new BeatChannel(settings.peerAddress(), loop, this::heard);
 	}
 
@@ -168,38 +133,8 @@
 
 	void start() {
 		this.lastBeatMs = this.clock.millis();
-		this.loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
-		register();
-	}
-
-	private void register() {
-		this.store.put(HOSTS_TABLE, this.settings.host(), this.codec.encode(this.own.get())).thenAccept((answer) -> {
-			if (answer instanceof StoreAnswer.Rows) {
-				// Of two hosts the one that registers later finds the other.
-				findHosts();
-			}
-			else {
-				this.loop.schedule(this::register, RETRY_MS, TimeUnit.MILLISECONDS);
-			}
-		});
-	}
-
-	private void findHosts() {
-		this.store.list(HOSTS_TABLE, "").thenAccept((answer) -> {
-			boolean read = answer instanceof StoreAnswer.Rows;
-			if (answer instanceof StoreAnswer.Rows rows) {
-				rows.rows().forEach(this::found);
-				this.foundHosts = true;
-			}
-			this.loop.schedule(this::findHosts, read ? FIND_HOSTS_AGAIN_MS : RETRY_MS, TimeUnit.MILLISECONDS);
-		});
-	}
-
-	private void found(StoredRow row) {
-		HostBeat beat = this.codec.decode(row.value());
-		if (beat != null && !beat.host().equals(this.settings.host())) {
-			this.known.putIfAbsent(beat.host(), beat);
-		}
+		this.loop.scheduleWithFixedDelay(this::lookSafely, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+		this.book.start();
 	}
 
 	private void heard(HostBeat beat) {
@@ -207,20 +142,20 @@
 			return;
 		}
 		List<DomainUsage> news = this.view.heard(beat);
-		this.known.put(beat.host(), beat);
-		DesiredState state = this.desired.current();
+		this.book.heard(beat);
+		DesiredState state = this.shared.desired().current();
 		if (beat.failureDomain().equals(this.settings.failureDomain())) {
-			this.limiter.reported(state, beat.host(), beat.usage());
+			this.shared.limiter().reported(state, beat.host(), beat.usage());
 		}
 		news.stream()
 			.filter((digest) -> !digest.failureDomain().equals(this.settings.failureDomain()))
-			.forEach((digest) -> this.limiter.reported(state, source(digest), digest.accounts()));
-		known(beat.failedTargets()).forEach(this.results::failedElsewhere);
-		known(beat.soundTargets()).forEach(this.results::succeededElsewhere);
+			.forEach((digest) -> this.shared.limiter().reported(state, source(digest), digest.accounts()));
+		listed(beat.failedTargets()).forEach(this.shared.results()::failedElsewhere);
+		listed(beat.soundTargets()).forEach(this.shared.results()::succeededElsewhere);
 	}
 
-	private List<Target> known(List<String> ids) {
-		return ids.stream().map(this.targets::target).filter(Objects::nonNull).toList();
+	private List<Target> listed(List<String> ids) {
+		return ids.stream().map(this.shared.targets()::target).filter(Objects::nonNull).toList();
 	}
 
 	private static String source(DomainUsage digest) {
@@ -244,10 +179,20 @@
 		}
 	}
 
+	// An exception would end the periodic task, and with it the beats.
+	private void lookSafely() {
+		try {
+			look();
+		}
+		catch (RuntimeException ex) {
+			this.log.event("task-failed", "task", "beats", "problem", ex);
+		}
+	}
+
 	private void look() {
 		readDuty();
 		boolean newer = this.tables.version() > this.own.get().tablesVersion();
-		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.meter.urgent()) {
+		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.shared.meter().urgent()) {
 			beat();
 		}
 	}
@@ -271,20 +216,22 @@
 	private void beat() {
 		this.beatPending.set(false);
 		long now = this.clock.millis();
-		Map<String, Usage> usage = this.meter.report(now - this.lastBeatMs);
+		Map<String, Usage> usage = this.shared.meter().report(now - this.lastBeatMs);
 		this.lastBeatMs = now;
 		HostBeat beat = ownBeat(usage, takeAll(this.failed), takeAll(this.sound));
 		this.own.set(beat);
 		List<HostBeat> domain = this.view.domain(beat);
 		int rank = domain.indexOf(beat);
 		boolean relays = rank < FleetView.LISTENERS_PER_DOMAIN;
-		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat, domainAddresses());
+		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat,
+				this.book.peersHere());
 		if (rank == 0 && now - this.startedMs >= LEARNING_MS) {
 			Map<String, Usage> sums = this.tally.sum(domain);
 			if (this.digestSchedule.due(sums, domain.stream().anyMatch(HostBeat::pressed), now)) {
 				DomainUsage digest = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
 						sums);
-				this.channel.send(beat.withDigests(List.of(digest)), listenersElsewhere());
+				this.channel.send(beat.withDigests(List.of(digest)),
+						this.book.listenersElsewhere(this.view::silenceMs));
 			}
 		}
 		forgetSources(domain);
@@ -292,10 +239,10 @@
 
 	private HostBeat ownBeat(Map<String, Usage> usage, List<String> failedNow, List<String> soundNow) {
 		HostBeat before = this.own.get();
-		boolean taking = this.desired.current().known() && !this.stopping.getAsBoolean();
+		boolean taking = this.shared.desired().current().known() && !this.stopping.getAsBoolean();
 		return new HostBeat(before.host(), before.start(), before.failureDomain(), before.callerAddress(),
-				before.peerAddress(), taking, this.desired.current().version(), this.tables.version(),
-				this.tables.storeAgeMs(), usage, this.meter.takePressed(), failedNow, soundNow, List.of());
+				before.peerAddress(), taking, this.shared.desired().current().version(), this.tables.version(),
+				this.tables.storeAgeMs(), usage, this.shared.meter().takePressed(), failedNow, soundNow, List.of());
 	}
 
 	private static List<String> takeAll(Queue<String> queue) {
@@ -312,37 +259,7 @@
 		Set<String> sources = new HashSet<>();
 		domain.forEach((beat) -> sources.add(beat.host()));
 		this.view.others(this.settings.failureDomain()).forEach((digest) -> sources.add(source(digest)));
-		this.limiter.retain(this.desired.current(), sources::contains);
-	}
-
-	private List<String> domainAddresses() {
-		return this.known.values()
-			.stream()
-			.filter((beat) -> beat.failureDomain().equals(this.settings.failureDomain()))
-			.map(HostBeat::peerAddress)
-			.toList();
-	}
-
-	// The host that spoke last for another failure domain lives there; of a domain that
-	// was
-	// not heard, the first few are tried.
-	private List<String> listenersElsewhere() {
-		Map<String, List<HostBeat>> byDomain = new HashMap<>();
-		this.known.values()
-			.stream()
-			.filter((beat) -> !beat.failureDomain().equals(this.settings.failureDomain()))
-			.sorted((left, right) -> left.host().compareTo(right.host()))
-			.forEach((beat) -> byDomain.computeIfAbsent(beat.failureDomain(), (name) -> new ArrayList<>()).add(beat));
-		return byDomain.values()
-			.stream()
-			.flatMap((hosts) -> listeners(hosts).stream())
-			.map(HostBeat::peerAddress)
-			.toList();
-	}
-
-	private List<HostBeat> listeners(List<HostBeat> hosts) {
-		List<HostBeat> heard = hosts.stream().filter((beat) -> this.view.silenceMs(beat) < SPEAKER_SILENCE_MS).toList();
-		return heard.isEmpty() ? hosts.stream().limit(FleetView.LISTENERS_PER_DOMAIN).toList() : heard.subList(0, 1);
+		this.shared.limiter().retain(this.shared.desired().current(), sources::contains);
 	}
 
 	/**
@@ -350,28 +267,27 @@
 	 * @return addresses, empty while this host does not know the others
 	 */
 	List<String> callerAddresses() {
-		HostBeat beat = this.own.get();
-		long sinceStartMs = this.clock.millis() - this.startedMs;
-		List<HostBeat> hosts = this.view.domain(beat);
-		if (sinceStartMs < LEARNING_MS) {
-			if (!this.foundHosts) {
+		List<HostBeat> hosts = this.view.domain(this.own.get());
+		if (this.clock.millis() - this.startedMs < LEARNING_MS) {
+			if (!this.book.isRead()) {
 				return List.of();
 			}
-			hosts = withListed(hosts);
+			hosts = this.book.withListed(hosts);
 		}
 		return this.entries.choose(hosts).stream().map(HostBeat::callerAddress).toList();
 	}
 
-	// Beats of the others have not come yet. If each host named itself only, all of them
-	// would carry traffic after a restart of the whole fleet.
-	private List<HostBeat> withListed(List<HostBeat> heard) {
-		Map<String, HostBeat> hosts = new TreeMap<>();
-		this.known.values()
-			.stream()
-			.filter((beat) -> beat.failureDomain().equals(this.settings.failureDomain()))
-			.forEach((beat) -> hosts.put(beat.host(), beat.presumedTaking()));
-		heard.forEach((beat) -> hosts.put(beat.host(), beat.presumedTaking()));
-		return List.copyOf(hosts.values());
+	/**
+	 * What the beats change and report.
+	 *
+	 * @param desired the desired state
+	 * @param meter counts what this host passes on
+	 * @param limiter takes what the others report
+	 * @param targets the targets
+	 * @param results takes what the others saw of targets
+	 */
+	record Shared(DesiredStateView desired, UsageMeter meter, FleetLimiter limiter, TargetDirectory targets,
+			TargetResults results) {
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -100,11 +100,12 @@
 		Store store = this.ports.store(new HttpCalls(loop, this.settings.storeAddress()));
 		Place place = new Place(this.settings.failureDomain(), this.settings.regions());
 		TargetResults results = new TargetResults(this.clock);
-		Scheduler scheduler = (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS);
+		Scheduler scheduler = (delay, task) -> loop.schedule(() -> runSafely(task), delay, TimeUnit.MILLISECONDS);
 		StoreTask tables = new StoreTask(this.ports, store, this.clock, scheduler, this.desired, this.targets,
 				this.log);
-		FleetTask fleet = new FleetTask(this.settings, this.clock, this.desired, meter, limiter, this.targets, results,
-				store, tables, this.stopping::get, loop, this.log);
+		FleetTask fleet = new FleetTask(this.settings, this.clock,
+				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results), store, tables,
+				this.stopping::get, loop, this.log);
 		RetryBudget budget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_USED,
 				this.settings.retryConstant() * RETRY_BUDGET_USED / carrying, this.settings.retryWindowMs());
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
@@ -121,6 +122,15 @@
 		return new GracefulStop(this.stopping, callers::openRequests, this.settings.graceMs(), this.log);
 	}
 
+	private void runSafely(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			this.log.event("task-failed", "task", "store", "problem", ex);
+		}
+	}
+
 	private void listenForPages(FleetTask fleet, StoreTask tables) {
 		page(this.settings.readyAddress(), new PageServer().page(this.ports.readyPath(), (query) -> ready()));
 		page(this.settings.directoryAddress(), new PageServer().page(this.ports.directoryPath(),
--- /dev/null
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
@@ -0,0 +1,156 @@
+package org.plantainspur.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
+
+import org.plantainspur.core.fleet.FleetView;
+import org.plantainspur.core.fleet.HostBeat;
+import org.plantainspur.core.store.Scheduler;
+import org.plantainspur.core.store.Store;
+import org.plantainspur.core.store.StoreAnswer;
+import org.plantainspur.core.store.StoredRow;
+import org.plantainspur.gateway.peer.BeatCodec;
+
+/**
+ * The addresses of the other hosts. Each host writes its own into a table of the store
+ * and reads the others' once; after that, beats bring them.
+ */
+final class HostBook {
+
+	/** The table of the store in which hosts find each other. */
+	private static final String HOSTS_TABLE = "plantainspur-hosts";
+
+	/** Finds hosts whose beats were all lost. */
+	private static final long FIND_HOSTS_AGAIN_MS = 60_000;
+
+	private static final long RETRY_MS = 1_000;
+
+	/**
+	 * Two digests of another failure domain may be lost before its speaker counts as
+	 * down.
+	 */
+	private static final long SPEAKER_SILENCE_MS = 7_000;
+
+	private final Store store;
+
+	private final Scheduler scheduler;
+
+	private final HostBeat own;
+
+	private final BeatCodec codec = new BeatCodec();
+
+	private final Map<String, HostBeat> known = new ConcurrentHashMap<>();
+
+	private volatile boolean read;
+
+	/**
+	 * Creates a book without hosts.
+	 * @param store the store
+	 * @param scheduler runs reads and writes again
+	 * @param own the beat that the other hosts find in the store
+	 */
+	HostBook(Store store, Scheduler scheduler, HostBeat own) {
+		this.store = store;
+		this.scheduler = scheduler;
+		this.own = own;
+	}
+
+	void start() {
+		this.store.put(HOSTS_TABLE, this.own.host(), this.codec.encode(this.own)).thenAccept((answer) -> {
+			if (answer instanceof StoreAnswer.Rows) {
+				// Of two hosts the one that registers later finds the other.
+				findHosts();
+			}
+			else {
+				this.scheduler.after(RETRY_MS, this::start);
+			}
+		});
+	}
+
+	private void findHosts() {
+		this.store.list(HOSTS_TABLE, "").thenAccept((answer) -> {
+			if (answer instanceof StoreAnswer.Rows rows) {
+				rows.rows().forEach(this::found);
+				this.read = true;
+			}
+			this.scheduler.after((answer instanceof StoreAnswer.Rows) ? FIND_HOSTS_AGAIN_MS : RETRY_MS,
+					this::findHosts);
+		});
+	}
+
+	private void found(StoredRow row) {
+		HostBeat beat = this.codec.decode(row.value());
+		if (beat != null && !beat.host().equals(this.own.host())) {
+			this.known.putIfAbsent(beat.host(), beat);
+		}
+	}
+
+	void heard(HostBeat beat) {
+		this.known.put(beat.host(), beat);
+	}
+
+	// Whether the hosts in the store have been read.
+	boolean isRead() {
+		return this.read;
+	}
+
+	// The peer addresses of the hosts of this failure domain.
+	List<String> peersHere() {
+		return this.known.values().stream().filter(this::isHere).map(HostBeat::peerAddress).toList();
+	}
+
+	private boolean isHere(HostBeat beat) {
+		return beat.failureDomain().equals(this.own.failureDomain());
+	}
+
+	/**
+	 * Returns where the sums of this failure domain go: of each other failure domain to
+	 * the host that spoke last for it, or to the first few if none was heard.
+	 * @param silenceMs the time since a host was last heard, in milliseconds
+	 * @return peer addresses
+	 */
+	List<String> listenersElsewhere(ToLongFunction<HostBeat> silenceMs) {
+		Map<String, List<HostBeat>> byDomain = new HashMap<>();
+		this.known.values()
+			.stream()
+			.filter((beat) -> !isHere(beat))
+			.sorted(Comparator.comparing(HostBeat::host))
+			.forEach((beat) -> byDomain.computeIfAbsent(beat.failureDomain(), (name) -> new ArrayList<>()).add(beat));
+		return byDomain.values()
+			.stream()
+			.flatMap((hosts) -> listeners(hosts, silenceMs).stream())
+			.map(HostBeat::peerAddress)
+			.toList();
+	}
+
+	private static List<HostBeat> listeners(List<HostBeat> hosts, ToLongFunction<HostBeat> silenceMs) {
+		List<HostBeat> heard = hosts.stream()
+			.filter((beat) -> silenceMs.applyAsLong(beat) < SPEAKER_SILENCE_MS)
+			.toList();
+		return heard.isEmpty() ? hosts.stream().limit(FleetView.LISTENERS_PER_DOMAIN).toList() : heard.subList(0, 1);
+	}
+
+	/**
+	 * Adds the listed hosts of this failure domain to those that were heard. If each host
+	 * named only itself until beats come, all of them would carry traffic after a restart
+	 * of the whole fleet.
+	 * @param heard the hosts that were heard, this one included
+	 * @return hosts in order of their names, all taken to take callers
+	 */
+	List<HostBeat> withListed(List<HostBeat> heard) {
+		Map<String, HostBeat> hosts = new TreeMap<>();
+		this.known.values()
+			.stream()
+			.filter(this::isHere)
+			.forEach((beat) -> hosts.put(beat.host(), beat.presumedTaking()));
+		heard.forEach((beat) -> hosts.put(beat.host(), beat.presumedTaking()));
+		return List.copyOf(hosts.values());
+	}
+
+}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -10,12 +10,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -59,6 +57,8 @@
 
 	private final FullHttpRequest request;
 
+	private final TargetMessages messages;
+
 	private final Answers answers;
 
 	private final long startedMs;
@@ -97,6 +97,7 @@
 		this.loop = loop;
 		this.connections = connections;
 		this.request = request;
+		this.messages = new TargetMessages(parts.headers());
 		this.answers = answers;
 		this.startedMs = parts.clock().millis();
 		this.requestId = request.headers().get(parts.headers().requestId(), "");
@@ -309,7 +310,8 @@
 			this.connection = ready;
 			this.sent = true;
 			Exchange.this.sentAttempts++;
-			ready.send(targetRequest(), Exchange.this.requestId, this);
+			ready.send(Exchange.this.messages.request(Exchange.this.request, Exchange.this.account,
+					this.target.entry().id(), leftMs() - DEADLINE_MARGIN_MS), Exchange.this.requestId, this);
 			waitPatiently();
 		}
 
@@ -339,58 +341,10 @@
 			}
 		}
 
-		private FullHttpRequest targetRequest() {
-			FullHttpRequest from = Exchange.this.request;
-			FullHttpRequest to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
-					from.content().retainedDuplicate());
-			HopHeaders.copy(from.headers(), to.headers());
-			HeaderNames names = Exchange.this.parts.headers();
-			HttpHeaders headers = to.headers();
-			headers.remove(HttpHeaderNames.AUTHORIZATION);
-			headers.remove(names.account());
-			AccountRule payer = Exchange.this.account;
-			if (payer != null) {
-				headers.set(names.account(), payer.name());
-			}
-			headers.set(names.deadlineMs(), Math.max(1, leftMs() - DEADLINE_MARGIN_MS));
-			headers.set(names.expectedTarget(), this.target.entry().id());
-			if (from.content().isReadable() || from.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-					|| from.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-				headers.set(HttpHeaderNames.CONTENT_LENGTH, from.content().readableBytes());
-			}
-			return to;
-		}
-
 		@Override
 		public void answered(HttpResponse answer, ByteBuf body) {
-			readLoad(answer);
-			end(outcomeOf(answer), false, answer, body);
-		}
-
-		private void readLoad(HttpResponse answer) {
-			String load = answer.headers().get(Exchange.this.parts.headers().load());
-			if (load != null && load.matches("\\d{1,6},\\d{1,6},\\d{1,6}")) {
-				String[] numbers = load.split(",");
-				this.target.reported(Integer.parseInt(numbers[0]), Integer.parseInt(numbers[1]),
-						Exchange.this.parts.clock().millis());
-			}
-		}
-
-		private AttemptOutcome outcomeOf(HttpResponse answer) {
-			HeaderNames names = Exchange.this.parts.headers();
-			int status = answer.status().code();
-			if (answer.headers().contains(names.notRun()) || status == 421) {
-				return new AttemptOutcome.Declined(status, status == 421);
-			}
-			boolean signed = answer.headers().contains(names.signature());
-			boolean promisesNotRun = status == 503 || status == 429 || status == 408;
-			if ((status < 300 && !signed) || promisesNotRun) {
-				// Passed on, these would say what the target did not: that it ran the
-				// request
-				// to a good end, or that it did not run it.
-				return new AttemptOutcome.Broken("status " + status + " without a statement");
-			}
-			return new AttemptOutcome.Answered(status, status < 500);
+			Exchange.this.messages.readLoad(answer, this.target, Exchange.this.parts.clock().millis());
+			end(Exchange.this.messages.outcome(answer), false, answer, body);
 		}
 
 		@Override
