Never say 'not run' after an attempt that may have run; count a request without its caller once

Found by reading the code. An idempotent request whose first attempt broke off and whose second was declined ended with 503, which promises that it has not run; it ends with 502 now. A request that was left to end without its caller was counted as ended twice, so a host that stopped waited for a count of zero that never came. Both tests failed before.

--- a/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
+++ b/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
@@ -5,6 +5,14 @@
  */
 public sealed interface AttemptOutcome {
 
+	/**
+	 * Returns whether the target may have run the request.
+	 * @return {@code false} only if it certainly has not and never will
+	 */
+	default boolean mayHaveRun() {
+		return !(this instanceof Declined || this instanceof NotSent);
+	}
+
 	/**
 	 * The target ran the request and its answer came complete.
 	 *
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -36,6 +36,8 @@
 
 	private boolean closing;
 
+	private boolean left;
+
 	CallerConnection(ProxyParts parts, TargetConnections connections, OpenRequests open) {
 		this.parts = parts;
 		this.connections = connections;
@@ -66,6 +68,12 @@
 	}
 
 	private void answer(ChannelHandlerContext context, FullHttpResponse response, boolean keepAlive) {
+		if (this.left) {
+			// The request was left to end without its caller, and is not counted any
+			// more.
+			response.release();
+			return;
+		}
 		this.current = null;
 		this.open.ended();
 		boolean close = !keepAlive || this.parts.stopping().stopping();
@@ -87,6 +95,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.closing = true;
+		this.left = true;
 		this.waiting.forEach(ReferenceCountUtil::release);
 		this.waiting.clear();
 		Exchange running = this.current;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -89,6 +89,8 @@
 
 	private @Nullable ScheduledFuture<?> timer;
 
+	private boolean mayHaveRun;
+
 	private boolean done;
 
 	Exchange(ProxyParts parts, EventLoop loop, TargetConnections connections, FullHttpRequest request,
@@ -226,10 +228,12 @@
 		finish("answered", status);
 	}
 
-	private void refuse(Refusal refusal) {
+	private void refuse(Refusal reason) {
 		if (this.done) {
 			return;
 		}
+		// After an attempt that may have run, nothing may say that the request has not.
+		Refusal refusal = (this.mayHaveRun && reason.notRun()) ? Refusal.BROKEN : reason;
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(refusal.status()), Unpooled.EMPTY_BUFFER);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
@@ -391,6 +395,7 @@
 
 		private void record(AttemptOutcome outcome) {
 			this.ended = true;
+			Exchange.this.mayHaveRun |= outcome.mayHaveRun();
 			ScheduledFuture<?> pending = this.patience;
 			if (pending != null) {
 				pending.cancel(false);
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -177,6 +177,25 @@
 			assertThat(book(host, "r1")).startsWith("HTTP/1.1 502");
 		}
 
+		@Test
+		void aRequestThatMayHaveRunIsNotRefusedAsOneThatHasNot() throws IOException {
+			AtomicInteger asked = new AtomicInteger();
+			for (String id : List.of("i-1", "i-2")) {
+				GatewayTests.this.fixture.target(id, (exchange) -> {
+					if (asked.getAndIncrement() == 0) {
+						exchange.reset();
+					}
+					else {
+						exchange.answer(Response.text(503, "")
+							.with("X-Plantainspur-Not-Executed", "1")
+							.with("X-Plantainspur-Attempt-Id", id(exchange)));
+					}
+				});
+			}
+			GatewayFixture.Host host = GatewayTests.this.fixture.host("a1");
+			assertThat(read(host, "r1")).startsWith("HTTP/1.1 502");
+		}
+
 		@Test
 		void anIdempotentRequestIsSentAgain() throws IOException {
 			AtomicInteger asked = new AtomicInteger();
@@ -247,6 +266,34 @@
 			assertThat(left.await(500, TimeUnit.MILLISECONDS)).isTrue();
 		}
 
+		@Test
+		void aCallerThatLeavesIsNotCountedTwice() throws Exception {
+			CountDownLatch began = new CountDownLatch(1);
+			CountDownLatch ended = new CountDownLatch(1);
+			GatewayTests.this.fixture.target("i-1", (exchange) -> {
+				began.countDown();
+				exchange.pause(200);
+				answer(exchange);
+				ended.countDown();
+			});
+			GatewayFixture.Host host = GatewayTests.this.fixture.host("a1");
+			try (Socket socket = new Socket("127.0.0.1", host.port())) {
+				String request = GatewayFixture.request("POST", "/book/1", "r", "Content-Length: 0\r\n");
+				socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+				assertThat(began.await(2, TimeUnit.SECONDS)).isTrue();
+			}
+			assertThat(ended.await(2, TimeUnit.SECONDS)).as("non-idempotent work is left to end").isTrue();
+			GatewayFixture.await(() -> GatewayTests.this.fixture.log()
+				.stream()
+				.anyMatch((line) -> line.startsWith("a1 request") && line.contains("route, book")));
+			Thread stop = new Thread(host.stop()::stop);
+			stop.start();
+			GatewayFixture.await(
+					() -> GatewayTests.this.fixture.log().stream().anyMatch((line) -> line.startsWith("a1 stopping")));
+			assertThat(GatewayTests.this.fixture.log()).contains("a1 stopping [openRequests, 0]");
+			stop.join();
+		}
+
 		@Test
 		void requestsOfOneConnectionAreAnsweredInTurn() throws IOException {
 			GatewayTests.this.fixture.target("i-1", (exchange) -> {
