Refuse requests that come too late in a stop to end before the process does

Change: in the second half of the grace time new requests are refused with 503, which is true, and the connection is closed.

--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -71,7 +71,9 @@
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
-	private final AtomicBoolean stopping = new AtomicBoolean();
+	private final AtomicInteger openRequests = new AtomicInteger();
+
+	private final GracefulStop stop;
 
 	private final List<Channel> listening = new ArrayList<>();
 
@@ -86,6 +88,7 @@
 		this.settings = settings;
 		this.ports = ports;
 		this.log = log;
+		this.stop = new GracefulStop(this.openRequests::get, settings.graceMs(), log);
 	}
 
 	/**
@@ -105,21 +108,21 @@
 				this.log);
 		FleetTask fleet = new FleetTask(this.settings, this.clock,
 				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results), store, tables,
-				this.stopping::get, loop, this.log);
+				this.stop::stopping, loop, this.log);
 		RetryBudget budget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_USED,
 				this.settings.retryConstant() * RETRY_BUDGET_USED / carrying, this.settings.retryWindowMs());
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
 				new Admission(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new NearestFreeChooser(this.targets, results, place, this.settings.floorShare(), this.clock,
 						() -> ThreadLocalRandom.current().nextDouble()),
-				results, new AttemptRules(budget), budget, fleet, this.stopping::get, this.log, this.metrics);
-		CallerServer callers = new CallerServer(parts, this.requests);
+				results, new AttemptRules(budget), budget, fleet, this.stop, this.log, this.metrics);
+		CallerServer callers = new CallerServer(parts, this.requests, this.openRequests);
 		tables.start();
 		fleet.start();
 		this.listening.add(callers.listen(this.settings.callerAddress()));
 		listenForPages(fleet, tables);
 		this.log.event("started", "host", this.settings.host(), "failureDomain", this.settings.failureDomain());
-		return new GracefulStop(this.stopping, callers::openRequests, this.settings.graceMs(), this.log);
+		return this.stop;
 	}
 
 	private void runSafely(Runnable task) {
@@ -164,7 +167,7 @@
 	}
 
 	private PageServer.Page ready() {
-		boolean ready = this.desired.current().known() && !this.stopping.get() && !this.targets.ids().isEmpty();
+		boolean ready = this.desired.current().known() && !this.stop.stopping() && !this.targets.ids().isEmpty();
 		return PageServer.Page.text(ready ? 200 : 503, "text/plain", ready ? "ready" : "not ready");
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
@@ -36,11 +36,18 @@
 
 	private final Map<EventLoop, TargetConnections> connections = new ConcurrentHashMap<>();
 
-	private final AtomicInteger openRequests = new AtomicInteger();
+	private final AtomicInteger openRequests;
 
-	public CallerServer(ProxyParts parts, EventLoopGroup loops) {
+	/**
+	 * Creates a server that does not listen yet.
+	 * @param parts what all requests share
+	 * @param loops the event loops that carry requests
+	 * @param openRequests counts the requests that have no answer yet
+	 */
+	public CallerServer(ProxyParts parts, EventLoopGroup loops, AtomicInteger openRequests) {
 		this.parts = parts;
 		this.loops = loops;
+		this.openRequests = openRequests;
 	}
 
 	/**
@@ -96,12 +103,4 @@
 		return created;
 	}
 
-	/**
-	 * Returns the requests that have no answer yet.
-	 * @return the number
-	 */
-	public int openRequests() {
-		return this.openRequests.get();
-	}
-
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -113,6 +113,10 @@
 			refuse((decoded.cause() instanceof TooLongFrameException) ? Refusal.HEADERS_TOO_LARGE : Refusal.MALFORMED);
 			return;
 		}
+		if (this.parts.stopping().refusing()) {
+			refuse(Refusal.STOPPING);
+			return;
+		}
 		String host = this.request.headers().get(HttpHeaderNames.HOST, "");
 		Admission.Decision decision = this.parts.admission().decide(state, host, this.request.uri(), key());
 		if (decision instanceof Admission.Refused refused) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyParts.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyParts.java
@@ -53,7 +53,6 @@
 	/**
 	 * Whether the host is stopping.
 	 */
-	@FunctionalInterface
 	public interface StopState {
 
 		/**
@@ -62,6 +61,12 @@
 		 */
 		boolean stopping();
 
+		/**
+		 * Returns whether new requests are refused, since they could not end in time.
+		 * @return {@code true} in the last part of the stop
+		 */
+		boolean refusing();
+
 	}
 
 }
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -95,7 +95,7 @@
 				listen.directory=127.0.0.1:%d
 				internalPorts=%d,%d
 				platform.address=127.0.0.1:%d
-				bounds=graceS=3,retryBudgetRatio=0.2,budgetExtra=60
+				bounds=graceS=5,retryBudgetRatio=0.2,budgetExtra=60
 				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, this.store.port());
 		GatewayHost gateway = PlatformHost.of("node.conf", settings,
 				(event, fields) -> this.log.add(name + " " + event + " " + List.of(fields)));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -462,6 +462,18 @@
 	@Nested
 	class Stopping {
 
+		@Test
+		void aRequestThatComesTooLateToEndIsRefusedInsteadOfCut() throws IOException {
+			GatewayTests.this.fixture.target("i-1", GatewayTests.this::answer);
+			GatewayFixture.Host host = GatewayTests.this.fixture.host("a1");
+			Thread stop = new Thread(host.stop()::stop);
+			stop.start();
+			GatewayFixture.await(() -> read(host, "r").startsWith("HTTP/1.1 503"));
+			int before = GatewayTests.this.runs.size();
+			assertThat(read(host, "late")).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
+			assertThat(GatewayTests.this.runs).hasSize(before);
+		}
+
 		@Test
 		void anOpenRequestIsAnsweredAndTheHostIsNotReadyMeanwhile() throws Exception {
 			CountDownLatch began = new CountDownLatch(1);
