Receive beats of up to the largest datagram

Cause: the receive buffer took Netty's default of 2,048 bytes, and longer datagrams are cut by the kernel and then dropped as unreadable. With 74 accounts in six failure domains the beats of the hosts that relay other domains' usage are longer, so these hosts counted as down to their neighbours. Change: a receive buffer of 65,535 bytes. Test: BeatChannelTests sends a beat of 100 accounts and 6 digests over loopback; it failed before.

--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatChannel.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatChannel.java
@@ -8,7 +8,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -21,6 +23,12 @@
  */
 public final class BeatChannel {
 
+	/**
+	 * The largest datagram. A longer one than the buffer would be cut, and a beat that
+	 * carries the usage of a hundred accounts in six failure domains takes 15 KB.
+	 */
+	private static final int RECEIVE_BUFFER_BYTES = 65_535;
+
 	private final BeatCodec codec = new BeatCodec();
 
 	private final Channel channel;
@@ -34,6 +42,7 @@
 	public BeatChannel(InetSocketAddress address, EventLoopGroup loops, Consumer<HostBeat> heard) {
 		this.channel = new Bootstrap().group(loops)
 			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
 			.handler(new SimpleChannelInboundHandler<DatagramPacket>() {
 
 				@Override
--- /dev/null
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
@@ -0,0 +1,70 @@
+package org.plantainspur.gateway.peer;
+
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.fleet.DomainUsage;
+import org.plantainspur.core.fleet.HostBeat;
+import org.plantainspur.core.fleet.Usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class BeatChannelTests {
+
+	private final EventLoopGroup loops = new NioEventLoopGroup(1);
+
+	@AfterEach
+	void end() {
+		this.loops.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	@Nested
+	class LargeBeats {
+
+		/**
+		 * A beat that was cut to the receive buffer was dropped, so hosts that relay the
+		 * usage of many accounts counted as down.
+		 */
+		@Test
+		void aBeatWithTheUsageOfManyAccountsInManyDomainsArrivesWhole() throws Exception {
+			Map<String, Usage> usage = new HashMap<>();
+			IntStream.range(0, 100).forEach((i) -> usage.put("account-" + i, new Usage(1_000_000 + i, i)));
+			List<DomainUsage> digests = IntStream.range(0, 6)
+				.mapToObj((i) -> new DomainUsage("domain-" + i, "host-" + i, i, usage))
+				.toList();
+			BlockingQueue<HostBeat> heard = new LinkedBlockingQueue<>();
+			InetSocketAddress receiver = freeAddress();
+			HostBeat beat = new HostBeat("a1", 1, "domain-9", "127.0.0.1:80", "127.0.0.1:81", true, 1, 1, 1, usage,
+					true, List.of(), List.of(), digests);
+
+			new BeatChannel(receiver, BeatChannelTests.this.loops, heard::add);
+			new BeatChannel(freeAddress(), BeatChannelTests.this.loops, (ignored) -> {
+			}).send(beat, List.of("127.0.0.1:" + receiver.getPort()));
+
+			HostBeat arrived = heard.poll(5, TimeUnit.SECONDS);
+			assertThat(arrived).isEqualTo(beat);
+		}
+
+		private InetSocketAddress freeAddress() throws Exception {
+			try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+				return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+			}
+		}
+
+	}
+
+}
