Read whole tables once for each failure domain, also at the start

Cause: each host read both tables and the table of all hosts when it started, and went on for a second; when the reader of a failure domain was late, all its hosts began to read at once; while the store was away, each host asked every 0.4 s. Change: a starting host registers in its failure domain's table, tells the hosts there of itself and takes the tables from one that has them; hosts without any begin to read in the order of their names. A late reader is replaced in steps. Retries grow to 1.6 s. The wait of a call follows from the time within which a change must be in force. The table of another failure domain is read only by the host that speaks to it. Besides: a host that had read a table after a removal asked its neighbour for that change ten times a second, as its newest version was older; the newest change is now always given. Tests: ReadDutyTests, TableFollowerTests, HostBookTests; GatewayTests asks that a second host reads no table whole, in place of the wait for the end of its duty.

--- a/core/src/main/java/org/plantainspur/core/store/TableCopy.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableCopy.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 /**
  * A host's copy of a table, with the rows that are gone, so that other hosts can take the
@@ -89,12 +90,26 @@
 		if (after < this.historyFrom) {
 			return new StoreAnswer.HistoryLost();
 		}
-		List<StoredRow> changed = this.rows.values()
+		return rows((row) -> row.version() > after);
+	}
+
+	/**
+	 * Returns the whole table for another host that has none.
+	 * @return the rows; a removed one stands for the newest change if that was a removal
+	 */
+	public StoreAnswer.Rows whole() {
+		return rows((row) -> !row.removed());
+	}
+
+	// The newest change always goes along: a host that read the table whole after a
+	// removal would otherwise ask for that change again and again.
+	private StoreAnswer.Rows rows(Predicate<StoredRow> wanted) {
+		List<StoredRow> found = this.rows.values()
 			.stream()
-			.filter((row) -> row.version() > after)
+			.filter((row) -> row.version() == this.latestChange || wanted.test(row))
 			.sorted(Comparator.comparingLong(StoredRow::version))
 			.toList();
-		return new StoreAnswer.Rows(changed, this.version, false);
+		return new StoreAnswer.Rows(found, this.version, false);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -8,20 +8,24 @@
 /**
  * Keeps a copy of one table. While it follows the store it reads the table whole, then
  * waits for changes, and reads it whole again when the store no longer keeps the changes.
- * While it does not, it takes changes from another host when told to. All steps run on
- * the scheduler's thread.
+ * While it does not, it takes the table and its changes from another host when told to.
+ * All steps run on the scheduler's thread.
  */
 public final class TableFollower {
 
 	/** The store is priced by call; a burst of changes is read in one. */
 	static final long PAUSE_BETWEEN_READS_MS = 400;
 
-	/** Tells the hosts that rely on this one within a second that the store is away. */
-	static final long WAIT_FOR_CHANGE_MS = 1_000;
 
-	/** Kept well below the time within which a change must be in force (2.5 s). */
+	/** The first retry; kept well below the time within which a change must be in force. */
 	static final long RETRY_MS = 400;
 
+	/**
+	 * Refused calls are billed too, so retries become rarer while the store is away. A
+	 * host is bound by changes again only when the store has been back for 4 s.
+	 */
+	static final long LONGEST_RETRY_MS = 1_600;
+
 	private final String table;
 
 	private final Store store;
@@ -32,6 +36,8 @@
 
 	private final Listener listener;
 
+	private final long waitForChangeMs;
+
 	private final TableCopy copy = new TableCopy();
 
 	private final List<StoredRow> partial = new ArrayList<>();
@@ -46,11 +52,25 @@
 
 	private long lastFailureMs = Long.MIN_VALUE / 2;
 
-	public TableFollower(String table, Store store, Clock clock, Scheduler scheduler, Listener listener) {
+	private long retryMs = RETRY_MS;
+
+	/**
+	 * Creates a follower that does not read yet.
+	 * @param table the table
+	 * @param store the store
+	 * @param clock the host's clock
+	 * @param scheduler runs all steps
+	 * @param waitForChangeMs how long a call waits for a change; after each answer the
+	 * hosts that rely on this one know that the store is there
+	 * @param listener told of what is read
+	 */
+	public TableFollower(String table, Store store, Clock clock, Scheduler scheduler, long waitForChangeMs,
+			Listener listener) {
 		this.table = table;
 		this.store = store;
 		this.clock = clock;
 		this.scheduler = scheduler;
+		this.waitForChangeMs = waitForChangeMs;
 		this.listener = listener;
 	}
 
@@ -66,22 +86,29 @@
 	}
 
 	/**
-	 * Takes the changes that another host has read.
+	 * Takes the changes that another host has read, or the whole table if this one has
+	 * none.
 	 * @param source the other host
 	 */
 	public void fetch(TableReader source) {
-		if (this.calling || !this.complete) {
+		if (this.calling) {
 			return;
 		}
 		this.calling = true;
-		source.changes(this.table, this.copy.version(), 0)
-			.thenAccept((answer) -> this.scheduler.after(0, () -> fetched(answer)));
+		boolean whole = !this.complete;
+		(whole ? source.list(this.table, "") : source.changes(this.table, this.copy.version(), 0))
+			.thenAccept((answer) -> this.scheduler.after(0, () -> fetched(answer, whole)));
 	}
 
-	private void fetched(StoreAnswer answer) {
+	private void fetched(StoreAnswer answer, boolean whole) {
 		this.calling = false;
 		if (answer instanceof StoreAnswer.Rows rows) {
-			apply(rows);
+			if (whole) {
+				replace(rows.rows(), rows.version());
+			}
+			else {
+				apply(rows);
+			}
 		}
 		else {
 			// The other host cannot help; one read of the store can.
@@ -120,7 +147,7 @@
 	private void read() {
 		this.calling = true;
 		if (this.complete) {
-			this.store.changes(this.table, this.copy.version(), WAIT_FOR_CHANGE_MS)
+			this.store.changes(this.table, this.copy.version(), this.waitForChangeMs)
 				.thenAccept((answer) -> this.scheduler.after(0, () -> changed(answer)));
 		}
 		else {
@@ -147,17 +174,21 @@
 		this.lastAnswerMs = this.clock.millis();
 		List<StoredRow> all = List.copyOf(this.partial);
 		this.partial.clear();
-		this.copy.replace(all, rows.version());
+		replace(all, rows.version());
+		answered(0);
+	}
+
+	private void replace(List<StoredRow> all, long version) {
+		this.copy.replace(all, version);
 		this.complete = true;
-		this.listener.replaced(all, sinceFailureMs());
-		next(0);
+		this.listener.replaced(all.stream().filter((row) -> !row.removed()).toList(), sinceFailureMs());
 	}
 
 	private void changed(StoreAnswer answer) {
 		if (answer instanceof StoreAnswer.Rows rows) {
 			this.lastAnswerMs = this.clock.millis();
 			apply(rows);
-			next(rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS);
+			answered(rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS);
 		}
 		else if (answer instanceof StoreAnswer.HistoryLost) {
 			this.complete = false;
@@ -178,7 +209,13 @@
 	private void failed(StoreAnswer answer) {
 		this.lastFailureMs = this.clock.millis();
 		this.listener.unavailable(answer);
-		next(RETRY_MS);
+		next(this.retryMs);
+		this.retryMs = Math.min(LONGEST_RETRY_MS, this.retryMs * 2);
+	}
+
+	private void answered(long pauseMs) {
+		this.retryMs = RETRY_MS;
+		next(pauseMs);
 	}
 
 	private void next(long delayMs) {
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -28,7 +28,7 @@
 
 	private final TableFollower follower = new TableFollower("servers", this.store, this.clock,
 			(delay, task) -> this.tasks.add(new Task(this.clock.millis() + delay, this.tasks.size(), task)),
-			new TableFollower.Listener() {
+			1_000, new TableFollower.Listener() {
 
 				@Override
 				public void replaced(List<StoredRow> rows, long sinceFailureMs) {
@@ -105,6 +105,18 @@
 			assertThat(TableFollowerTests.this.store.calls).containsSequence("changes 5", "changes 5");
 		}
 
+		/** Calls that the store refuses are billed like others. */
+		@Test
+		void aStoreThatStaysAwayIsAskedMoreAndMoreSeldom() {
+			TableFollowerTests.this.store.answers.add(rows(5, false, row("a", 1)));
+			for (int i = 0; i < 100; i++) {
+				TableFollowerTests.this.store.answers.add(new StoreAnswer.Unavailable("busy"));
+			}
+			TableFollowerTests.this.follower.follow(true);
+			run(10_000);
+			assertThat(TableFollowerTests.this.store.calls).hasSizeBetween(7, 10);
+		}
+
 	}
 
 	@Nested
@@ -141,9 +153,56 @@
 
 	}
 
+	/**
+	 * A host that has just started takes whole tables from its neighbours.
+	 */
+	@Nested
+	class FetchingWhole {
+
+		@Test
+		void aHostWithoutTheTableTakesItFromAnother() {
+			ScriptedStore other = new ScriptedStore();
+			other.answers.add(rows(7, false, row("a", 1), new StoredRow("b", new byte[0], 7, true)));
+			TableFollowerTests.this.follower.fetch(other);
+			run(10);
+			assertThat(TableFollowerTests.this.seen).containsExactly("replaced [a]");
+			assertThat(TableFollowerTests.this.follower.complete()).isTrue();
+			assertThat(TableFollowerTests.this.follower.copy().latestChange()).isEqualTo(7);
+			assertThat(TableFollowerTests.this.store.calls).isEmpty();
+		}
+
+		@Test
+		void afterwardsTheStoreIsFollowedFromThere() {
+			ScriptedStore other = new ScriptedStore();
+			other.answers.add(rows(7, false, row("a", 1)));
+			TableFollowerTests.this.follower.fetch(other);
+			run(10);
+			TableFollowerTests.this.follower.follow(true);
+			assertThat(TableFollowerTests.this.store.calls).containsExactly("changes 7");
+		}
+
+	}
+
 	@Nested
 	class Copies {
 
+		/**
+		 * A host that read the table after a removal does not know that version, and asked
+		 * its neighbour for it ten times a second.
+		 */
+		@Test
+		void theNewestChangeIsGivenToAHostThatReadTheTableAfterIt() {
+			TableCopy copy = new TableCopy();
+			copy.replace(List.of(row("a", 1), row("b", 2)), 5);
+			copy.apply(List.of(new StoredRow("b", new byte[0], 6, true)), 6);
+			TableCopy late = new TableCopy();
+			late.replace(List.of(row("a", 1)), 6);
+			assertThat(late.latestChange()).isLessThan(copy.latestChange());
+			assertThat(copy.changes(late.version())).isInstanceOfSatisfying(StoreAnswer.Rows.class,
+					(rows) -> late.apply(rows.rows(), rows.version()));
+			assertThat(late.latestChange()).isEqualTo(copy.latestChange());
+		}
+
 		@Test
 		void aRowThatIsGoneIsAmongTheChanges() {
 			TableCopy copy = new TableCopy();
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -57,6 +57,12 @@
 	/** By then beats of all hosts of the failure domain have come. */
 	private static final long LEARNING_MS = 1_500;
 
+	/** The other hosts of the failure domain answer the first beat by then. */
+	private static final long SETTLE_MS = 150;
+
+	/** The store may be out of reach; hosts that were found earlier may answer. */
+	private static final long LONGEST_SETTLE_MS = 1_000;
+
 	/** Hosts of a failure domain that callers are sent to. */
 	static final int ENTRY_HOSTS = 3;
 
@@ -75,7 +81,7 @@
 
 	private final PeerTables peerTables;
 
-	private final ReadDuty duty = new ReadDuty();
+	private final ReadDuty duty;
 
 	private final BooleanSupplier stopping;
 
@@ -101,7 +107,9 @@
 
 	private final DecisionLog log;
 
-	private boolean reading = true;
+	private boolean reading;
+
+	private long settledMs;
 
 	private final long startedMs;
 
@@ -117,13 +125,16 @@
 		this.loop = loop;
 		this.log = log;
 		this.startedMs = clock.millis();
+		this.settledMs = this.startedMs + LONGEST_SETTLE_MS;
+		this.duty = new ReadDuty(settings.changeApplyMs());
 		this.peerTables = new PeerTables(loop);
 		this.view = new FleetView(new Neighbours(clock), clock);
 		HostBeat first = new HostBeat(settings.host(), System.currentTimeMillis(), settings.failureDomain(),
 				text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0, NEVER_MS, Map.of(), false,
 				List.of(), List.of(), List.of());
 		this.own = new AtomicReference<>(first);
-		this.book = new HostBook(store, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS), first);
+		this.book = new HostBook(store, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS), first,
+				this::hostsRead);
 		this.channel = new BeatChannel(settings.peerAddress(), loop, this::heard);
 	}
 
@@ -137,12 +148,25 @@
 		this.book.start();
 	}
 
+	// Tells the others of this host and gives them time to answer.
+	private void hostsRead() {
+		if (!this.tables.complete()) {
+			// The first host would read in any case, unless another has the tables already.
+			long settle = this.book.isFirstHere() ? 0 : SETTLE_MS;
+			this.settledMs = Math.min(this.settledMs, this.clock.millis() + settle);
+			beat();
+		}
+	}
+
 	private void heard(HostBeat beat) {
 		if (beat.host().equals(this.settings.host())) {
 			return;
 		}
 		List<DomainUsage> news = this.view.heard(beat);
-		this.book.heard(beat);
+		if (this.book.heard(beat) && beat.failureDomain().equals(this.settings.failureDomain())) {
+			// A process that has just started takes the tables from a host that has them.
+			this.channel.send(this.own.get(), List.of(beat.peerAddress()));
+		}
 		DesiredState state = this.shared.desired().current();
 		if (beat.failureDomain().equals(this.settings.failureDomain())) {
 			this.shared.limiter().reported(state, beat.host(), beat.usage());
@@ -190,7 +214,9 @@
 	}
 
 	private void look() {
-		readDuty();
+		if (this.clock.millis() >= this.settledMs) {
+			readDuty();
+		}
 		boolean newer = this.tables.version() > this.own.get().tablesVersion();
 		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.shared.meter().urgent()) {
 			beat();
@@ -200,7 +226,7 @@
 	private void readDuty() {
 		HostBeat beat = this.own.get();
 		List<HostBeat> domain = this.view.domain(beat);
-		ReadDuty.Decision decision = this.duty.decide(domain.get(0).host().equals(beat.host()), this.tables.complete(),
+		ReadDuty.Decision decision = this.duty.decide(domain.indexOf(beat), this.tables.complete(),
 				this.tables.version(), this.view.readings(domain, beat), this.clock.millis());
 		if (decision.readStore() != this.reading) {
 			this.reading = decision.readStore();
@@ -226,6 +252,7 @@
 		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat,
 				this.book.peersHere());
 		if (rank == 0 && now - this.startedMs >= LEARNING_MS) {
+			this.book.findElsewhere(this.settings.regions().keySet(), this.view::silenceMs, now);
 			Map<String, Usage> sums = this.tally.sum(domain);
 			if (this.digestSchedule.due(sums, domain.stream().anyMatch(HostBeat::pressed), now)) {
 				DomainUsage digest = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -104,8 +104,8 @@
 		Place place = new Place(this.settings.failureDomain(), this.settings.regions());
 		TargetResults results = new TargetResults(this.clock);
 		Scheduler scheduler = (delay, task) -> loop.schedule(() -> runSafely(task), delay, TimeUnit.MILLISECONDS);
-		StoreTask tables = new StoreTask(this.ports, store, this.clock, scheduler, this.desired, this.targets,
-				this.log);
+		StoreTask tables = new StoreTask(this.ports, store, this.clock, scheduler, this.settings.changeApplyMs(),
+				this.desired, this.targets, this.log);
 		FleetTask fleet = new FleetTask(this.settings, this.clock,
 				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results), store, tables,
 				this.stop::stopping, loop, this.log);
@@ -117,7 +117,6 @@
 						() -> ThreadLocalRandom.current().nextDouble()),
 				results, new AttemptRules(budget), budget, fleet, this.stop, this.log, this.metrics);
 		CallerServer callers = new CallerServer(parts, this.requests, this.openRequests);
-		tables.start();
 		fleet.start();
 		this.listening.add(callers.listen(this.settings.callerAddress()));
 		listenForPages(fleet, tables);
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
@@ -42,6 +42,8 @@
 
 	private final long graceMs;
 
+	private final long changeApplyMs;
+
 	private GatewaySettings(Builder builder) {
 		this.host = Required.of(builder.host, "host");
 		this.failureDomain = Required.of(builder.failureDomain, "failureDomain");
@@ -57,6 +59,7 @@
 		this.retryWindowMs = builder.retryWindowMs;
 		this.floorShare = builder.floorShare;
 		this.graceMs = builder.graceMs;
+		this.changeApplyMs = builder.changeApplyMs;
 	}
 
 	/**
@@ -180,6 +183,14 @@
 		return this.graceMs;
 	}
 
+	/**
+	 * Returns the time within which a change of the desired state must be in force.
+	 * @return the time in milliseconds
+	 */
+	public long changeApplyMs() {
+		return this.changeApplyMs;
+	}
+
 	/**
 	 * Builds {@link GatewaySettings}.
 	 */
@@ -213,6 +224,8 @@
 
 		private long graceMs = 6_000;
 
+		private long changeApplyMs = 2_500;
+
 		private Builder() {
 		}
 
@@ -341,6 +354,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the time within which a change of the desired state must be in force.
+		 * @param milliseconds the time
+		 * @return this builder
+		 */
+		public Builder changeApplyMs(long milliseconds) {
+			this.changeApplyMs = milliseconds;
+			return this;
+		}
+
 		/**
 		 * Builds the settings.
 		 * @return the settings
--- a/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
@@ -1,6 +1,7 @@
 package org.plantainspur.gateway;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -18,13 +19,15 @@
 import org.plantainspur.gateway.peer.BeatCodec;
 
 /**
- * The addresses of the other hosts. Each host writes its own into a table of the store
- * and reads the others' once; after that, beats bring them.
+ * The addresses of the other hosts. Each host writes its own into its failure domain's
+ * table of the store and reads the others' there once; after that, beats bring them. The
+ * tables of the other failure domains are read only by the host that speaks for its own,
+ * so that what a starting host reads does not grow with the fleet.
  */
 final class HostBook {
 
-	/** The table of the store in which hosts find each other. */
-	private static final String HOSTS_TABLE = "plantainspur-hosts";
+	/** Begins the name of a failure domain's table of hosts. */
+	private static final String TABLE_PREFIX = "plantainspur-hosts-";
 
 	/** Finds hosts whose beats were all lost. */
 	private static final long FIND_HOSTS_AGAIN_MS = 60_000;
@@ -43,10 +46,16 @@
 
 	private final HostBeat own;
 
+	private final Runnable whenRead;
+
 	private final BeatCodec codec = new BeatCodec();
 
 	private final Map<String, HostBeat> known = new ConcurrentHashMap<>();
 
+	private final Map<String, Long> readElsewhereMs = new HashMap<>();
+
+	private boolean registered;
+
 	private volatile boolean read;
 
 	/**
@@ -54,36 +63,76 @@
 	 * @param store the store
 	 * @param scheduler runs reads and writes again
 	 * @param own the beat that the other hosts find in the store
+	 * @param whenRead told when the hosts of this failure domain have been read
 	 */
-	HostBook(Store store, Scheduler scheduler, HostBeat own) {
+	HostBook(Store store, Scheduler scheduler, HostBeat own, Runnable whenRead) {
 		this.store = store;
 		this.scheduler = scheduler;
 		this.own = own;
+		this.whenRead = whenRead;
 	}
 
 	void start() {
-		this.store.put(HOSTS_TABLE, this.own.host(), this.codec.encode(this.own)).thenAccept((answer) -> {
-			if (answer instanceof StoreAnswer.Rows) {
-				// Of two hosts the one that registers later finds the other.
+		if (this.registered) {
+			findHosts();
+			return;
+		}
+		// Of two hosts the one that registers later finds the other. A host that cannot
+		// write may still find others, which then hear of it.
+		this.store.put(table(this.own.failureDomain()), this.own.host(), this.codec.encode(this.own))
+			.thenAccept((answer) -> {
+				this.registered = answer instanceof StoreAnswer.Rows;
 				findHosts();
-			}
-			else {
-				this.scheduler.after(RETRY_MS, this::start);
-			}
-		});
+			});
+	}
+
+	private static String table(String failureDomain) {
+		return TABLE_PREFIX + failureDomain;
 	}
 
 	private void findHosts() {
-		this.store.list(HOSTS_TABLE, "").thenAccept((answer) -> {
+		this.store.list(table(this.own.failureDomain()), "").thenAccept((answer) -> {
+			boolean found = answer instanceof StoreAnswer.Rows;
 			if (answer instanceof StoreAnswer.Rows rows) {
 				rows.rows().forEach(this::found);
 				this.read = true;
+				this.whenRead.run();
 			}
-			this.scheduler.after((answer instanceof StoreAnswer.Rows) ? FIND_HOSTS_AGAIN_MS : RETRY_MS,
-					this::findHosts);
+			this.scheduler.after((found && this.registered) ? FIND_HOSTS_AGAIN_MS : RETRY_MS, this::start);
 		});
 	}
 
+	/**
+	 * Reads the hosts of other failure domains from which nothing was heard. Called by
+	 * the host that speaks for its failure domain.
+	 * @param domains all failure domains
+	 * @param silenceMs the time since a host was last heard, in milliseconds
+	 * @param now the reading of the clock
+	 */
+	void findElsewhere(Collection<String> domains, ToLongFunction<HostBeat> silenceMs, long now) {
+		for (String domain : domains) {
+			boolean heard = this.known.values()
+				.stream()
+				.anyMatch((beat) -> beat.failureDomain().equals(domain)
+						&& silenceMs.applyAsLong(beat) < SPEAKER_SILENCE_MS);
+			Long before = this.readElsewhereMs.get(domain);
+			if (heard || domain.equals(this.own.failureDomain())
+					|| (before != null && now - before < FIND_HOSTS_AGAIN_MS)) {
+				continue;
+			}
+			this.readElsewhereMs.put(domain, now);
+			this.store.list(table(domain), "").thenAccept((answer) -> {
+				if (answer instanceof StoreAnswer.Rows rows) {
+					rows.rows().forEach(this::found);
+				}
+				else {
+					// The next beat asks again.
+					this.scheduler.after(RETRY_MS, () -> this.readElsewhereMs.remove(domain));
+				}
+			});
+		}
+	}
+
 	private void found(StoredRow row) {
 		HostBeat beat = this.codec.decode(row.value());
 		if (beat != null && !beat.host().equals(this.own.host())) {
@@ -91,15 +140,26 @@
 		}
 	}
 
-	void heard(HostBeat beat) {
-		this.known.put(beat.host(), beat);
+	/**
+	 * Takes a beat.
+	 * @param beat the beat
+	 * @return whether it is of a process that was not known
+	 */
+	boolean heard(HostBeat beat) {
+		HostBeat before = this.known.put(beat.host(), beat);
+		return before == null || before.start() != beat.start();
 	}
 
-	// Whether the hosts in the store have been read.
+	// Whether the hosts of this failure domain have been read from the store.
 	boolean isRead() {
 		return this.read;
 	}
 
+	// Whether this host's name comes before those of all others that it knows here.
+	boolean isFirstHere() {
+		return this.known.values().stream().noneMatch((beat) -> isHere(beat) && beat.host().compareTo(this.own.host()) < 0);
+	}
+
 	// The peer addresses of the hosts of this failure domain.
 	List<String> peersHere() {
 		return this.known.values().stream().filter(this::isHere).map(HostBeat::peerAddress).toList();
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
@@ -30,6 +30,14 @@
 	 */
 	private static final long LAPSED_RETURN_MS = 2_000;
 
+	/**
+	 * The hosts that rely on a reader must know that the store is there well before they
+	 * would read themselves; a beat and a call to another region come in between.
+	 */
+	private static final long READ_RESERVE_MS = 1_500;
+
+	private static final long LEAST_WAIT_MS = 500;
+
 	private final RowsCodec rowsCodec = new RowsCodec();
 
 	private final PlatformPorts ports;
@@ -50,20 +58,17 @@
 
 	private final TableFollower targetFollower;
 
-	StoreTask(PlatformPorts ports, Store store, Clock clock, Scheduler scheduler, DesiredStateView desired,
-			TargetDirectory targets, DecisionLog log) {
+	StoreTask(PlatformPorts ports, Store store, Clock clock, Scheduler scheduler, long changeApplyMs,
+			DesiredStateView desired, TargetDirectory targets, DecisionLog log) {
 		this.ports = ports;
 		this.scheduler = scheduler;
 		this.desired = desired;
 		this.targets = targets;
 		this.log = log;
-		this.desiredFollower = new TableFollower(ports.desiredStateTable(), store, clock, scheduler,
+		long waitMs = Math.max(LEAST_WAIT_MS, changeApplyMs - READ_RESERVE_MS);
+		this.desiredFollower = new TableFollower(ports.desiredStateTable(), store, clock, scheduler, waitMs,
 				new DesiredStateRows());
-		this.targetFollower = new TableFollower(ports.targetTable(), store, clock, scheduler, new TargetRows());
-	}
-
-	void start() {
-		follow(true);
+		this.targetFollower = new TableFollower(ports.targetTable(), store, clock, scheduler, waitMs, new TargetRows());
 	}
 
 	// Begins or ends to follow the store.
@@ -74,7 +79,7 @@
 		});
 	}
 
-	// Takes the changes that another host has read.
+	// Takes what another host has read.
 	void fetch(TableReader source) {
 		this.desiredFollower.fetch(source);
 		this.targetFollower.fetch(source);
@@ -102,7 +107,8 @@
 		if (!after.matches("\\d{1,18}") || !follower.complete()) {
 			return new PageServer.Page(503, RowsCodec.TYPE, new byte[0]);
 		}
-		StoreAnswer answer = follower.copy().changes(Long.parseLong(after));
+		long known = Long.parseLong(after);
+		StoreAnswer answer = (known == 0) ? follower.copy().whole() : follower.copy().changes(known);
 		return (answer instanceof StoreAnswer.Rows rows)
 				? new PageServer.Page(200, RowsCodec.TYPE, this.rowsCodec.encode(rows))
 				: new PageServer.Page(410, RowsCodec.TYPE, new byte[0]);
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/PeerTables.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/PeerTables.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 import io.netty.channel.EventLoop;
@@ -59,8 +58,7 @@
 
 		@Override
 		public CompletionStage<StoreAnswer> list(String table, String from) {
-			return CompletableFuture
-				.completedFuture(new StoreAnswer.Unavailable("other hosts give changes only, not whole tables"));
+			return changes(table, 0, 0);
 		}
 
 		@Override
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -429,15 +429,20 @@
 	@Nested
 	class SeveralHosts {
 
+		/**
+		 * Each host read both tables at its start and went on for a while, and each call
+		 * and each byte to another region is billed.
+		 */
 		@Test
 		void oneHostReadsTheStoreForAll() throws IOException {
 			GatewayTests.this.fixture.target("i-1", GatewayTests.this::answer);
 			GatewayFixture.Host first = GatewayTests.this.fixture.host("a1");
+			int wholeReads = GatewayTests.this.fixture.store().calls("/rows-get");
 			GatewayFixture.Host second = GatewayTests.this.fixture.host("a2");
-			GatewayFixture.await(() -> GatewayTests.this.fixture.log()
-				.stream()
-				.anyMatch((line) -> line.startsWith("a2 read-duty [readsStore, false")));
+			assertThat(GatewayTests.this.fixture.store().calls("/rows-get") - wholeReads).as("the list of hosts")
+				.isEqualTo(1);
 			GatewayFixture.pause(1_200);
+			assertThat(GatewayTests.this.fixture.log()).noneMatch((line) -> line.startsWith("a2 read-duty"));
 			int before = GatewayTests.this.fixture.store().calls("/rows-feed");
 			GatewayTests.this.fixture.desire("a-new-key");
 			GatewayFixture.await(() -> read(second, "r").startsWith("HTTP/1.1 401"));
