--- a/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
@@ -55,6 +55,18 @@
 		return new Refuse((outcome instanceof AttemptOutcome.TimedOut) ? Refusal.TIMED_OUT : Refusal.BROKEN);
 	}
 
+	/**
+	 * Returns whether the next attempt could be followed by another one if it failed. The
+	 * last attempt of an idempotent request must be placed as carefully as the only one
+	 * of another request.
+	 * @param route the request's route
+	 * @param sentAttempts the attempts that have reached a target so far
+	 * @return whether the route allows a further attempt
+	 */
+	public boolean repeatable(RouteRule route, int sentAttempts) {
+		return route.idempotent() && sentAttempts + 1 < route.maxAttempts();
+	}
+
 	/**
 	 * Decides whether an attempt that takes long is given up for another one.
 	 * @param route the request's route
--- a/core/src/test/java/org/plantainspur/core/fleet/ReadDutyTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/ReadDutyTests.java
@@ -43,8 +43,8 @@
 		}
 
 		/**
-		 * All hosts of a failure domain began to read at once when the first one was late,
-		 * and each call is billed.
+		 * All hosts of a failure domain began to read at once when the first one was
+		 * late, and each call is billed.
 		 */
 		@Test
 		void whenTheReaderIsLateTheOthersBeginOneAfterAnother() {
@@ -71,8 +71,8 @@
 	}
 
 	/**
-	 * All hosts start together, or one starts among others; each whole read goes to another
-	 * region for half of them.
+	 * All hosts start together, or one starts among others; each whole read goes to
+	 * another region for half of them.
 	 */
 	@Nested
 	class Starting {
--- a/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
+++ b/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
@@ -126,4 +126,20 @@
 
 	}
 
+	/**
+	 * The last attempt was placed like the first one, on targets of which little is
+	 * known, and many idempotent requests failed twice.
+	 */
+	@Nested
+	class LastAttempts {
+
+		@Test
+		void onlyAnAttemptThatCanBeFollowedByAnotherIsRepeatable() {
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), 0)).isTrue();
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), 1)).isFalse();
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(false), 0)).isFalse();
+		}
+
+	}
+
 }
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -79,6 +79,41 @@
 
 	}
 
+	/**
+	 * A route with little time, whose work often takes longer, made its healthy targets
+	 * count as sick for the other routes.
+	 */
+	@Nested
+	class RequestsOutOfTime {
+
+		private void end(AttemptOutcome outcome, long tookMs) {
+			Target target = NearestFreeChooserTests.this.directory.target("near");
+			assertThat(target).isNotNull();
+			NearestFreeChooserTests.this.results.sent(target);
+			NearestFreeChooserTests.this.results.ended(target, "route", outcome, tookMs);
+		}
+
+		@Test
+		void aTargetIsNotSparedForWorkThatHadLessThanItsUsualTime() {
+			list(entry("near", "pdx-a", false), entry("far", "pdx-b", false));
+			end(new AttemptOutcome.TimedOut(), 400);
+			end(new AttemptOutcome.Answered(504, false), 400);
+			assertThat(choose()).isEqualTo("near");
+			answer("near", 500);
+			end(new AttemptOutcome.TimedOut(), 900);
+			assertThat(choose()).isEqualTo("near");
+		}
+
+		@Test
+		void aTargetThatHoldsRequestsForManyTimesTheUsualIsSpared() {
+			list(entry("near", "pdx-a", false), entry("far", "pdx-b", false));
+			answer("near", 100);
+			end(new AttemptOutcome.TimedOut(), 2_500);
+			assertThat(choose()).isEqualTo("far");
+		}
+
+	}
+
 	@Nested
 	class Failures {
 
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -151,7 +151,8 @@
 	// Tells the others of this host and gives them time to answer.
 	private void hostsRead() {
 		if (!this.tables.complete()) {
-			// The first host would read in any case, unless another has the tables already.
+			// The first host would read in any case, unless another has the tables
+			// already.
 			long settle = this.book.isFirstHere() ? 0 : SETTLE_MS;
 			this.settledMs = Math.min(this.settledMs, this.clock.millis() + settle);
 			beat();
--- a/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
@@ -157,7 +157,9 @@
 
 	// Whether this host's name comes before those of all others that it knows here.
 	boolean isFirstHere() {
-		return this.known.values().stream().noneMatch((beat) -> isHere(beat) && beat.host().compareTo(this.own.host()) < 0);
+		return this.known.values()
+			.stream()
+			.noneMatch((beat) -> isHere(beat) && beat.host().compareTo(this.own.host()) < 0);
 	}
 
 	// The peer addresses of the hosts of this failure domain.
