Tell other failure domains only the accounts that matter, between full digests

Cause: whenever an account pressed on its limit, or a rate changed, the use of all accounts went to each other failure domain, up to three times a second; with 74 accounts in six failure domains that is 1.6 KB in 30 flows. Hosts that relay sent all domains' digests again with each beat. Change: beats name the accounts that press; between the full digests of every 2.9 s only these and the ones whose rate changed are told. A listener relays a digest once.

--- a/core/src/main/java/org/plantainspur/core/fleet/DigestSchedule.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/DigestSchedule.java
@@ -1,13 +1,15 @@
 package org.plantainspur.core.fleet;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Decides when a failure domain's sums go to the others. Bytes between failure domains
- * are billed, so sums that hardly change go out seldom; an account whose use rises or
- * falls is told at once, since the others would go on to count with its former rate.
- * Answers the load of an account that suddenly sends many times its rate in all failure
- * domains. Used by one thread.
+ * Decides when a failure domain's sums go to the others, and which. Bytes between failure
+ * domains are billed, so all sums go out seldom; an account whose use rises or falls, or
+ * that presses on its limit, is told soon, since the others would go on to count with its
+ * former rate. Answers the load of an account that suddenly sends many times its rate in
+ * all failure domains, among many accounts that do not. Used by one thread.
  */
 public final class DigestSchedule {
 
@@ -23,33 +25,47 @@
 	/** Smaller changes do not matter to any limit. */
 	private static final double LEAST_CHANGE = 1.5;
 
-	private Map<String, Usage> told = Map.of();
+	private final Map<String, Usage> told = new HashMap<>();
+
+	private long allToldMs = Long.MIN_VALUE / 2;
 
 	private long toldMs = Long.MIN_VALUE / 2;
 
 	/**
-	 * Decides whether to tell now; if so, the sums count as told.
+	 * Decides what to tell now; it counts as told.
 	 * @param sums the usage of the failure domain by account
-	 * @param pressed whether an account presses on its limit
+	 * @param pressed the accounts that press on their limits
 	 * @param now the reading of the clock
-	 * @return whether the sums go out
+	 * @return the usage that goes out, empty for none
 	 */
-	public boolean due(Map<String, Usage> sums, boolean pressed, long now) {
-		long since = now - this.toldMs;
-		if (since < CHANGED_MS || (since < UNCHANGED_MS && !pressed && !changed(sums))) {
-			return false;
+	public Map<String, Usage> due(Map<String, Usage> sums, Set<String> pressed, long now) {
+		if (now - this.allToldMs >= UNCHANGED_MS) {
+			this.allToldMs = now;
+			this.told.clear();
+			return tell(sums, now);
+		}
+		if (now - this.toldMs < CHANGED_MS) {
+			return Map.of();
 		}
-		this.told = sums;
+		Map<String, Usage> news = new HashMap<>();
+		sums.forEach((account, usage) -> {
+			Usage before = this.told.getOrDefault(account, Usage.NONE);
+			if (changed(before, usage) || (pressed.contains(account) && usage.count() != before.count())) {
+				news.put(account, usage);
+			}
+		});
+		return news.isEmpty() ? news : tell(news, now);
+	}
+
+	private Map<String, Usage> tell(Map<String, Usage> usage, long now) {
 		this.toldMs = now;
-		return true;
+		this.told.putAll(usage);
+		return usage;
 	}
 
-	private boolean changed(Map<String, Usage> sums) {
-		return sums.entrySet().stream().anyMatch((entry) -> {
-			double before = this.told.getOrDefault(entry.getKey(), Usage.NONE).ratePerSecond();
-			double change = Math.abs(entry.getValue().ratePerSecond() - before);
-			return change > Math.max(LEAST_CHANGE, before * VARIATION);
-		});
+	private static boolean changed(Usage before, Usage after) {
+		double change = Math.abs(after.ratePerSecond() - before.ratePerSecond());
+		return change > Math.max(LEAST_CHANGE, before.ratePerSecond() * VARIATION);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
@@ -11,8 +11,8 @@
 /**
  * What this host knows of the fleet: who takes callers, who speaks for a failure domain,
  * and what the other failure domains use. Messages of a host do not grow with the fleet:
- * beats stay within the failure domain, and one host sends its domain's sums to the
- * others.
+ * beats stay within the failure domain, and one host sends its domain's sums to one host
+ * of each other domain, which passes them on.
  */
 public final class FleetView {
 
@@ -36,7 +36,7 @@
 	/**
 	 * Takes a beat of another host.
 	 * @param beat the beat
-	 * @return the digests in it that are news
+	 * @return the digests in it that are news; each holds only some of the accounts
 	 */
 	public List<DomainUsage> heard(HostBeat beat) {
 		this.neighbours.heard(beat);
@@ -88,17 +88,15 @@
 	}
 
 	/**
-	 * Returns the sums of the other failure domains that are still used.
-	 * @param own the failure domain to leave out
-	 * @return the sums
+	 * Returns who counts for the other failure domains that are still heard of.
+	 * @return the last digest of each
 	 */
-	public List<DomainUsage> others(String own) {
+	public List<DomainUsage> others() {
 		long now = this.clock.millis();
 		return this.digests.values()
 			.stream()
 			.filter((received) -> now - received.atMs() < DIGEST_VALID_MS)
 			.map(Received::digest)
-			.filter((digest) -> !digest.failureDomain().equals(own))
 			.toList();
 	}
 
--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -16,17 +16,18 @@
  * @param tablesVersion the sum of the versions of the newest changes that it has read
  * @param storeAgeMs the time since the store answered it, in milliseconds
  * @param usage what it passed on, by account
- * @param pressed whether an account pressed on its limit there since the last beat
+ * @param pressed the accounts that pressed on their limits there since the last beat
  * @param failedTargets identities of the targets that failed since the last beat
  * @param soundTargets identities of doubtful targets that answered well since then
  * @param digests the usage of whole failure domains
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
-		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage, boolean pressed,
-		List<String> failedTargets, List<String> soundTargets, List<DomainUsage> digests) {
+		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
+		List<String> pressed, List<String> failedTargets, List<String> soundTargets, List<DomainUsage> digests) {
 
 	public HostBeat {
 		usage = Map.copyOf(usage);
+		pressed = List.copyOf(pressed);
 		failedTargets = List.copyOf(failedTargets);
 		soundTargets = List.copyOf(soundTargets);
 		digests = List.copyOf(digests);
--- a/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/UsageMeter.java
@@ -1,7 +1,9 @@
 package org.plantainspur.core.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -28,7 +30,7 @@
 
 	private final AtomicBoolean urgent = new AtomicBoolean();
 
-	private final AtomicBoolean pressed = new AtomicBoolean();
+	private final Set<String> pressed = ConcurrentHashMap.newKeySet();
 
 	/**
 	 * Records a request that is passed on.
@@ -41,7 +43,7 @@
 		LongAdder news = this.unreported.computeIfAbsent(account, (name) -> new LongAdder());
 		news.increment();
 		if (pressed) {
-			this.pressed.set(true);
+			this.pressed.add(account);
 		}
 		if (pressed || news.sum() >= UNREPORTED) {
 			this.urgent.set(true);
@@ -57,11 +59,13 @@
 	}
 
 	/**
-	 * Returns whether an account has pressed on its limit since the last call.
-	 * @return {@code true} once an account used much of its bucket
+	 * Takes the accounts that have pressed on their limits since the last call.
+	 * @return the accounts that used much of their buckets
 	 */
-	public boolean takePressed() {
-		return this.pressed.getAndSet(false);
+	public List<String> takePressed() {
+		List<String> taken = List.copyOf(this.pressed);
+		taken.forEach(this.pressed::remove);
+		return taken;
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -17,7 +18,7 @@
 	private final FleetView view = new FleetView(new Neighbours(this.clock), this.clock);
 
 	private static HostBeat beat(String host, long start, String domain, boolean taking, DomainUsage... digests) {
-		return new HostBeat(host, start, domain, host + ":80", host + ":81", taking, 1, 1, 0, Map.of(), false,
+		return new HostBeat(host, start, domain, host + ":80", host + ":81", taking, 1, 1, 0, Map.of(), List.of(),
 				List.of(), List.of(), List.of(digests));
 	}
 
@@ -67,14 +68,14 @@
 			assertThat(FleetViewTests.this.view.heard(beat("b1", 1, "b", true, digest("b", 5)))).hasSize(1);
 			assertThat(FleetViewTests.this.view.heard(beat("a1", 1, "a", true, digest("b", 5)))).isEmpty();
 			assertThat(FleetViewTests.this.view.heard(beat("b1", 1, "b", true, digest("b", 4)))).isEmpty();
-			assertThat(FleetViewTests.this.view.others("a")).containsExactly(digest("b", 5));
+			assertThat(FleetViewTests.this.view.others()).containsExactly(digest("b", 5));
 		}
 
 		@Test
 		void aDomainThatIsSilentIsForgottenInTheEnd() {
 			FleetViewTests.this.view.heard(beat("b1", 1, "b", true, digest("b", 5)));
 			FleetViewTests.this.clock.advance(FleetView.DIGEST_VALID_MS);
-			assertThat(FleetViewTests.this.view.others("a")).isEmpty();
+			assertThat(FleetViewTests.this.view.others()).isEmpty();
 		}
 
 	}
@@ -85,7 +86,12 @@
 		private final DigestSchedule schedule = new DigestSchedule();
 
 		private boolean due(double rate, boolean pressed, long now) {
-			return this.schedule.due(Map.of("mill", new Usage(0, rate)), pressed, now);
+			return !told(rate, pressed, now).isEmpty();
+		}
+
+		private Map<String, Usage> told(double rate, boolean pressed, long now) {
+			return this.schedule.due(Map.of("mill", new Usage(now, rate), "port", new Usage(now, 10)),
+					pressed ? Set.of("mill") : Set.of(), now);
 		}
 
 		@Test
@@ -108,6 +114,18 @@
 			assertThat(due(10, true, DigestSchedule.CHANGED_MS)).isTrue();
 		}
 
+		/**
+		 * All accounts were told each time that one of them pressed, and these bytes are
+		 * billed.
+		 */
+		@Test
+		void onlyTheAccountsThatMatterGoOutInBetween() {
+			assertThat(told(10, true, 0)).containsOnlyKeys("mill", "port");
+			assertThat(told(10, true, 300)).containsOnlyKeys("mill");
+			assertThat(told(20, false, 600)).containsOnlyKeys("mill");
+			assertThat(told(20, false, DigestSchedule.UNCHANGED_MS)).containsOnlyKeys("mill", "port");
+		}
+
 	}
 
 	@Nested
@@ -123,8 +141,8 @@
 		}
 
 		private HostBeat using(String host, long count) {
-			return new HostBeat(host, 1, "a", "x:1", "x:2", true, 1, 1, 0, Map.of("mill", new Usage(count, 1)), false,
-					List.of(), List.of(), List.of());
+			return new HostBeat(host, 1, "a", "x:1", "x:2", true, 1, 1, 0, Map.of("mill", new Usage(count, 1)),
+					List.of(), List.of(), List.of(), List.of());
 		}
 
 	}
--- a/core/src/test/java/org/plantainspur/core/fleet/ReadDutyTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/ReadDutyTests.java
@@ -16,7 +16,7 @@
 
 	private static ReadDuty.Reading reading(String host, long version, long ageMs) {
 		return new ReadDuty.Reading(new HostBeat(host, 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2", true, 1, version,
-				ageMs, Map.of(), false, List.of(), List.of(), List.of()), version, ageMs);
+				ageMs, Map.of(), List.of(), List.of(), List.of(), List.of()), version, ageMs);
 	}
 
 	private ReadDuty.Decision decide(int rank, boolean complete, long now, ReadDuty.Reading... others) {
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -93,6 +93,10 @@
 
 	private final Queue<String> sound = new ConcurrentLinkedQueue<>();
 
+	private final Queue<DomainUsage> toRelay = new ConcurrentLinkedQueue<>();
+
+	private final Set<String> pressed = new HashSet<>();
+
 	private final AtomicReference<HostBeat> own;
 
 	private final DomainTally tally = new DomainTally();
@@ -130,8 +134,8 @@
 		this.peerTables = new PeerTables(loop);
 		this.view = new FleetView(new Neighbours(clock), clock);
 		HostBeat first = new HostBeat(settings.host(), System.currentTimeMillis(), settings.failureDomain(),
-				text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0, NEVER_MS, Map.of(), false,
-				List.of(), List.of(), List.of());
+				text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0, NEVER_MS, Map.of(),
+				List.of(), List.of(), List.of(), List.of());
 		this.own = new AtomicReference<>(first);
 		this.book = new HostBook(store, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS), first,
 				this::hostsRead);
@@ -172,9 +176,14 @@
 		if (beat.failureDomain().equals(this.settings.failureDomain())) {
 			this.shared.limiter().reported(state, beat.host(), beat.usage());
 		}
-		news.stream()
+		List<DomainUsage> ofOthers = news.stream()
 			.filter((digest) -> !digest.failureDomain().equals(this.settings.failureDomain()))
-			.forEach((digest) -> this.shared.limiter().reported(state, source(digest), digest.accounts()));
+			.toList();
+		ofOthers.forEach((digest) -> this.shared.limiter().reported(state, source(digest), digest.accounts()));
+		if (!beat.failureDomain().equals(this.settings.failureDomain()) && !ofOthers.isEmpty()) {
+			this.toRelay.addAll(ofOthers);
+			urgent();
+		}
 		listed(beat.failedTargets()).forEach(this.shared.results()::failedElsewhere);
 		listed(beat.soundTargets()).forEach(this.shared.results()::succeededElsewhere);
 	}
@@ -248,16 +257,15 @@
 		HostBeat beat = ownBeat(usage, takeAll(this.failed), takeAll(this.sound));
 		this.own.set(beat);
 		List<HostBeat> domain = this.view.domain(beat);
-		int rank = domain.indexOf(beat);
-		boolean relays = rank < FleetView.LISTENERS_PER_DOMAIN;
-		this.channel.send(relays ? beat.withDigests(this.view.others(beat.failureDomain())) : beat,
-				this.book.peersHere());
-		if (rank == 0 && now - this.startedMs >= LEARNING_MS) {
+		this.channel.send(beat.withDigests(takeAll(this.toRelay)), this.book.peersHere());
+		if (domain.indexOf(beat) == 0 && now - this.startedMs >= LEARNING_MS) {
 			this.book.findElsewhere(this.settings.regions().keySet(), this.view::silenceMs, now);
-			Map<String, Usage> sums = this.tally.sum(domain);
-			if (this.digestSchedule.due(sums, domain.stream().anyMatch(HostBeat::pressed), now)) {
+			domain.forEach((member) -> this.pressed.addAll(member.pressed()));
+			Map<String, Usage> due = this.digestSchedule.due(this.tally.sum(domain), this.pressed, now);
+			if (!due.isEmpty()) {
+				this.pressed.clear();
 				DomainUsage digest = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
-						sums);
+						due);
 				this.channel.send(beat.withDigests(List.of(digest)),
 						this.book.listenersElsewhere(this.view::silenceMs));
 			}
@@ -273,9 +281,9 @@
 				this.tables.storeAgeMs(), usage, this.shared.meter().takePressed(), failedNow, soundNow, List.of());
 	}
 
-	private static List<String> takeAll(Queue<String> queue) {
-		List<String> taken = new ArrayList<>();
-		String next = queue.poll();
+	private static <T> List<T> takeAll(Queue<T> queue) {
+		List<T> taken = new ArrayList<>();
+		T next = queue.poll();
 		while (next != null) {
 			taken.add(next);
 			next = queue.poll();
@@ -286,7 +294,7 @@
 	private void forgetSources(List<HostBeat> domain) {
 		Set<String> sources = new HashSet<>();
 		domain.forEach((beat) -> sources.add(beat.host()));
-		this.view.others(this.settings.failureDomain()).forEach((digest) -> sources.add(source(digest)));
+		this.view.others().forEach((digest) -> sources.add(source(digest)));
 		this.shared.limiter().retain(this.shared.desired().current(), sources::contains);
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
@@ -23,7 +23,7 @@
 public final class BeatCodec {
 
 	/** Raised when the order or meaning of the fields changes. */
-	private static final int FORMAT = 1;
+	private static final int FORMAT = 2;
 
 	/**
 	 * Encodes a beat.
@@ -43,7 +43,7 @@
 				.packLong(beat.tablesVersion())
 				.packLong(beat.storeAgeMs());
 			packUsage(packer, beat.usage());
-			packer.packBoolean(beat.pressed());
+			packStrings(packer, beat.pressed());
 			packStrings(packer, beat.failedTargets());
 			packStrings(packer, beat.soundTargets());
 			packer.packArrayHeader(beat.digests().size());
@@ -86,7 +86,7 @@
 			}
 			return new HostBeat(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
 					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackLong(),
-					unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker), unpacker.unpackBoolean(),
+					unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker), unpackStrings(unpacker),
 					unpackStrings(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
@@ -49,7 +49,7 @@
 			BlockingQueue<HostBeat> heard = new LinkedBlockingQueue<>();
 			InetSocketAddress receiver = freeAddress();
 			HostBeat beat = new HostBeat("a1", 1, "domain-9", "127.0.0.1:80", "127.0.0.1:81", true, 1, 1, 1, usage,
-					true, List.of(), List.of(), digests);
+					List.of("account-1"), List.of(), List.of(), digests);
 
 			new BeatChannel(receiver, BeatChannelTests.this.loops, heard::add);
 			new BeatChannel(freeAddress(), BeatChannelTests.this.loops, (ignored) -> {
