Tell the other failure domains of a region which targets fail and which are well again

Change: the first host of a failure domain collects the news of its hosts and sends them at most every 0.2 s to one host of each failure domain of the region, which passes them on. What is sent abroad no longer carries what only the own failure domain needs.

--- a/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/FleetView.java
@@ -38,10 +38,10 @@
 	 * @param beat the beat
 	 * @return the digests in it that are news; each holds only some of the accounts
 	 */
-	public List<DomainUsage> heard(HostBeat beat) {
+	public List<DomainDigest> heard(HostBeat beat) {
 		this.neighbours.heard(beat);
-		List<DomainUsage> news = new ArrayList<>();
-		for (DomainUsage digest : beat.digests()) {
+		List<DomainDigest> news = new ArrayList<>();
+		for (DomainDigest digest : beat.digests()) {
 			Received before = this.digests.get(digest.failureDomain());
 			if (before == null || before.digest().stampMs() < digest.stampMs()) {
 				this.digests.put(digest.failureDomain(), new Received(digest, this.clock.millis()));
@@ -91,7 +91,7 @@
 	 * Returns who counts for the other failure domains that are still heard of.
 	 * @return the last digest of each
 	 */
-	public List<DomainUsage> others() {
+	public List<DomainDigest> others() {
 		long now = this.clock.millis();
 		return this.digests.values()
 			.stream()
@@ -100,7 +100,7 @@
 			.toList();
 	}
 
-	private record Received(DomainUsage digest, long atMs) {
+	private record Received(DomainDigest digest, long atMs) {
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -23,7 +23,7 @@
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
 		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
-		List<String> pressed, List<String> failedTargets, List<String> soundTargets, List<DomainUsage> digests) {
+		List<String> pressed, List<String> failedTargets, List<String> soundTargets, List<DomainDigest> digests) {
 
 	public HostBeat {
 		usage = Map.copyOf(usage);
@@ -38,12 +38,24 @@
 	 * @param others the digests
 	 * @return a copy
 	 */
-	public HostBeat withDigests(List<DomainUsage> others) {
+	public HostBeat withDigests(List<DomainDigest> others) {
 		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.pressed,
 				this.failedTargets, this.soundTargets, others);
 	}
 
+	/**
+	 * Returns the beat as another failure domain gets it, without what only this one
+	 * needs.
+	 * @param digest what the hosts of this failure domain tell
+	 * @return a copy
+	 */
+	public HostBeat abroad(DomainDigest digest) {
+		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
+				this.taking, this.version, this.tablesVersion, this.storeAgeMs, Map.of(), List.of(), List.of(),
+				List.of(), List.of(digest));
+	}
+
 	/**
 	 * Returns the beat of a host that is taken to take callers until it is heard.
 	 * @return a copy
--- a/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
@@ -17,13 +17,13 @@
 
 	private final FleetView view = new FleetView(new Neighbours(this.clock), this.clock);
 
-	private static HostBeat beat(String host, long start, String domain, boolean taking, DomainUsage... digests) {
+	private static HostBeat beat(String host, long start, String domain, boolean taking, DomainDigest... digests) {
 		return new HostBeat(host, start, domain, host + ":80", host + ":81", taking, 1, 1, 0, Map.of(), List.of(),
 				List.of(), List.of(), List.of(digests));
 	}
 
-	private static DomainUsage digest(String domain, long stampMs) {
-		return new DomainUsage(domain, "b1", stampMs, Map.of("mill", new Usage(stampMs, 1)));
+	private static DomainDigest digest(String domain, long stampMs) {
+		return new DomainDigest(domain, "b1", stampMs, Map.of("mill", new Usage(stampMs, 1)), List.of(), List.of());
 	}
 
 	@Nested
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -18,9 +18,7 @@
 
 import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.DesiredStateView;
-import org.plantainspur.core.fleet.DigestSchedule;
-import org.plantainspur.core.fleet.DomainTally;
-import org.plantainspur.core.fleet.DomainUsage;
+import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.EntryChoice;
 import org.plantainspur.core.fleet.FirstHostsChoice;
 import org.plantainspur.core.fleet.FleetLimiter;
@@ -93,15 +91,11 @@
 
 	private final Queue<String> sound = new ConcurrentLinkedQueue<>();
 
-	private final Queue<DomainUsage> toRelay = new ConcurrentLinkedQueue<>();
-
-	private final Set<String> pressed = new HashSet<>();
+	private final Queue<DomainDigest> toRelay = new ConcurrentLinkedQueue<>();
 
 	private final AtomicReference<HostBeat> own;
 
-	private final DomainTally tally = new DomainTally();
-
-	private final DigestSchedule digestSchedule = new DigestSchedule();
+	private final DomainSpeaker speaker;
 
 	private final EntryChoice entries = new FirstHostsChoice(ENTRY_HOSTS);
 
@@ -140,6 +134,7 @@
 		this.book = new HostBook(store, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS), first,
 				this::hostsRead);
 		this.channel = new BeatChannel(settings.peerAddress(), loop, this::heard);
+		this.speaker = new DomainSpeaker(settings, this.book, this.view::silenceMs, this.channel::send);
 	}
 
 	private static String text(InetSocketAddress address) {
@@ -167,7 +162,7 @@
 		if (beat.host().equals(this.settings.host())) {
 			return;
 		}
-		List<DomainUsage> news = this.view.heard(beat);
+		List<DomainDigest> news = this.view.heard(beat);
 		if (this.book.heard(beat) && beat.failureDomain().equals(this.settings.failureDomain())) {
 			// A process that has just started takes the tables from a host that has them.
 			this.channel.send(this.own.get(), List.of(beat.peerAddress()));
@@ -175,24 +170,32 @@
 		DesiredState state = this.shared.desired().current();
 		if (beat.failureDomain().equals(this.settings.failureDomain())) {
 			this.shared.limiter().reported(state, beat.host(), beat.usage());
+			this.speaker.heard(beat);
 		}
-		List<DomainUsage> ofOthers = news.stream()
+		List<DomainDigest> ofOthers = news.stream()
 			.filter((digest) -> !digest.failureDomain().equals(this.settings.failureDomain()))
 			.toList();
-		ofOthers.forEach((digest) -> this.shared.limiter().reported(state, source(digest), digest.accounts()));
+		ofOthers.forEach((digest) -> {
+			this.shared.limiter().reported(state, source(digest), digest.accounts());
+			takeNews(digest.failedTargets(), digest.soundTargets());
+		});
 		if (!beat.failureDomain().equals(this.settings.failureDomain()) && !ofOthers.isEmpty()) {
 			this.toRelay.addAll(ofOthers);
 			urgent();
 		}
-		listed(beat.failedTargets()).forEach(this.shared.results()::failedElsewhere);
-		listed(beat.soundTargets()).forEach(this.shared.results()::succeededElsewhere);
+		takeNews(beat.failedTargets(), beat.soundTargets());
+	}
+
+	private void takeNews(List<String> failedTargets, List<String> soundTargets) {
+		listed(failedTargets).forEach(this.shared.results()::failedElsewhere);
+		listed(soundTargets).forEach(this.shared.results()::succeededElsewhere);
 	}
 
 	private List<Target> listed(List<String> ids) {
 		return ids.stream().map(this.shared.targets()::target).filter(Objects::nonNull).toList();
 	}
 
-	private static String source(DomainUsage digest) {
+	private static String source(DomainDigest digest) {
 		return digest.failureDomain() + "/" + digest.host();
 	}
 
@@ -231,6 +234,9 @@
 		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.shared.meter().urgent()) {
 			beat();
 		}
+		if (this.clock.millis() - this.startedMs >= LEARNING_MS) {
+			this.speaker.speak(this.own.get(), this.view.domain(this.own.get()), this.clock.millis());
+		}
 	}
 
 	private void readDuty() {
@@ -256,21 +262,9 @@
 		this.lastBeatMs = now;
 		HostBeat beat = ownBeat(usage, takeAll(this.failed), takeAll(this.sound));
 		this.own.set(beat);
-		List<HostBeat> domain = this.view.domain(beat);
 		this.channel.send(beat.withDigests(takeAll(this.toRelay)), this.book.peersHere());
-		if (domain.indexOf(beat) == 0 && now - this.startedMs >= LEARNING_MS) {
-			this.book.findElsewhere(this.settings.regions().keySet(), this.view::silenceMs, now);
-			domain.forEach((member) -> this.pressed.addAll(member.pressed()));
-			Map<String, Usage> due = this.digestSchedule.due(this.tally.sum(domain), this.pressed, now);
-			if (!due.isEmpty()) {
-				this.pressed.clear();
-				DomainUsage digest = new DomainUsage(beat.failureDomain(), beat.host(), System.currentTimeMillis(),
-						due);
-				this.channel.send(beat.withDigests(List.of(digest)),
-						this.book.listenersElsewhere(this.view::silenceMs));
-			}
-		}
-		forgetSources(domain);
+		this.speaker.heard(beat);
+		forgetSources(this.view.domain(beat));
 	}
 
 	private HostBeat ownBeat(Map<String, Usage> usage, List<String> failedNow, List<String> soundNow) {
--- a/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostBook.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
 import org.plantainspur.core.fleet.FleetView;
@@ -174,14 +175,15 @@
 	/**
 	 * Returns where the sums of this failure domain go: of each other failure domain to
 	 * the host that spoke last for it, or to the first few if none was heard.
+	 * @param wanted whether they go to a failure domain
 	 * @param silenceMs the time since a host was last heard, in milliseconds
 	 * @return peer addresses
 	 */
-	List<String> listenersElsewhere(ToLongFunction<HostBeat> silenceMs) {
+	List<String> listenersElsewhere(Predicate<String> wanted, ToLongFunction<HostBeat> silenceMs) {
 		Map<String, List<HostBeat>> byDomain = new HashMap<>();
 		this.known.values()
 			.stream()
-			.filter((beat) -> !isHere(beat))
+			.filter((beat) -> !isHere(beat) && wanted.test(beat.failureDomain()))
 			.sorted(Comparator.comparing(HostBeat::host))
 			.forEach((beat) -> byDomain.computeIfAbsent(beat.failureDomain(), (name) -> new ArrayList<>()).add(beat));
 		return byDomain.values()
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
@@ -13,7 +13,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
-import org.plantainspur.core.fleet.DomainUsage;
+import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostBeat;
 import org.plantainspur.core.fleet.Usage;
 
@@ -47,9 +47,11 @@
 			packStrings(packer, beat.failedTargets());
 			packStrings(packer, beat.soundTargets());
 			packer.packArrayHeader(beat.digests().size());
-			for (DomainUsage digest : beat.digests()) {
+			for (DomainDigest digest : beat.digests()) {
 				packer.packString(digest.failureDomain()).packString(digest.host()).packLong(digest.stampMs());
 				packUsage(packer, digest.accounts());
+				packStrings(packer, digest.failedTargets());
+				packStrings(packer, digest.soundTargets());
 			}
 			return packer.toByteArray();
 		}
@@ -112,12 +114,12 @@
 		return strings;
 	}
 
-	private static List<DomainUsage> unpackDigests(MessageUnpacker unpacker) throws IOException {
+	private static List<DomainDigest> unpackDigests(MessageUnpacker unpacker) throws IOException {
 		int size = unpacker.unpackArrayHeader();
-		List<DomainUsage> digests = new ArrayList<>();
+		List<DomainDigest> digests = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
-			digests.add(new DomainUsage(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong(),
-					unpackUsage(unpacker)));
+			digests.add(new DomainDigest(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong(),
+					unpackUsage(unpacker), unpackStrings(unpacker), unpackStrings(unpacker)));
 		}
 		return digests;
 	}
--- a/gateway/src/test/java/org/plantainspur/gateway/HostBookTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/HostBookTests.java
@@ -95,7 +95,8 @@
 					(beat) -> beat.host().equals("c1") ? 100 : Long.MAX_VALUE, 0);
 			assertThat(HostBookTests.this.store.lists).contains("plantainspur-hosts-sea-a")
 				.doesNotContain("plantainspur-hosts-sea-b");
-			assertThat(speaker.listenersElsewhere((beat) -> 100)).containsExactlyInAnyOrder("b1:81", "c1:81");
+			assertThat(speaker.listenersElsewhere((domain) -> true, (beat) -> 100)).containsExactlyInAnyOrder("b1:81",
+					"c1:81");
 		}
 
 		@Test
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-import org.plantainspur.core.fleet.DomainUsage;
+import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostBeat;
 import org.plantainspur.core.fleet.Usage;
 
@@ -43,8 +43,8 @@
 		void aBeatWithTheUsageOfManyAccountsInManyDomainsArrivesWhole() throws Exception {
 			Map<String, Usage> usage = new HashMap<>();
 			IntStream.range(0, 100).forEach((i) -> usage.put("account-" + i, new Usage(1_000_000 + i, i)));
-			List<DomainUsage> digests = IntStream.range(0, 6)
-				.mapToObj((i) -> new DomainUsage("domain-" + i, "host-" + i, i, usage))
+			List<DomainDigest> digests = IntStream.range(0, 6)
+				.mapToObj((i) -> new DomainDigest("domain-" + i, "host-" + i, i, usage, List.of(), List.of()))
 				.toList();
 			BlockingQueue<HostBeat> heard = new LinkedBlockingQueue<>();
 			InetSocketAddress receiver = freeAddress();
