Let the hosts that carry traffic use different targets first, and choose the largest hosts

Change: hosts say in their beats how many cores they may use, and callers are sent to the largest. The hosts that carry traffic share the targets of the failure domain by position and use those of another host only when their own are taken or doubtful. Tests: NearestFreeChooserTests Shares plays three hosts on nine targets and asks that fewer than half as many requests find both slots taken as without shares; FleetViewTests Sizes.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostBeat.java
@@ -11,6 +11,7 @@
  * @param failureDomain its failure domain
  * @param callerAddress where callers connect, {@code ip:port}
  * @param peerAddress where it takes beats, {@code ip:port}
+ * @param cores the processor cores that it may use
  * @param taking whether it takes new callers
  * @param version the version of its desired state
  * @param tablesVersion the sum of the versions of the newest changes that it has read
@@ -22,7 +23,7 @@
  * @param digests the usage of whole failure domains
  */
 public record HostBeat(String host, long start, String failureDomain, String callerAddress, String peerAddress,
-		boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
+		double cores, boolean taking, long version, long tablesVersion, long storeAgeMs, Map<String, Usage> usage,
 		List<String> pressed, List<String> failedTargets, List<String> soundTargets, List<DomainDigest> digests) {
 
 	public HostBeat {
@@ -39,7 +40,7 @@
 	 * @return a copy
 	 */
 	public HostBeat withDigests(List<DomainDigest> others) {
-		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
+		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress, this.cores,
 				this.taking, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.pressed,
 				this.failedTargets, this.soundTargets, others);
 	}
@@ -51,7 +52,7 @@
 	 * @return a copy
 	 */
 	public HostBeat abroad(DomainDigest digest) {
-		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress,
+		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress, this.cores,
 				this.taking, this.version, this.tablesVersion, this.storeAgeMs, Map.of(), List.of(), List.of(),
 				List.of(), List.of(digest));
 	}
@@ -61,8 +62,8 @@
 	 * @return a copy
 	 */
 	public HostBeat presumedTaking() {
-		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress, true,
-				this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.pressed, this.failedTargets,
+		return new HostBeat(this.host, this.start, this.failureDomain, this.callerAddress, this.peerAddress, this.cores,
+				true, this.version, this.tablesVersion, this.storeAgeMs, this.usage, this.pressed, this.failedTargets,
 				this.soundTargets, this.digests);
 	}
 
--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -34,6 +34,12 @@
 
 	private static final double KB = 1_024;
 
+	/**
+	 * A target that another host of the failure domain uses first may be busy without
+	 * this one knowing; still cheaper than another failure domain.
+	 */
+	static final double OTHERS_SHARE_COST = 0.05;
+
 	/** A second attempt of an idempotent request usually succeeds, but comes later. */
 	private static final double REPEATABLE_LOSS = 0.3;
 
@@ -76,6 +82,8 @@
 
 	private final TargetResults results;
 
+	private final TargetShare share;
+
 	private final Place place;
 
 	private final Clock clock;
@@ -86,16 +94,18 @@
 	 * Creates a chooser.
 	 * @param directory the targets
 	 * @param results what is known of them
+	 * @param share the targets that this host uses first
 	 * @param place where this host stands
 	 * @param floorShare the part of a service's targets that gets work while the service
 	 * fails many requests
 	 * @param clock the host's clock
 	 * @param random gives numbers from 0 to 1 that decide between equal targets
 	 */
-	public NearestFreeChooser(TargetDirectory directory, TargetResults results, Place place, double floorShare,
-			Clock clock, DoubleSupplier random) {
+	public NearestFreeChooser(TargetDirectory directory, TargetResults results, TargetShare share, Place place,
+			double floorShare, Clock clock, DoubleSupplier random) {
 		this.directory = directory;
 		this.results = results;
+		this.share = share;
 		this.place = place;
 		this.floorShare = floorShare;
 		this.clock = clock;
@@ -109,9 +119,12 @@
 		double spared = sparedAbove(service, targets, now);
 		Target best = null;
 		double bestCost = Double.MAX_VALUE;
+		int index = 0;
 		for (Target target : targets) {
+			boolean here = this.place.to(target.entry().failureDomain()) == Place.Distance.SAME_DOMAIN;
+			boolean others = here && !this.share.includes(index++);
 			if (eligible.test(target)) {
-				double cost = cost(target, spared, work, now);
+				double cost = cost(target, spared, work, now) + (others ? OTHERS_SHARE_COST : 0);
 				if (cost < bestCost) {
 					best = target;
 					bestCost = cost;
--- a/core/src/main/java/org/plantainspur/core/target/TargetDirectory.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetDirectory.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -69,7 +70,9 @@
 			byId.put(entry.id(), target);
 			byService.computeIfAbsent(entry.service(), (service) -> new ArrayList<>()).add(target);
 		}
-		byService.replaceAll((service, list) -> List.copyOf(list));
+		// In an order that all hosts share.
+		byService.replaceAll((service,
+				list) -> list.stream().sorted(Comparator.comparing((Target target) -> target.entry().id())).toList());
 		this.current.set(new Snapshot(Map.copyOf(byId), Map.copyOf(byService)));
 	}
 
--- a/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
@@ -18,7 +18,7 @@
 	private final FleetView view = new FleetView(new Neighbours(this.clock), this.clock);
 
 	private static HostBeat beat(String host, long start, String domain, boolean taking, DomainDigest... digests) {
-		return new HostBeat(host, start, domain, host + ":80", host + ":81", taking, 1, 1, 0, Map.of(), List.of(),
+		return new HostBeat(host, start, domain, host + ":80", host + ":81", 1, taking, 1, 1, 0, Map.of(), List.of(),
 				List.of(), List.of(), List.of(digests));
 	}
 
@@ -60,6 +60,41 @@
 
 	}
 
+	/**
+	 * Hosts of 0.3 cores carried the traffic of a failure domain that has hosts of 1.5
+	 * cores, since their names came first.
+	 */
+	@Nested
+	class Sizes {
+
+		private HostBeat sized(String host, double cores) {
+			return new HostBeat(host, 1, "a", host, host, cores, true, 1, 1, 0, Map.of(), List.of(), List.of(),
+					List.of(), List.of());
+		}
+
+		private List<String> chosen(HostBeat... hosts) {
+			return new FirstHostsChoice(3).choose(List.of(hosts)).stream().map(HostBeat::host).toList();
+		}
+
+		@Test
+		void theLargestHostsCarryTheTraffic() {
+			assertThat(chosen(sized("a1", 0.3), sized("a2", 1.5), sized("a3", 0.3), sized("a4", 1.5)))
+				.containsExactly("a2", "a4");
+		}
+
+		@Test
+		void aSmallHostHelpsWhenOnlyOneLargeOneIsLeft() {
+			assertThat(chosen(sized("a1", 0.3), sized("a2", 1.5), sized("a3", 0.3))).containsExactly("a2", "a1");
+		}
+
+		@Test
+		void hostsOfOneSizeAreTakenInTheOrderOfTheirNames() {
+			assertThat(chosen(sized("a1", 0.6), sized("a2", 0.6), sized("a3", 0.6), sized("a4", 0.6)))
+				.containsExactly("a1", "a2", "a3");
+		}
+
+	}
+
 	@Nested
 	class Digests {
 
@@ -141,7 +176,7 @@
 		}
 
 		private HostBeat using(String host, long count) {
-			return new HostBeat(host, 1, "a", "x:1", "x:2", true, 1, 1, 0, Map.of("mill", new Usage(count, 1)),
+			return new HostBeat(host, 1, "a", "x:1", "x:2", 1, true, 1, 1, 0, Map.of("mill", new Usage(count, 1)),
 					List.of(), List.of(), List.of(), List.of());
 		}
 
--- a/core/src/test/java/org/plantainspur/core/fleet/ReadDutyTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/ReadDutyTests.java
@@ -15,7 +15,7 @@
 	private final ReadDuty duty = new ReadDuty(APPLY_MS);
 
 	private static ReadDuty.Reading reading(String host, long version, long ageMs) {
-		return new ReadDuty.Reading(new HostBeat(host, 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2", true, 1, version,
+		return new ReadDuty.Reading(new HostBeat(host, 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2", 1, true, 1, version,
 				ageMs, Map.of(), List.of(), List.of(), List.of(), List.of()), version, ageMs);
 	}
 
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -1,9 +1,12 @@
 package org.plantainspur.core.target;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
@@ -21,7 +24,9 @@
 
 	private final TargetResults results = new TargetResults(this.clock);
 
-	private final NearestFreeChooser chooser = new NearestFreeChooser(this.directory, this.results,
+	private final TargetShare share = new TargetShare();
+
+	private final NearestFreeChooser chooser = new NearestFreeChooser(this.directory, this.results, this.share,
 			new Place("pdx-a", Map.of("pdx-a", "pdx", "pdx-b", "pdx", "sea-a", "sea")), 0.7, this.clock, () -> 0.5);
 
 	private static TargetEntry entry(String id, String domain, boolean leaving) {
@@ -79,6 +84,86 @@
 
 	}
 
+	/**
+	 * Hosts do not see what the others have just sent: short requests waited behind long
+	 * ones of other hosts while a target of the failure domain was free.
+	 */
+	@Nested
+	class Shares {
+
+		@Test
+		void theHostsOfAFailureDomainUseDifferentTargetsFirst() {
+			list(entry("one", "pdx-a", false), entry("two", "pdx-a", false), entry("zero", "pdx-b", false));
+			NearestFreeChooserTests.this.share.set(0, 2);
+			assertThat(choose()).isEqualTo("one");
+			NearestFreeChooserTests.this.share.set(1, 2);
+			assertThat(choose()).isEqualTo("two");
+		}
+
+		@Test
+		void aTargetOfAnotherHostIsUsedBeforeOneOfAnotherFailureDomain() {
+			list(entry("one", "pdx-a", false), entry("two", "pdx-a", false), entry("zero", "pdx-b", false));
+			NearestFreeChooserTests.this.share.set(0, 2);
+			load("one", 4);
+			assertThat(choose()).isEqualTo("two");
+		}
+
+		/**
+		 * Three hosts with a third of the requests each, on nine targets with two slots:
+		 * how many requests find both slots taken, with shares and without.
+		 */
+		@Test
+		void fewerRequestsWaitBehindThoseOfOtherHosts() {
+			assertThat(waiting(true)).isLessThan(waiting(false) / 2);
+		}
+
+		private int waiting(boolean shares) {
+			Random random = new Random(7);
+			HandClock hand = new HandClock();
+			List<TargetEntry> entries = new ArrayList<>();
+			for (int i = 0; i < 9; i++) {
+				entries.add(new TargetEntry("t" + i, "s", "127.0.0.1", 80, "pdx-a", 2, false, 0));
+			}
+			List<TargetDirectory> directories = new ArrayList<>();
+			List<TargetResults> allResults = new ArrayList<>();
+			List<NearestFreeChooser> choosers = new ArrayList<>();
+			for (int host = 0; host < 3; host++) {
+				TargetDirectory targets = new TargetDirectory(hand);
+				targets.replace(entries);
+				TargetResults known = new TargetResults(hand);
+				TargetShare part = new TargetShare();
+				part.set(shares ? host : -1, 3);
+				directories.add(targets);
+				allResults.add(known);
+				choosers.add(new NearestFreeChooser(targets, known, part, new Place("pdx-a", Map.of()), 0.7, hand,
+						random::nextDouble));
+			}
+			int waited = 0;
+			PriorityQueue<long[]> ends = new PriorityQueue<>(Comparator.comparingLong((end) -> end[0]));
+			int[] running = new int[9];
+			for (int request = 0; request < 3_000; request++) {
+				hand.advance(random.nextInt(60));
+				while (!ends.isEmpty() && ends.peek()[0] <= hand.millis()) {
+					long[] end = ends.poll();
+					running[(int) end[2]]--;
+					Target target = directories.get((int) end[1]).target("t" + end[2]);
+					allResults.get((int) end[1]).ended(target, "route", new AttemptOutcome.Answered(200, true), end[3]);
+				}
+				int host = random.nextInt(3);
+				Target chosen = choosers.get(host)
+					.choose("s", (target) -> true, new TargetChooser.Work("route", false, 0));
+				int number = Integer.parseInt(chosen.entry().id().substring(1));
+				waited += (running[number] >= 2) ? 1 : 0;
+				running[number]++;
+				allResults.get(host).sent(chosen);
+				long took = random.nextBoolean() ? 110 : 300;
+				ends.add(new long[] { hand.millis() + took, host, number, took });
+			}
+			return waited;
+		}
+
+	}
+
 	/**
 	 * Bytes between failure domains are billed: a target that failed once is mostly well
 	 * again soon, and a large answer from another failure domain costs more than the
--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -33,6 +33,7 @@
 import org.plantainspur.core.target.Target;
 import org.plantainspur.core.target.TargetDirectory;
 import org.plantainspur.core.target.TargetResults;
+import org.plantainspur.core.target.TargetShare;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.http.ProxyParts;
 import org.plantainspur.gateway.peer.BeatChannel;
@@ -128,8 +129,8 @@
 		this.peerTables = new PeerTables(loop);
 		this.view = new FleetView(new Neighbours(clock), clock);
 		HostBeat first = new HostBeat(settings.host(), System.currentTimeMillis(), settings.failureDomain(),
-				text(settings.callerAddress()), text(settings.peerAddress()), false, -1, 0, NEVER_MS, Map.of(),
-				List.of(), List.of(), List.of(), List.of());
+				text(settings.callerAddress()), text(settings.peerAddress()), settings.cores(), false, -1, 0, NEVER_MS,
+				Map.of(), List.of(), List.of(), List.of(), List.of());
 		this.own = new AtomicReference<>(first);
 		this.book = new HostBook(store, (delay, task) -> loop.schedule(task, delay, TimeUnit.MILLISECONDS), first,
 				this::hostsRead);
@@ -234,11 +235,18 @@
 		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.shared.meter().urgent()) {
 			beat();
 		}
+		shareTargets();
 		if (this.clock.millis() - this.startedMs >= LEARNING_MS) {
 			this.speaker.speak(this.own.get(), this.view.domain(this.own.get()), this.clock.millis());
 		}
 	}
 
+	private void shareTargets() {
+		HostBeat beat = this.own.get();
+		List<HostBeat> carrying = this.entries.choose(this.view.domain(beat));
+		this.shared.share().set(carrying.indexOf(beat), carrying.size());
+	}
+
 	private void readDuty() {
 		HostBeat beat = this.own.get();
 		List<HostBeat> domain = this.view.domain(beat);
@@ -271,8 +279,9 @@
 		HostBeat before = this.own.get();
 		boolean taking = this.shared.desired().current().known() && !this.stopping.getAsBoolean();
 		return new HostBeat(before.host(), before.start(), before.failureDomain(), before.callerAddress(),
-				before.peerAddress(), taking, this.shared.desired().current().version(), this.tables.version(),
-				this.tables.storeAgeMs(), usage, this.shared.meter().takePressed(), failedNow, soundNow, List.of());
+				before.peerAddress(), before.cores(), taking, this.shared.desired().current().version(),
+				this.tables.version(), this.tables.storeAgeMs(), usage, this.shared.meter().takePressed(), failedNow,
+				soundNow, List.of());
 	}
 
 	private static <T> List<T> takeAll(Queue<T> queue) {
@@ -315,9 +324,10 @@
 	 * @param limiter takes what the others report
 	 * @param targets the targets
 	 * @param results takes what the others saw of targets
+	 * @param share the targets that this host uses first
 	 */
 	record Shared(DesiredStateView desired, UsageMeter meter, FleetLimiter limiter, TargetDirectory targets,
-			TargetResults results) {
+			TargetResults results, TargetShare share) {
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -26,6 +26,7 @@
 import org.plantainspur.core.target.Place;
 import org.plantainspur.core.target.TargetDirectory;
 import org.plantainspur.core.target.TargetResults;
+import org.plantainspur.core.target.TargetShare;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.http.CallerServer;
 import org.plantainspur.gateway.http.HttpCalls;
@@ -103,17 +104,18 @@
 		Store store = this.ports.store(new HttpCalls(loop, this.settings.storeAddress()));
 		Place place = new Place(this.settings.failureDomain(), this.settings.regions());
 		TargetResults results = new TargetResults(this.clock);
+		TargetShare share = new TargetShare();
 		Scheduler scheduler = (delay, task) -> loop.schedule(() -> runSafely(task), delay, TimeUnit.MILLISECONDS);
 		StoreTask tables = new StoreTask(this.ports, store, this.clock, scheduler, this.settings.changeApplyMs(),
 				this.desired, this.targets, this.log);
 		FleetTask fleet = new FleetTask(this.settings, this.clock,
-				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results), store, tables,
+				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results, share), store, tables,
 				this.stop::stopping, loop, this.log);
 		RetryBudget budget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_USED,
 				this.settings.retryConstant() * RETRY_BUDGET_USED / carrying, this.settings.retryWindowMs());
 		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
 				new Admission(limiter, () -> ThreadLocalRandom.current().nextDouble()),
-				new NearestFreeChooser(this.targets, results, place, this.settings.floorShare(), this.clock,
+				new NearestFreeChooser(this.targets, results, share, place, this.settings.floorShare(), this.clock,
 						() -> ThreadLocalRandom.current().nextDouble()),
 				results, new AttemptRules(budget), budget, fleet, this.stop, this.log, this.metrics);
 		CallerServer callers = new CallerServer(parts, this.requests, this.openRequests);
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
@@ -42,6 +42,8 @@
 
 	private final long graceMs;
 
+	private final double cores;
+
 	private final long changeApplyMs;
 
 	private GatewaySettings(Builder builder) {
@@ -59,6 +61,7 @@
 		this.retryWindowMs = builder.retryWindowMs;
 		this.floorShare = builder.floorShare;
 		this.graceMs = builder.graceMs;
+		this.cores = builder.cores;
 		this.changeApplyMs = builder.changeApplyMs;
 	}
 
@@ -183,6 +186,14 @@
 		return this.graceMs;
 	}
 
+	/**
+	 * Returns the processor cores that the host may use.
+	 * @return a number, such as 0.6
+	 */
+	public double cores() {
+		return this.cores;
+	}
+
 	/**
 	 * Returns the time within which a change of the desired state must be in force.
 	 * @return the time in milliseconds
@@ -224,6 +235,8 @@
 
 		private long graceMs = 6_000;
 
+		private double cores = 1;
+
 		private long changeApplyMs = 2_500;
 
 		private Builder() {
@@ -354,6 +367,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the processor cores that the host may use.
+		 * @param number a number, such as 0.6
+		 * @return this builder
+		 */
+		public Builder cores(double number) {
+			this.cores = number;
+			return this;
+		}
+
 		/**
 		 * Sets the time within which a change of the desired state must be in force.
 		 * @param milliseconds the time
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/BeatCodec.java
@@ -23,7 +23,7 @@
 public final class BeatCodec {
 
 	/** Raised when the order or meaning of the fields changes. */
-	private static final int FORMAT = 2;
+	private static final int FORMAT = 3;
 
 	/**
 	 * Encodes a beat.
@@ -38,6 +38,7 @@
 				.packString(beat.failureDomain())
 				.packString(beat.callerAddress())
 				.packString(beat.peerAddress())
+				.packDouble(beat.cores())
 				.packBoolean(beat.taking())
 				.packLong(beat.version())
 				.packLong(beat.tablesVersion())
@@ -87,9 +88,9 @@
 				return null;
 			}
 			return new HostBeat(unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackString(),
-					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackBoolean(), unpacker.unpackLong(),
-					unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker), unpackStrings(unpacker),
-					unpackStrings(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
+					unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackDouble(), unpacker.unpackBoolean(),
+					unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong(), unpackUsage(unpacker),
+					unpackStrings(unpacker), unpackStrings(unpacker), unpackStrings(unpacker), unpackDigests(unpacker));
 		}
 		catch (IOException | MessagePackException ex) {
 			return null;
--- a/gateway/src/test/java/org/plantainspur/gateway/DomainSpeakerTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/DomainSpeakerTests.java
@@ -54,8 +54,8 @@
 	}
 
 	private static HostBeat beat(String host, String domain, List<String> failed, List<String> sound) {
-		return new HostBeat(host, 1, domain, host + ":80", host + ":81", true, 1, 1, 0, Map.of("mill", new Usage(5, 1)),
-				List.of(), failed, sound, List.of());
+		return new HostBeat(host, 1, domain, host + ":80", host + ":81", 1, true, 1, 1, 0,
+				Map.of("mill", new Usage(5, 1)), List.of(), failed, sound, List.of());
 	}
 
 	private static String text(HostBeat beat) {
--- a/gateway/src/test/java/org/plantainspur/gateway/HostBookTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/HostBookTests.java
@@ -29,7 +29,7 @@
 	}
 
 	private static HostBeat beat(String host, String domain, long start) {
-		return new HostBeat(host, start, domain, host + ":80", host + ":81", true, 1, 1, 0, Map.of(), List.of(),
+		return new HostBeat(host, start, domain, host + ":80", host + ":81", 1, true, 1, 1, 0, Map.of(), List.of(),
 				List.of(), List.of(), List.of());
 	}
 
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/BeatChannelTests.java
@@ -48,7 +48,7 @@
 				.toList();
 			BlockingQueue<HostBeat> heard = new LinkedBlockingQueue<>();
 			InetSocketAddress receiver = freeAddress();
-			HostBeat beat = new HostBeat("a1", 1, "domain-9", "127.0.0.1:80", "127.0.0.1:81", true, 1, 1, 1, usage,
+			HostBeat beat = new HostBeat("a1", 1, "domain-9", "127.0.0.1:80", "127.0.0.1:81", 1, true, 1, 1, 1, usage,
 					List.of("account-1"), List.of(), List.of(), digests);
 
 			new BeatChannel(receiver, BeatChannelTests.this.loops, heard::add);
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -24,7 +24,7 @@
 class PeerCodecTests {
 
 	private static final HostBeat BEAT = new HostBeat("a1", 1_700_000_000_000L, "pdx-a", "10.0.0.1:80", "10.0.0.1:81",
-			true, 12, 900, 40, Map.of("mill", new Usage(7, 2.5)), List.of("mill"), List.of("i-1"),
+			0.6, true, 12, 900, 40, Map.of("mill", new Usage(7, 2.5)), List.of("mill"), List.of("i-1"),
 			List.of("i-2", "i-3"), List.of(new DomainDigest("sea-a", "b1", 5, Map.of("mill", new Usage(9, 0.5)),
 					List.of("i-4"), List.of("i-5"))));
 
