Keep the floor of targets in use while a service fails many requests

The chooser counted the targets above the floor as unknown then, but with room at targets that had just answered well it still never chose them. Change: while the service fails many requests, each target that counts for the floor and got no request of this host for a second is chosen first. Test: NearestFreeChooserTests theFloorIsInUseInEachTwoSecondsThoughTheWellTargetsHaveRoom, failed before.

--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -71,8 +71,20 @@
 
 	private static final double DOUBTFUL_BUSY_COST = 0.3;
 
-	/** From here on a service must keep its floor of targets in use. */
-	private static final double FLOOR_FAILURES = 0.08;
+	/**
+	 * From here on a service must keep its floor of targets in use. The floor is asked
+	 * for when a tenth of the fleet's requests fails; one host sees few of them.
+	 */
+	private static final double FLOOR_FAILURES = 0.06;
+
+	/**
+	 * While the floor must be kept, each target that counts for it gets a request this
+	 * often; whether it did is looked at over 2 s.
+	 */
+	static final long FLOOR_INTERVAL_MS = 1_000;
+
+	/** Goes before all differences between targets that may get work. */
+	private static final double FLOOR_GAIN = 10;
 
 	private static final double GONE_COST = 100;
 
@@ -116,7 +128,8 @@
 	public @Nullable Target choose(String service, Predicate<Target> eligible, Work work) {
 		List<Target> targets = this.directory.targets(service);
 		long now = this.clock.millis();
-		double spared = sparedAbove(service, targets, now);
+		boolean floor = this.results.failureShare(service) >= FLOOR_FAILURES;
+		double spared = floor ? sparedAbove(targets, now) : SicknessBelief.UNKNOWN;
 		Target best = null;
 		double bestCost = Double.MAX_VALUE;
 		int index = 0;
@@ -125,6 +138,10 @@
 			boolean others = here && !this.share.includes(index++);
 			if (eligible.test(target)) {
 				double cost = cost(target, spared, work, now) + (others ? OTHERS_SHARE_COST : 0);
+				if (floor && here && !others && target.belief().now(now) <= spared
+						&& target.unusedMs(now) >= FLOOR_INTERVAL_MS) {
+					cost -= FLOOR_GAIN;
+				}
 				if (cost < bestCost) {
 					best = target;
 					bestCost = cost;
@@ -135,11 +152,8 @@
 	}
 
 	// While a service fails many requests, only so many of its targets may be spared: the
-	// ones most likely sick. The others count as if nothing were known of them.
-	private double sparedAbove(String service, List<Target> targets, long now) {
-		if (this.results.failureShare(service) < FLOOR_FAILURES) {
-			return SicknessBelief.UNKNOWN;
-		}
+	// ones most likely sick. The others get work as if nothing were known of them.
+	private double sparedAbove(List<Target> targets, long now) {
 		int mayBeSpared = (int) Math.floor(targets.size() * (1 - this.floorShare));
 		return targets.stream()
 			.map((target) -> target.belief().now(now))
--- a/core/src/main/java/org/plantainspur/core/target/Target.java
+++ b/core/src/main/java/org/plantainspur/core/target/Target.java
@@ -34,6 +34,8 @@
 
 	private final AtomicLong goneUntilMs = new AtomicLong(Long.MIN_VALUE);
 
+	private final AtomicLong sentMs = new AtomicLong(Long.MIN_VALUE / 2);
+
 	private final AtomicLong declinedMs = new AtomicLong(Long.MIN_VALUE / 2);
 
 	private final AtomicReference<Load> load = new AtomicReference<>(Load.NONE);
@@ -62,8 +64,18 @@
 		return this.inFlight.get();
 	}
 
-	void sent() {
+	void sent(long nowMs) {
 		this.inFlight.incrementAndGet();
+		this.sentMs.set(nowMs);
+	}
+
+	/**
+	 * Returns the time since this host last sent the target a request.
+	 * @param nowMs the reading of the clock
+	 * @return the time in milliseconds, large if there was none
+	 */
+	long unusedMs(long nowMs) {
+		return nowMs - this.sentMs.get();
 	}
 
 	void ended() {
--- a/core/src/main/java/org/plantainspur/core/target/TargetResults.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetResults.java
@@ -36,7 +36,7 @@
 	 * @param target the target
 	 */
 	public void sent(Target target) {
-		target.sent();
+		target.sent(this.clock.millis());
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -1,7 +1,9 @@
 package org.plantainspur.core.target;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -296,6 +298,36 @@
 			assertThat(used).hasSizeGreaterThanOrEqualTo(7);
 		}
 
+		/**
+		 * The floor was kept only when the targets that answered well were full: with
+		 * room there, all others were left without requests for seconds.
+		 */
+		@Test
+		void theFloorIsInUseInEachTwoSecondsThoughTheWellTargetsHaveRoom() {
+			List<TargetEntry> all = new ArrayList<>();
+			for (int i = 0; i < 10; i++) {
+				all.add(entry("t" + i, "pdx-a", false));
+			}
+			NearestFreeChooserTests.this.directory.replace(all);
+			Deque<Set<String>> windows = new ArrayDeque<>();
+			for (int request = 0; request < 400; request++) {
+				if (request % 40 == 0) {
+					windows.add(new HashSet<>());
+				}
+				String chosen = choose();
+				windows.getLast().add(chosen);
+				if (chosen.equals("t0") || chosen.equals("t1") || chosen.equals("t2") || request % 8 == 0) {
+					fail(chosen);
+				}
+				else {
+					answer(chosen, 100);
+				}
+				NearestFreeChooserTests.this.clock.advance(50);
+			}
+			windows.removeFirst();
+			assertThat(windows).allSatisfy((used) -> assertThat(used).hasSizeGreaterThanOrEqualTo(7));
+		}
+
 		@Test
 		void aTargetWhoseAddressAnotherOneHasIsLeftAlone() {
 			list(entry("gone", "pdx-a", false), entry("well", "sea-a", false));
