Let requests wait for the first read of the store; send urgent beats to the hosts that need them

Change: a request that comes before the desired state and the targets are known waits for them, at most 1 s and a quarter of its time. Beats between the regular ones go to the hosts that carry traffic and to the first one. Tests: GatewayTests Starting.

--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -94,6 +95,8 @@
 
 	private final Queue<DomainDigest> toRelay = new ConcurrentLinkedQueue<>();
 
+	private final Queue<DomainDigest> toRelayToAll = new ConcurrentLinkedQueue<>();
+
 	private final AtomicReference<HostBeat> own;
 
 	private final DomainSpeaker speaker;
@@ -114,6 +117,8 @@
 
 	private long lastBeatMs;
 
+	private long lastFullBeatMs;
+
 	FleetTask(GatewaySettings settings, Clock clock, Shared shared, Store store, StoreTask tables,
 			BooleanSupplier stopping, EventLoop loop, DecisionLog log) {
 		this.settings = settings;
@@ -182,6 +187,7 @@
 		});
 		if (!beat.failureDomain().equals(this.settings.failureDomain()) && !ofOthers.isEmpty()) {
 			this.toRelay.addAll(ofOthers);
+			this.toRelayToAll.addAll(ofOthers);
 			urgent();
 		}
 		takeNews(beat.failedTargets(), beat.soundTargets());
@@ -213,7 +219,7 @@
 
 	private void urgent() {
 		if (this.beatPending.compareAndSet(false, true)) {
-			this.loop.schedule(this::beat, URGENT_MS, TimeUnit.MILLISECONDS);
+			this.loop.schedule(this::beatToCarrying, URGENT_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -232,9 +238,12 @@
 			readDuty();
 		}
 		boolean newer = this.tables.version() > this.own.get().tablesVersion();
-		if (newer || this.clock.millis() - this.lastBeatMs >= BEAT_MS || this.shared.meter().urgent()) {
+		if (newer || this.clock.millis() - this.lastFullBeatMs >= BEAT_MS) {
 			beat();
 		}
+		else if (this.shared.meter().urgent()) {
+			beatToCarrying();
+		}
 		shareTargets();
 		if (this.clock.millis() - this.startedMs >= LEARNING_MS) {
 			this.speaker.speak(this.own.get(), this.view.domain(this.own.get()), this.clock.millis());
@@ -264,13 +273,30 @@
 	}
 
 	private void beat() {
+		this.lastFullBeatMs = this.clock.millis();
+		this.toRelay.clear();
+		beat(this.book.peersHere(), takeAll(this.toRelayToAll));
+	}
+
+	// Usage and news of targets in between go to the hosts that carry traffic and to the
+	// one that speaks for the failure domain; all others stand by.
+	private void beatToCarrying() {
+		List<HostBeat> domain = this.view.domain(this.own.get());
+		Set<String> peers = new HashSet<>();
+		peers.add(domain.get(0).peerAddress());
+		this.entries.choose(domain).forEach((host) -> peers.add(host.peerAddress()));
+		peers.remove(this.own.get().peerAddress());
+		beat(peers, takeAll(this.toRelay));
+	}
+
+	private void beat(Collection<String> peers, List<DomainDigest> digests) {
 		this.beatPending.set(false);
 		long now = this.clock.millis();
 		Map<String, Usage> usage = this.shared.meter().report(now - this.lastBeatMs);
 		this.lastBeatMs = now;
 		HostBeat beat = ownBeat(usage, takeAll(this.failed), takeAll(this.sound));
 		this.own.set(beat);
-		this.channel.send(beat.withDigests(takeAll(this.toRelay)), this.book.peersHere());
+		this.channel.send(beat.withDigests(digests), peers);
 		this.speaker.heard(beat);
 		forgetSources(this.view.domain(beat));
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -32,6 +32,7 @@
 import org.plantainspur.gateway.http.HttpCalls;
 import org.plantainspur.gateway.http.PageServer;
 import org.plantainspur.gateway.http.ProxyParts;
+import org.plantainspur.gateway.http.StartGate;
 import org.plantainspur.gateway.log.GatewayMetrics;
 import org.plantainspur.gateway.peer.PeerTables;
 
@@ -70,6 +71,8 @@
 
 	private final DesiredStateView desired = new DesiredStateView();
 
+	private final StartGate gate = new StartGate();
+
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
 	private final AtomicInteger openRequests = new AtomicInteger();
@@ -107,13 +110,13 @@
 		TargetShare share = new TargetShare();
 		Scheduler scheduler = (delay, task) -> loop.schedule(() -> runSafely(task), delay, TimeUnit.MILLISECONDS);
 		StoreTask tables = new StoreTask(this.ports, store, this.clock, scheduler, this.settings.changeApplyMs(),
-				this.desired, this.targets, this.log);
+				this.desired, this.targets, this.gate, this.log);
 		FleetTask fleet = new FleetTask(this.settings, this.clock,
 				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results, share), store, tables,
 				this.stop::stopping, loop, this.log);
 		RetryBudget budget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_USED,
 				this.settings.retryConstant() * RETRY_BUDGET_USED / carrying, this.settings.retryWindowMs());
-		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.desired,
+		ProxyParts parts = new ProxyParts(this.clock, this.ports.headers(), this.gate, this.desired,
 				new Admission(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new NearestFreeChooser(this.targets, results, share, place, this.settings.floorShare(), this.clock,
 						() -> ThreadLocalRandom.current().nextDouble()),
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
@@ -17,6 +17,7 @@
 import org.plantainspur.core.target.TargetEntry;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.http.PageServer;
+import org.plantainspur.gateway.http.StartGate;
 import org.plantainspur.gateway.peer.RowsCodec;
 
 /**
@@ -48,6 +49,8 @@
 
 	private final TargetDirectory targets;
 
+	private final StartGate gate;
+
 	private final DecisionLog log;
 
 	private final Map<String, TargetEntry> listed = new HashMap<>();
@@ -59,11 +62,12 @@
 	private final TableFollower targetFollower;
 
 	StoreTask(PlatformPorts ports, Store store, Clock clock, Scheduler scheduler, long changeApplyMs,
-			DesiredStateView desired, TargetDirectory targets, DecisionLog log) {
+			DesiredStateView desired, TargetDirectory targets, StartGate gate, DecisionLog log) {
 		this.ports = ports;
 		this.scheduler = scheduler;
 		this.desired = desired;
 		this.targets = targets;
+		this.gate = gate;
 		this.log = log;
 		long waitMs = Math.max(LEAST_WAIT_MS, changeApplyMs - READ_RESERVE_MS);
 		this.desiredFollower = new TableFollower(ports.desiredStateTable(), store, clock, scheduler, waitMs,
@@ -128,6 +132,13 @@
 			}
 		}
 
+		// Called when what was read is in force.
+		void taken() {
+			if (complete() && StoreTask.this.desired.current().known()) {
+				StoreTask.this.gate.open();
+			}
+		}
+
 		void read() {
 			if (!this.available) {
 				this.available = true;
@@ -159,6 +170,7 @@
 							row.version());
 				}
 			}
+			taken();
 		}
 
 	}
@@ -231,6 +243,7 @@
 			Map<String, TargetEntry> all = new HashMap<>(StoreTask.this.lapsed);
 			all.putAll(StoreTask.this.listed);
 			StoreTask.this.targets.replace(all.values());
+			taken();
 		}
 
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -45,6 +45,15 @@
 	/** An attempt of an idempotent request is given up after this many usual times. */
 	private static final double PATIENCE_FACTOR = 4;
 
+	/**
+	 * A process that has just started reads the store within this time, if it can be
+	 * reached.
+	 */
+	private static final long LONGEST_START_WAIT_MS = 1_000;
+
+	/** Callers should hear of a store that is away while they can still go elsewhere. */
+	private static final long START_WAIT_PART = 4;
+
 	/** A full queue has room again after a part of a request's time. */
 	private static final long RETRY_TRIED_MS = 100;
 
@@ -90,6 +99,8 @@
 
 	private @Nullable ScheduledFuture<?> timer;
 
+	private boolean begun;
+
 	private boolean mayHaveRun;
 
 	private boolean done;
@@ -107,6 +118,24 @@
 	}
 
 	void start() {
+		if (this.parts.gate().isOpen() || this.parts.stopping().refusing()) {
+			begin();
+			return;
+		}
+		long waitMs = Math.min(LONGEST_START_WAIT_MS, deadlineMs() / START_WAIT_PART);
+		this.timer = this.loop.schedule(this::begin, waitMs, TimeUnit.MILLISECONDS);
+		this.parts.gate().whenOpen(() -> this.loop.execute(this::begin));
+	}
+
+	private void begin() {
+		if (this.begun || this.done) {
+			return;
+		}
+		this.begun = true;
+		ScheduledFuture<?> wait = this.timer;
+		if (wait != null) {
+			wait.cancel(false);
+		}
 		DesiredState state = this.parts.desired().current();
 		this.versionUsed = state.version();
 		DecoderResult decoded = this.request.decoderResult();
@@ -128,9 +157,8 @@
 			this.route = admitted.route();
 			this.account = admitted.account();
 			this.service = admitted.service();
-			long allowedMs = Math.min(deadlineMs(), admitted.route().timeoutMs());
-			this.endMs = this.startedMs + allowedMs;
-			this.timer = this.loop.schedule(this::timeUp, allowedMs, TimeUnit.MILLISECONDS);
+			this.endMs = this.startedMs + Math.min(deadlineMs(), admitted.route().timeoutMs());
+			this.timer = this.loop.schedule(this::timeUp, leftMs(), TimeUnit.MILLISECONDS);
 			this.parts.budget().earn(this.service);
 			attempt(admitted.route());
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyParts.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyParts.java
@@ -16,6 +16,7 @@
  *
  * @param clock the host's clock
  * @param headers the deployment's headers
+ * @param gate opens when the host knows the desired state and the targets
  * @param desired the desired state
  * @param admission decides whether a request may run
  * @param chooser chooses the target of an attempt
@@ -27,9 +28,9 @@
  * @param log takes a line for each request
  * @param metrics counts requests
  */
-public record ProxyParts(Clock clock, HeaderNames headers, DesiredStateView desired, Admission admission,
-		TargetChooser chooser, TargetResults results, AttemptRules rules, RetryBudget budget, TargetNews news,
-		StopState stopping, DecisionLog log, GatewayMetrics metrics) {
+public record ProxyParts(Clock clock, HeaderNames headers, StartGate gate, DesiredStateView desired,
+		Admission admission, TargetChooser chooser, TargetResults results, AttemptRules rules, RetryBudget budget,
+		TargetNews news, StopState stopping, DecisionLog log, GatewayMetrics metrics) {
 
 	/**
 	 * Told of what this host sees of targets that other hosts should know.
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -84,6 +84,13 @@
 	}
 
 	Host host(String name) throws IOException {
+		Host host = start(name);
+		await(() -> call(host.readyPort(), "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+		return host;
+	}
+
+	/** Starts a host and does not wait for it to be ready. */
+	Host start(String name) throws IOException {
 		int[] ports = freePorts();
 		String settings = """
 				nodeName=%s
@@ -101,7 +108,6 @@
 				(event, fields) -> this.log.add(name + " " + event + " " + List.of(fields)));
 		Host host = new Host(gateway.start(), ports[0], ports[1], ports[2]);
 		this.opened.add(gateway);
-		await(() -> call(host.readyPort(), "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
 		return host;
 	}
 
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -426,6 +426,31 @@
 
 	}
 
+	/**
+	 * After all processes were killed, callers came back while the store was being read,
+	 * and were refused for half a second.
+	 */
+	@Nested
+	class Starting {
+
+		@Test
+		void aRequestWaitsForTheFirstReadOfTheStore() throws Exception {
+			GatewayTests.this.fixture.target("i-1", GatewayTests.this::answer);
+			GatewayFixture.Host host = GatewayTests.this.fixture.start("a1");
+			assertThat(read(host, "early")).startsWith("HTTP/1.1 200");
+		}
+
+		@Test
+		void aRequestIsRefusedWhenTheStoreStaysAway() throws IOException {
+			GatewayTests.this.fixture.store().down(true);
+			GatewayFixture.Host host = GatewayTests.this.fixture.start("a1");
+			long begun = System.nanoTime();
+			assertThat(read(host, "early")).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after");
+			assertThat((System.nanoTime() - begun) / 1_000_000).isLessThan(1_000);
+		}
+
+	}
+
 	@Nested
 	class SeveralHosts {
 
