Tell the failure domain at once when a standby has reached the store

Change: a beat goes out when the last one told a much older answer of the store. As readers now tell each answer at once, a call to the store waits 0.3 s longer. A host that has just started does not wait for more hosts once one with tables is heard. Tests: BeatScheduleTests.

--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -19,6 +19,7 @@
 
 import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.DesiredStateView;
+import org.plantainspur.core.fleet.BeatSchedule;
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.EntryChoice;
 import org.plantainspur.core.fleet.FirstHostsChoice;
@@ -46,8 +47,6 @@
  */
 final class FleetTask implements ProxyParts.TargetNews {
 
-	private static final long BEAT_MS = 500;
-
 	/** How often it is looked whether the others should be told sooner. */
 	private static final long LOOK_MS = 100;
 
@@ -101,6 +100,8 @@
 
 	private final DomainSpeaker speaker;
 
+	private final BeatSchedule beats = new BeatSchedule();
+
 	private final EntryChoice entries = new FirstHostsChoice(ENTRY_HOSTS);
 
 	private final AtomicBoolean beatPending = new AtomicBoolean();
@@ -117,8 +118,6 @@
 
 	private long lastBeatMs;
 
-	private long lastFullBeatMs;
-
 	FleetTask(GatewaySettings settings, Clock clock, Shared shared, Store store, StoreTask tables,
 			BooleanSupplier stopping, EventLoop loop, DecisionLog log) {
 		this.settings = settings;
@@ -177,6 +176,10 @@
 		if (beat.failureDomain().equals(this.settings.failureDomain())) {
 			this.shared.limiter().reported(state, beat.host(), beat.usage());
 			this.speaker.heard(beat);
+			if (beat.tablesVersion() > 0) {
+				// The tables come from there, also while the store is away.
+				this.settledMs = Math.min(this.settledMs, this.clock.millis());
+			}
 		}
 		List<DomainDigest> ofOthers = news.stream()
 			.filter((digest) -> !digest.failureDomain().equals(this.settings.failureDomain()))
@@ -237,8 +240,7 @@
 		if (this.clock.millis() >= this.settledMs) {
 			readDuty();
 		}
-		boolean newer = this.tables.version() > this.own.get().tablesVersion();
-		if (newer || this.clock.millis() - this.lastFullBeatMs >= BEAT_MS) {
+		if (this.beats.due(this.tables.version(), this.tables.storeAgeMs(), this.clock.millis())) {
 			beat();
 		}
 		else if (this.shared.meter().urgent()) {
@@ -273,7 +275,6 @@
 	}
 
 	private void beat() {
-		this.lastFullBeatMs = this.clock.millis();
 		this.toRelay.clear();
 		beat(this.book.peersHere(), takeAll(this.toRelayToAll));
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreTask.java
@@ -33,9 +33,9 @@
 
 	/**
 	 * The hosts that rely on a reader must know that the store is there well before they
-	 * would read themselves; a beat and a call to another region come in between.
+	 * would read themselves; a call to another region and a beat come in between.
 	 */
-	private static final long READ_RESERVE_MS = 1_500;
+	private static final long READ_RESERVE_MS = 1_200;
 
 	private static final long LEAST_WAIT_MS = 500;
 
