--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -91,7 +91,16 @@
 
 	/** Starts a host and does not wait for it to be ready. */
 	Host start(String name) throws IOException {
-		int[] ports = freePorts();
+		return start(name, freePorts());
+	}
+
+	/** Ends a host as a kill would, and starts it again at the same addresses. */
+	Host restart(String name, Host ended) throws IOException {
+		ended.gateway().close();
+		return start(name, ended.ports());
+	}
+
+	private Host start(String name, int[] ports) throws IOException {
 		String settings = """
 				nodeName=%s
 				ip=127.0.0.1
@@ -106,7 +115,7 @@
 				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, this.store.port());
 		GatewayHost gateway = PlatformHost.of("node.conf", settings,
 				(event, fields) -> this.log.add(name + " " + event + " " + List.of(fields)));
-		Host host = new Host(gateway.start(), ports[0], ports[1], ports[2]);
+		Host host = new Host(gateway, gateway.start(), ports);
 		this.opened.add(gateway);
 		return host;
 	}
@@ -205,7 +214,20 @@
 		this.store.close();
 	}
 
-	record Host(GracefulStop stop, int port, int readyPort, int directoryPort) {
+	record Host(GatewayHost gateway, GracefulStop stop, int[] ports) {
+
+		int port() {
+			return this.ports[0];
+		}
+
+		int readyPort() {
+			return this.ports[1];
+		}
+
+		int directoryPort() {
+			return this.ports[2];
+		}
+
 	}
 
 }
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -440,6 +440,21 @@
 			assertThat(read(host, "early")).startsWith("HTTP/1.1 200");
 		}
 
+		/**
+		 * A host that started while the store was away served nobody until the store was
+		 * back, though its neighbours had the tables.
+		 */
+		@Test
+		void aHostTakesTheTablesFromANeighbourWhileTheStoreIsAway() throws IOException {
+			GatewayTests.this.fixture.target("i-1", GatewayTests.this::answer);
+			GatewayTests.this.fixture.host("a1");
+			GatewayFixture.Host second = GatewayTests.this.fixture.host("a2");
+			GatewayFixture.pause(1_200);
+			GatewayTests.this.fixture.store().down(true);
+			GatewayFixture.Host again = GatewayTests.this.fixture.restart("a2", second);
+			GatewayFixture.await(() -> read(again, "r").startsWith("HTTP/1.1 200"));
+		}
+
 		@Test
 		void aRequestIsRefusedWhenTheStoreStaysAway() throws IOException {
 			GatewayTests.this.fixture.store().down(true);
