Let idempotent requests visit each target of the host's share within 1.6 s

Change: a request that can be repeated goes first to a target of the host's own share that got none for 1.6 s, whatever is known of it, while the retry budget is ample. Tests: NearestFreeChooserTests idempotentRequestsVisitAllTargetsWithinTwoSeconds, AttemptRulesTests noAttemptIsRepeatableWhenTheBudgetIsNearlyUsedUp. Open: a service without idempotent requests has no such visits.

--- a/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/AttemptRules.java
@@ -60,11 +60,12 @@
 	 * last attempt of an idempotent request must be placed as carefully as the only one
 	 * of another request.
 	 * @param route the request's route
+	 * @param service the service that runs it
 	 * @param sentAttempts the attempts that have reached a target so far
-	 * @return whether the route allows a further attempt
+	 * @return whether the route and the budget allow a further attempt
 	 */
-	public boolean repeatable(RouteRule route, int sentAttempts) {
-		return route.idempotent() && sentAttempts + 1 < route.maxAttempts();
+	public boolean repeatable(RouteRule route, String service, int sentAttempts) {
+		return route.idempotent() && sentAttempts + 1 < route.maxAttempts() && this.budget.ample(service);
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/proxy/RetryBudget.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/RetryBudget.java
@@ -18,6 +18,11 @@
 
 	private static final double THOUSAND = 1_000;
 
+	/**
+	 * What is left below this is for requests that fail at targets thought to be well.
+	 */
+	private static final double AMPLE = 2;
+
 	private final Clock clock;
 
 	private final double earnedPerRequest;
@@ -73,6 +78,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether attempts beyond the first can be made freely.
+	 * @param service the service
+	 * @return {@code false} when the budget is nearly used up
+	 */
+	public boolean ample(String service) {
+		return refilled(level(service).get(), this.clock.millis(), 0).tokens() >= AMPLE;
+	}
+
 	private Level refilled(Level level, long now, double earned) {
 		double flowed = Math.max(0, now - level.atMs()) / THOUSAND * this.perSecond;
 		// What requests earn may be saved up to the same amount once more.
--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -87,6 +87,13 @@
 	 */
 	static final long FLOOR_INTERVAL_MS = 1_000;
 
+	/**
+	 * Idempotent requests visit each target of this host's share this often, whatever is
+	 * known of it: requests may be failing without an answer yet, and the floor is looked
+	 * at over 2 s.
+	 */
+	static final long VISIT_INTERVAL_MS = 1_600;
+
 	/** Goes before all differences between targets that may get work. */
 	private static final double FLOOR_GAIN = 10;
 
@@ -142,8 +149,12 @@
 			boolean others = here && !this.share.includes(index++);
 			if (eligible.test(target)) {
 				double cost = cost(target, spared, work, now) + (others ? OTHERS_SHARE_COST : 0);
-				if (floor && here && !others && target.belief().now(now) <= spared
-						&& target.unusedMs(now) >= FLOOR_INTERVAL_MS) {
+				boolean own = here && !others;
+				boolean visited = work.repeatable() && target.inFlight() == 0
+						&& target.unusedMs(now) >= VISIT_INTERVAL_MS;
+				boolean counted = floor && target.belief().now(now) <= spared
+						&& target.unusedMs(now) >= FLOOR_INTERVAL_MS;
+				if (own && !target.isGone(now) && (visited || counted)) {
 					cost -= FLOOR_GAIN;
 				}
 				if (cost < bestCost) {
--- a/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
+++ b/core/src/test/java/org/plantainspur/core/proxy/AttemptRulesTests.java
@@ -135,9 +135,18 @@
 
 		@Test
 		void onlyAnAttemptThatCanBeFollowedByAnotherIsRepeatable() {
-			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), 0)).isTrue();
-			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), 1)).isFalse();
-			assertThat(AttemptRulesTests.this.rules.repeatable(route(false), 0)).isFalse();
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), "s", 0)).isTrue();
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), "s", 1)).isFalse();
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(false), "s", 0)).isFalse();
+		}
+
+		@Test
+		void noAttemptIsRepeatableWhenTheBudgetIsNearlyUsedUp() {
+			while (AttemptRulesTests.this.budget.ample("s")) {
+				AttemptRulesTests.this.budget.tryTake("s");
+			}
+			assertThat(AttemptRulesTests.this.rules.repeatable(route(true), "s", 0)).isFalse();
+			assertThat(AttemptRulesTests.this.budget.tryTake("s")).as("some is left").isTrue();
 		}
 
 	}
--- a/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/NearestFreeChooserTests.java
@@ -344,6 +344,37 @@
 	@Nested
 	class Trials {
 
+		/**
+		 * Three of nine sound targets got nothing for two seconds while requests were
+		 * waiting for answers that never came, which no host could know yet.
+		 */
+		@Test
+		void idempotentRequestsVisitAllTargetsWithinTwoSeconds() {
+			List<TargetEntry> all = new ArrayList<>();
+			for (int i = 0; i < 8; i++) {
+				all.add(entry("t" + i, "pdx-a", false));
+			}
+			NearestFreeChooserTests.this.directory.replace(all);
+			Deque<Set<String>> windows = new ArrayDeque<>();
+			for (int request = 0; request < 200; request++) {
+				if (request % 20 == 0) {
+					windows.add(new HashSet<>());
+				}
+				Target chosen = NearestFreeChooserTests.this.chooser.choose("booking", (target) -> true,
+						new TargetChooser.Work("route", true, 0));
+				assertThat(chosen).isNotNull();
+				windows.getLast().add(chosen.entry().id());
+				if (chosen.entry().id().equals("t0")) {
+					fail("t0");
+				}
+				else {
+					answer(chosen.entry().id(), 100);
+				}
+				NearestFreeChooserTests.this.clock.advance(100);
+			}
+			assertThat(windows).allSatisfy((used) -> assertThat(used).hasSize(8));
+		}
+
 		@Test
 		void idempotentRequestsTryATargetOfWhichLittleIsKnown() {
 			list(entry("sick", "pdx-a", false), entry("well", "pdx-a", false));
--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -184,7 +184,7 @@
 	}
 
 	private void attempt(RouteRule admittedRoute) {
-		boolean repeatable = this.parts.rules().repeatable(admittedRoute, this.sentAttempts);
+		boolean repeatable = this.parts.rules().repeatable(admittedRoute, this.service, this.sentAttempts);
 		Target target = this.parts.chooser()
 			.choose(this.service, (candidate) -> this.tried.contains(candidate.entry().id()) == this.onlyTried,
 					new TargetChooser.Work(admittedRoute.name(), repeatable, this.request.content().readableBytes()));
