--- a/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/Exchange.java
@@ -10,13 +10,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
 
@@ -36,9 +33,6 @@
  */
 final class Exchange {
 
-	/** Callers that state no deadline. */
-	private static final long DEFAULT_DEADLINE_MS = 30_000;
-
 	/** A target's own answer at the deadline still arrives before this host's. */
 	private static final long DEADLINE_MARGIN_MS = 20;
 
@@ -67,6 +61,8 @@
 
 	private final FullHttpRequest request;
 
+	private final CallerMessages caller;
+
 	private final TargetMessages messages;
 
 	private final Answers answers;
@@ -111,10 +107,11 @@
 		this.loop = loop;
 		this.connections = connections;
 		this.request = request;
+		this.caller = new CallerMessages(parts.headers(), request);
 		this.messages = new TargetMessages(parts.headers());
 		this.answers = answers;
 		this.startedMs = parts.clock().millis();
-		this.requestId = request.headers().get(parts.headers().requestId(), "");
+		this.requestId = this.caller.requestId();
 	}
 
 	void start() {
@@ -122,7 +119,7 @@
 			begin();
 			return;
 		}
-		long waitMs = Math.min(LONGEST_START_WAIT_MS, deadlineMs() / START_WAIT_PART);
+		long waitMs = Math.min(LONGEST_START_WAIT_MS, this.caller.deadlineMs() / START_WAIT_PART);
 		this.timer = this.loop.schedule(this::begin, waitMs, TimeUnit.MILLISECONDS);
 		this.parts.gate().whenOpen(() -> this.loop.execute(this::begin));
 	}
@@ -148,7 +145,7 @@
 			return;
 		}
 		String host = this.request.headers().get(HttpHeaderNames.HOST, "");
-		Admission.Decision decision = this.parts.admission().decide(state, host, this.request.uri(), key());
+		Admission.Decision decision = this.parts.admission().decide(state, host, this.request.uri(), this.caller.key());
 		if (decision instanceof Admission.Refused refused) {
 			this.account = refused.account();
 			refuse(refused.refusal());
@@ -157,28 +154,13 @@
 			this.route = admitted.route();
 			this.account = admitted.account();
 			this.service = admitted.service();
-			this.endMs = this.startedMs + Math.min(deadlineMs(), admitted.route().timeoutMs());
+			this.endMs = this.startedMs + Math.min(this.caller.deadlineMs(), admitted.route().timeoutMs());
 			this.timer = this.loop.schedule(this::timeUp, leftMs(), TimeUnit.MILLISECONDS);
 			this.parts.budget().earn(this.service);
 			attempt(admitted.route());
 		}
 	}
 
-	private @Nullable String key() {
-		String value = this.request.headers().get(HttpHeaderNames.AUTHORIZATION);
-		String scheme = this.parts.headers().keyScheme() + " ";
-		boolean keyed = value != null && value.regionMatches(true, 0, scheme, 0, scheme.length());
-		return (value != null && keyed) ? value.substring(scheme.length()).trim() : null;
-	}
-
-	private long deadlineMs() {
-		String stated = this.request.headers().get(this.parts.headers().deadlineMs());
-		if (stated == null || !stated.matches("\\d{1,9}")) {
-			return DEFAULT_DEADLINE_MS;
-		}
-		return Long.parseLong(stated);
-	}
-
 	private long leftMs() {
 		return this.endMs - this.parts.clock().millis();
 	}
@@ -249,17 +231,8 @@
 	}
 
 	private void deliver(HttpResponse answer, ByteBuf body) {
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(), body);
-		HopHeaders.copy(answer.headers(), response.headers());
-		int status = answer.status().code();
-		String stated = answer.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-		boolean head = this.request.method().name().equals("HEAD");
-		if (status != 204 && status != 304) {
-			response.headers()
-				.set(HttpHeaderNames.CONTENT_LENGTH, (head && stated != null) ? stated : body.readableBytes());
-		}
-		this.answers.answer(response);
-		finish("answered", status);
+		this.answers.answer(this.caller.answer(answer, body));
+		finish("answered", answer.status().code());
 	}
 
 	private void refuse(Refusal reason) {
@@ -268,16 +241,7 @@
 		}
 		// After an attempt that may have run, nothing may say that the request has not.
 		Refusal refusal = (this.mayHaveRun && reason.notRun()) ? Refusal.BROKEN : reason;
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-				HttpResponseStatus.valueOf(refusal.status()), Unpooled.EMPTY_BUFFER);
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-		if (refusal.retryAfterMs() > 0) {
-			response.headers().set(HttpHeaderNames.RETRY_AFTER, refusal.retryAfterMs() / 1_000.0);
-		}
-		if (!this.requestId.isEmpty()) {
-			response.headers().set(this.parts.headers().requestId(), this.requestId);
-		}
-		this.answers.answer(response);
+		this.answers.answer(this.caller.refusal(refusal));
 		finish(refusal.name().toLowerCase(Locale.ROOT).replace('_', '-'), refusal.status());
 	}
 
