--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -62,8 +62,11 @@
 	/** The store may be out of reach; hosts that were found earlier may answer. */
 	private static final long LONGEST_SETTLE_MS = 1_000;
 
-	/** Hosts of a failure domain that callers are sent to. */
-	static final int ENTRY_HOSTS = 3;
+	/**
+	 * Hosts of a failure domain that callers are sent to. Fewer see more of each target;
+	 * with one, callers would have no other address when it is killed.
+	 */
+	static final int ENTRY_HOSTS = 2;
 
 	/** The store has not answered yet. */
 	private static final long NEVER_MS = Long.MAX_VALUE / 4;
