--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -20,8 +20,7 @@
 
 	/**
 	 * A target of another failure domain may be busy without this host knowing, and
-	 * headers are billed too. On certimata-gw-grown scale-1 (e1cd594e) 61% of the claims
-	 * sent there found all slots taken, and 44% of those were late.
+	 * headers are billed too.
 	 */
 	static final double OTHER_DOMAIN_COST = 0.12;
 
--- a/core/src/main/java/org/plantainspur/core/target/SicknessBelief.java
+++ b/core/src/main/java/org/plantainspur/core/target/SicknessBelief.java
@@ -12,14 +12,14 @@
 record SicknessBelief(double probability, long atMs) {
 
 	/**
-	 * The part of the targets that is sick at any time. On three quiet days of the users'
-	 * bench 26% to 29% of the first attempts at a target failed.
+	 * The part of the targets that is sick at any time, measured as the share of first
+	 * attempts at a target that failed (docs/MEASURES.md).
 	 */
 	static final double UNKNOWN = 0.28;
 
 	/**
-	 * Results count for about as long as targets stay sick or well. On the same days 4%
-	 * of the attempts failed 0.5 s to 1 s after a success, and 26% after 4 s to 6 s.
+	 * Results count for about as long as targets stay sick or well, fitted to the failures
+	 * by the time since the last success (docs/MEASURES.md).
 	 */
 	static final double TIME_CONSTANT_MS = 6_500;
 
