--- a/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
+++ b/core/src/main/java/org/plantainspur/core/target/NearestFreeChooser.java
@@ -148,12 +148,7 @@
 			boolean others = here && !this.share.includes(index++);
 			if (eligible.test(target)) {
 				double cost = cost(target, spared, work, now) + (others ? OTHERS_SHARE_COST : 0);
-				boolean own = here && !others;
-				boolean visited = work.repeatable() && this.share.carries() && target.inFlight() == 0
-						&& target.unusedMs(now) >= VISIT_INTERVAL_MS;
-				boolean counted = floor && target.belief().now(now) <= spared
-						&& target.unusedMs(now) >= FLOOR_INTERVAL_MS;
-				if (own && !target.isGone(now) && (visited || counted)) {
+				if (here && !others && (isVisitDue(target, work, now) || (floor && isFloorDue(target, spared, now)))) {
 					cost -= FLOOR_GAIN;
 				}
 				if (cost < bestCost) {
@@ -165,6 +160,15 @@
 		return best;
 	}
 
+	private boolean isVisitDue(Target target, Work work, long now) {
+		return work.repeatable() && this.share.carries() && !target.isGone(now) && target.inFlight() == 0
+				&& target.unusedMs(now) >= VISIT_INTERVAL_MS;
+	}
+
+	private boolean isFloorDue(Target target, double spared, long now) {
+		return !target.isGone(now) && target.belief().now(now) <= spared && target.unusedMs(now) >= FLOOR_INTERVAL_MS;
+	}
+
 	// While a service fails many requests, only so many of its targets may be spared: the
 	// ones most likely sick. The others get work as if nothing were known of them.
 	private double sparedAbove(List<Target> targets, long now) {
