--- a/core/src/main/java/org/plantainspur/core/fleet/TargetNews.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/RegionNews.java
@@ -12,7 +12,7 @@
  * others when its own are sick, and would find out by requests which of those are sick
  * too. Used by one thread.
  */
-public final class TargetNews {
+public final class RegionNews {
 
 	/**
 	 * Bytes between failure domains are billed; a spell of failures lasts for seconds.
--- a/gateway/src/main/java/org/plantainspur/gateway/DomainSpeaker.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/DomainSpeaker.java
@@ -11,7 +11,7 @@
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.DomainTally;
 import org.plantainspur.core.fleet.HostBeat;
-import org.plantainspur.core.fleet.TargetNews;
+import org.plantainspur.core.fleet.RegionNews;
 import org.plantainspur.core.fleet.Usage;
 import org.plantainspur.core.target.Place;
 
@@ -38,7 +38,7 @@
 
 	private final DigestSchedule schedule = new DigestSchedule();
 
-	private final TargetNews news = new TargetNews();
+	private final RegionNews news = new RegionNews();
 
 	private final Set<String> pressed = new HashSet<>();
 
@@ -85,16 +85,16 @@
 		if (!usage.isEmpty()) {
 			this.pressed.clear();
 		}
-		TargetNews.Told told = this.news.take(now);
+		RegionNews.Told told = this.news.take(now);
 		if (!usage.isEmpty() || !told.isEmpty()) {
 			send(own, digest(own, usage, told), Place.Distance.SAME_REGION);
 		}
 		if (!usage.isEmpty()) {
-			send(own, digest(own, usage, TargetNews.Told.NOTHING), Place.Distance.OTHER_REGION);
+			send(own, digest(own, usage, RegionNews.Told.NOTHING), Place.Distance.OTHER_REGION);
 		}
 	}
 
-	private DomainDigest digest(HostBeat own, Map<String, Usage> usage, TargetNews.Told told) {
+	private DomainDigest digest(HostBeat own, Map<String, Usage> usage, RegionNews.Told told) {
 		return new DomainDigest(this.failureDomain, own.host(), System.currentTimeMillis(), usage, told.failed(),
 				told.sound());
 	}
