Leave a host that has just started its part of the retry budget until it knows its role

Change: a host gives its part up only once it takes callers and others carry the traffic. Tests: GatewayTests AtMostOnce and Starting pass; the whole script was not run on this commit.

--- a/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/FleetTask.java
@@ -260,7 +260,11 @@
 		HostBeat beat = this.own.get();
 		List<HostBeat> carrying = this.entries.choose(this.view.domain(beat));
 		this.shared.share().set(carrying.indexOf(beat), carrying.size());
-		this.shared.budget().carries(this.shared.share().carries());
+		if (beat.taking()) {
+			// Before, a host that has just started may carry traffic soon, and needs its
+			// part.
+			this.shared.budget().carries(this.shared.share().carries());
+		}
 	}
 
 	private void readDuty() {
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -114,7 +114,6 @@
 				this.desired, this.targets, this.gate, this.log);
 		RetryBudget budget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_USED,
 				this.settings.retryConstant() * RETRY_BUDGET_USED / carrying, this.settings.retryWindowMs());
-		budget.carries(false);
 		FleetTask fleet = new FleetTask(this.settings, this.clock,
 				new FleetTask.Shared(this.desired, meter, limiter, this.targets, results, share, budget), store, tables,
 				this.stop::stopping, loop, this.log);
