--- a/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
@@ -36,6 +36,9 @@
 	 */
 	NO_ROOM(503, true, 300),
 
+	/** The host has no memory for the body of the request. */
+	NO_MEMORY(503, true, 500),
+
 	/** The host is stopping. */
 	STOPPING(503, true, 100),
 
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/proxy/ShutdownSchedule.java
@@ -0,0 +1,60 @@
+package org.plantainspur.core.proxy;
+
+/**
+ * The phases of a graceful stop, in milliseconds since its start. The host first serves
+ * callers that do not know of the stop yet, then refuses new requests while open ones
+ * end, and ends itself before it would be killed.
+ *
+ * @param graceMs the time from the start of the stop until the process is killed
+ */
+public record ShutdownSchedule(long graceMs) {
+
+	/**
+	 * New requests are served for at most this long. The directory lets callers cache an
+	 * address for 1 s, and some keep it three times as long; after that only callers
+	 * without a newer address connect. A request that is accepted later could not be
+	 * answered in time by a slow target.
+	 */
+	private static final long MAX_ACCEPT_MS = 3_000;
+
+	/**
+	 * The fraction of the grace period during which new requests are served if that is
+	 * shorter than {@link #MAX_ACCEPT_MS}.
+	 */
+	private static final double ACCEPT_FRACTION = 0.5;
+
+	/**
+	 * The fraction of the grace period after which the process ends as soon as no request
+	 * is open. Callers that were given this host's address just before the stop still
+	 * connect until then.
+	 */
+	private static final double EARLY_END_FRACTION = 0.83;
+
+	/**
+	 * The process ends this long before it would be killed, so that responses still reach
+	 * their callers.
+	 */
+	private static final long KILL_MARGIN_MS = 900;
+
+	/**
+	 * Returns whether new requests are refused.
+	 * @param elapsedMs the time since the start of the stop
+	 * @return {@code true} in the later part of the stop
+	 */
+	public boolean refusesRequests(long elapsedMs) {
+		return elapsedMs >= Math.min(MAX_ACCEPT_MS, this.graceMs * ACCEPT_FRACTION);
+	}
+
+	/**
+	 * Returns whether the process may end.
+	 * @param elapsedMs the time since the start of the stop
+	 * @param openRequests the number of requests without a response
+	 * @return {@code true} late in the grace period if no request is open, and in any
+	 * case shortly before the process would be killed
+	 */
+	public boolean mayEnd(long elapsedMs, int openRequests) {
+		return elapsedMs >= this.graceMs - KILL_MARGIN_MS
+				|| (elapsedMs >= this.graceMs * EARLY_END_FRACTION && openRequests == 0);
+	}
+
+}
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -18,8 +18,10 @@
 import org.plantainspur.core.fleet.UsageMeter;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.AdmissionControl;
+import org.plantainspur.core.proxy.BufferBudget;
 import org.plantainspur.core.proxy.RetryBudget;
 import org.plantainspur.core.proxy.RetryRules;
+import org.plantainspur.core.proxy.ShutdownSchedule;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.target.AttemptRecorder;
@@ -28,6 +30,7 @@
 import org.plantainspur.core.target.TargetRegistry;
 import org.plantainspur.core.target.TargetSubset;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.gateway.http.CallerChannels;
 import org.plantainspur.gateway.http.CallerServer;
 import org.plantainspur.gateway.http.EndpointServer;
 import org.plantainspur.gateway.http.EventLoopHttpClient;
@@ -64,6 +67,12 @@
 	 */
 	private static final double RETRY_BUDGET_FRACTION = 0.7;
 
+	/**
+	 * The heap is this many times the memory for bodies. The rest holds the classes'
+	 * data, tables, connections and what is garbage between two collections.
+	 */
+	private static final int HEAP_PER_BUFFER_BUDGET = 3;
+
 	private final GatewaySettings settings;
 
 	private final PlatformAdapter platform;
@@ -82,6 +91,8 @@
 
 	private final AtomicInteger openRequests = new AtomicInteger();
 
+	private final CallerChannels callerChannels = new CallerChannels();
+
 	private final GatewayShutdown shutdown;
 
 	private final List<Channel> channels = new ArrayList<>();
@@ -104,7 +115,8 @@
 		this.platform = platform;
 		this.log = log;
 		this.failures = new FailureReporter(log, this.metrics);
-		this.shutdown = new GatewayShutdown(this.openRequests::get, settings.graceMs(), log);
+		this.shutdown = new GatewayShutdown(this.openRequests::get, new ShutdownSchedule(settings.graceMs()),
+				this.callerChannels, log);
 	}
 
 	/**
@@ -137,9 +149,11 @@
 				this.desiredState, new AdmissionControl(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new LowestCostSelector(this.targets, attemptRecorder, targetSubset, location,
 						this.settings.floorShare(), this.clock, () -> ThreadLocalRandom.current().nextDouble()),
-				attemptRecorder, new RetryRules(retryBudget), retryBudget, gossip, this.shutdown, this.log,
+				attemptRecorder, new RetryRules(retryBudget), retryBudget, gossip, this.shutdown,
+				new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET), this.failures, this.log,
 				this.metrics);
-		CallerServer callerServer = new CallerServer(components, this.requestLoops, this.openRequests);
+		CallerServer callerServer = new CallerServer(components, this.requestLoops, this.openRequests,
+				this.callerChannels);
 		gossip.start();
 		this.channels.add(callerServer.listen(this.settings.callerAddress()));
 		serveEndpoints(gossip, storeSynchronizer);
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayShutdown.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayShutdown.java
@@ -4,51 +4,50 @@
 import java.util.function.IntSupplier;
 
 import org.plantainspur.core.log.DecisionLog;
+import org.plantainspur.core.proxy.ShutdownSchedule;
+import org.plantainspur.gateway.http.CallerChannels;
 import org.plantainspur.gateway.http.ProxyComponents;
 
 /**
- * Stops the host gracefully within the grace period. The host reports that it is not
- * ready, still serves callers that do not know of the stop yet, and then refuses new
- * requests. Late in the grace period the stop ends as soon as no request is open, at the
- * latest shortly before the process would be killed.
+ * Stops the host gracefully within the grace period, in the phases of
+ * {@link ShutdownSchedule}. Requests that are still open at its end get a response that
+ * says whether they may have run.
  */
 public final class GatewayShutdown implements ProxyComponents.ShutdownState {
 
-	/**
-	 * The fraction of the grace period after which the process ends as soon as no request
-	 * is open. Callers that were given this host's address just before the stop still
-	 * connect until then.
-	 */
-	private static final double EARLY_END_FRACTION = 0.83;
-
-	/**
-	 * The fraction of the grace period after which new requests are refused, as they
-	 * might still be running when the process must end.
-	 */
-	private static final double ACCEPT_FRACTION = 0.5;
-
-	/**
-	 * The process ends this long before the end of the grace period, when it would be
-	 * killed, so that responses still reach their callers.
-	 */
-	private static final long KILL_MARGIN_MS = 900;
-
 	/** How often the stop checks the elapsed time and the open requests. */
 	private static final long POLL_INTERVAL_MS = 50;
 
+	/** How long requests are still read after the callers' port was closed. */
+	private static final long LAST_REQUESTS_MS = 100;
+
+	/** How long the last responses may take to reach their callers. */
+	private static final long LAST_RESPONSES_MS = 200;
+
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
 	private final AtomicBoolean refusingRequests = new AtomicBoolean();
 
 	private final IntSupplier openRequests;
 
-	private final long gracePeriodMs;
+	private final ShutdownSchedule schedule;
+
+	private final CallerChannels callerChannels;
 
 	private final DecisionLog log;
 
-	GatewayShutdown(IntSupplier openRequests, long gracePeriodMs, DecisionLog log) {
+	/**
+	 * Creates the handle of a host that is not stopping.
+	 * @param openRequests returns the number of requests that have no response yet
+	 * @param schedule the phases of the stop
+	 * @param callerChannels the callers' port and connections, which end with the stop
+	 * @param log receives the phases
+	 */
+	GatewayShutdown(IntSupplier openRequests, ShutdownSchedule schedule, CallerChannels callerChannels,
+			DecisionLog log) {
 		this.openRequests = openRequests;
-		this.gracePeriodMs = gracePeriodMs;
+		this.schedule = schedule;
+		this.callerChannels = callerChannels;
 		this.log = log;
 	}
 
@@ -63,6 +62,16 @@
 			while (!mayEnd((System.nanoTime() - startedNanos) / 1_000_000)) {
 				Thread.sleep(POLL_INTERVAL_MS);
 			}
+			// Requests on connections that were accepted just now are still read and
+			// refused.
+			this.callerChannels.closePort();
+			Thread.sleep(LAST_REQUESTS_MS);
+			int unfinished = this.openRequests.getAsInt();
+			this.callerChannels.endRequests();
+			if (unfinished > 0) {
+				this.log.event("ended-open-requests", "openRequests", unfinished);
+				Thread.sleep(LAST_RESPONSES_MS);
+			}
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
@@ -82,11 +91,10 @@
 
 	// Begins to refuse requests when it is time, and returns whether the process may end.
 	private boolean mayEnd(long elapsedMs) {
-		if (elapsedMs >= this.gracePeriodMs * ACCEPT_FRACTION && this.refusingRequests.compareAndSet(false, true)) {
+		if (this.schedule.refusesRequests(elapsedMs) && this.refusingRequests.compareAndSet(false, true)) {
 			this.log.event("refusing", "openRequests", this.openRequests.getAsInt());
 		}
-		return elapsedMs >= this.gracePeriodMs - KILL_MARGIN_MS
-				|| (elapsedMs >= this.gracePeriodMs * EARLY_END_FRACTION && this.openRequests.getAsInt() == 0);
+		return this.schedule.mayEnd(elapsedMs, this.openRequests.getAsInt());
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -1,7 +1,9 @@
 package org.plantainspur.gateway.http;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -15,13 +17,17 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.core.desired.RouteRule;
+
 /**
- * Handles one connection of a caller. Requests are answered one after another in the
- * order of their arrival; pipelined requests wait in a queue.
+ * Handles one connection of a caller. Pipelined requests of idempotent routes run side by
+ * side, all others one after another. Responses are sent in the order of the requests.
+ * When a response closes the connection, the requests behind it are abandoned, as callers
+ * send them again on another connection, whatever their route.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
-	/** The connection is not read while this many pipelined requests wait. */
+	/** The connection is not read while this many requests have no response. */
 	private static final int MAX_PIPELINED_REQUESTS = 8;
 
 	private final ProxyComponents components;
@@ -30,13 +36,15 @@
 
 	private final OpenRequestCounter openRequests;
 
-	private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
+	/** The requests that have not been started, in the order of their arrival. */
+	private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
 
-	private @Nullable ProxiedRequest activeRequest;
+	/** The started requests whose responses have not been sent, in the same order. */
+	private final Deque<Exchange> running = new ArrayDeque<>();
 
-	private boolean closing;
+	private boolean starting;
 
-	private boolean disconnected;
+	private boolean closing;
 
 	CallerConnection(ProxyComponents components, ProxyTargetConnectionPool connectionPool,
 			OpenRequestCounter openRequests) {
@@ -47,70 +55,144 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		if (!(message instanceof FullHttpRequest request) || this.closing) {
+		if (!(message instanceof FullHttpRequest request)) {
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.activeRequest != null) {
-			this.pipelined.add(request);
-			context.channel().config().setAutoRead(this.pipelined.size() < MAX_PIPELINED_REQUESTS);
+		if (this.closing) {
+			discard(request);
 			return;
 		}
-		startRequest(context, request);
+		this.waiting.addLast(request);
+		startNext(context);
 	}
 
-	private void startRequest(ChannelHandlerContext context, FullHttpRequest request) {
-		boolean keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
-		this.openRequests.increment();
+	// Starts all requests that may run now. A request may be answered while it is being
+	// started, so the loop is not entered again from within it.
+	private void startNext(ChannelHandlerContext context) {
+		if (this.starting) {
+			return;
+		}
+		this.starting = true;
+		try {
+			FullHttpRequest next = this.waiting.peekFirst();
+			while (next != null && mayStart(next)) {
+				this.waiting.removeFirst();
+				start(context, next);
+				next = this.waiting.peekFirst();
+			}
+		}
+		finally {
+			this.starting = false;
+		}
+		context.channel().config().setAutoRead(this.running.size() + this.waiting.size() < MAX_PIPELINED_REQUESTS);
+	}
+
+	// A request may run beside those before it if it may run once more, as it will if one
+	// of their responses closes the connection.
+	private boolean mayStart(FullHttpRequest request) {
+		if (this.running.isEmpty()) {
+			return true;
+		}
+		boolean mayClose = this.components.shutdown().stopping()
+				|| this.running.stream().anyMatch((exchange) -> !exchange.keepAlive);
+		if (mayClose || !request.decoderResult().isSuccess() || !this.components.startupLatch().isOpen()) {
+			return false;
+		}
+		RouteRule route = this.components.desiredState()
+			.current()
+			.route(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
+		return route != null && route.idempotent();
+	}
+
+	private void start(ChannelHandlerContext context, FullHttpRequest request) {
+		Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess());
 		ProxiedRequest proxiedRequest = new ProxiedRequest(this.components, context.channel().eventLoop(),
-				this.connectionPool, request, (response) -> sendResponse(context, response, keepAlive));
-		this.activeRequest = proxiedRequest;
+				this.connectionPool, request, (response) -> responseReady(context, exchange, response));
+		exchange.request = proxiedRequest;
+		this.openRequests.increment();
+		this.running.addLast(exchange);
 		proxiedRequest.start();
 	}
 
-	private void sendResponse(ChannelHandlerContext context, FullHttpResponse response, boolean keepAlive) {
-		if (this.disconnected) {
-			// The request ran on without its caller; channelInactive() has already
-			// subtracted it from the open requests.
+	private void responseReady(ChannelHandlerContext context, Exchange exchange, FullHttpResponse response) {
+		if (!this.running.contains(exchange)) {
+			// The request ran on without its caller.
 			response.release();
 			return;
 		}
-		this.activeRequest = null;
-		this.openRequests.decrement();
-		boolean close = !keepAlive || this.components.shutdown().stopping();
-		if (close) {
-			this.closing = true;
-			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-			context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
-			return;
-		}
-		context.writeAndFlush(response);
-		FullHttpRequest next = this.pipelined.poll();
-		if (next != null) {
-			context.channel().config().setAutoRead(true);
-			// A request may be answered while it is being started, so a direct call would
-			// nest one request in another.
-			context.channel().eventLoop().execute(() -> startRequest(context, next));
+		exchange.response = response;
+		sendReady(context);
+		startNext(context);
+	}
+
+	private void sendReady(ChannelHandlerContext context) {
+		Exchange first = this.running.peekFirst();
+		while (first != null && first.response != null) {
+			FullHttpResponse response = first.response;
+			this.running.removeFirst();
+			this.openRequests.decrement();
+			if (!first.keepAlive || this.components.shutdown().stopping()) {
+				this.closing = true;
+				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+				context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+				abandonRequests("behind-close");
+				return;
+			}
+			context.writeAndFlush(response);
+			first = this.running.peekFirst();
 		}
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.closing = true;
-		this.disconnected = true;
-		this.pipelined.forEach(ReferenceCountUtil::release);
-		this.pipelined.clear();
-		ProxiedRequest unfinished = this.activeRequest;
-		this.activeRequest = null;
-		if (unfinished != null) {
+		abandonRequests("caller-left");
+	}
+
+	private void abandonRequests(String outcome) {
+		this.waiting.forEach(this::discard);
+		this.waiting.clear();
+		List<Exchange> unfinished = List.copyOf(this.running);
+		this.running.clear();
+		for (Exchange exchange : unfinished) {
 			this.openRequests.decrement();
-			unfinished.callerDisconnected();
+			FullHttpResponse response = exchange.response;
+			ProxiedRequest request = exchange.request;
+			if (response != null) {
+				response.release();
+			}
+			else if (request != null) {
+				request.abandon(outcome);
+			}
+		}
+	}
+
+	// Answers the open requests at the end of a stop. The first response closes the
+	// connection, so those behind it need none.
+	private void endRequests(ChannelHandlerContext context) {
+		Exchange first = this.running.peekFirst();
+		ProxiedRequest request = (first != null) ? first.request : null;
+		if (request != null) {
+			request.endForShutdown();
 		}
+		else {
+			this.closing = true;
+			context.close();
+		}
+	}
+
+	private void discard(FullHttpRequest request) {
+		this.components.bufferBudget().release(request.content().readableBytes());
+		request.release();
 	}
 
 	@Override
 	public void userEventTriggered(ChannelHandlerContext context, Object event) {
-		if (event instanceof IdleStateEvent && this.activeRequest == null) {
+		if (event == CallerChannels.END) {
+			endRequests(context);
+		}
+		else if (event instanceof IdleStateEvent && this.running.isEmpty()) {
 			context.close();
 		}
 	}
@@ -118,9 +200,27 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		// Callers often end a connection by a reset; channelInactive() cleans up.
+		if (!(cause instanceof IOException)) {
+			this.components.failures().failed("caller-connection", cause);
+		}
 		context.close();
 	}
 
+	/** A started request and, once there is one, its response. */
+	private static final class Exchange {
+
+		private final boolean keepAlive;
+
+		private @Nullable ProxiedRequest request;
+
+		private @Nullable FullHttpResponse response;
+
+		private Exchange(boolean keepAlive) {
+			this.keepAlive = keepAlive;
+		}
+
+	}
+
 	/**
 	 * Counts the requests that have no response yet.
 	 */
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
@@ -41,16 +41,21 @@
 
 	private final AtomicInteger openRequests;
 
+	private final CallerChannels callerChannels;
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param components the objects that all requests of the host use
 	 * @param eventLoops the event loops that carry requests
 	 * @param openRequests set to the number of requests that have no response yet
+	 * @param callerChannels receives the port and the connections
 	 */
-	public CallerServer(ProxyComponents components, EventLoopGroup eventLoops, AtomicInteger openRequests) {
+	public CallerServer(ProxyComponents components, EventLoopGroup eventLoops, AtomicInteger openRequests,
+			CallerChannels callerChannels) {
 		this.components = components;
 		this.eventLoops = eventLoops;
 		this.openRequests = openRequests;
+		this.callerChannels = callerChannels;
 	}
 
 	/**
@@ -59,7 +64,7 @@
 	 * @return the listening channel
 	 */
 	public Channel listen(InetSocketAddress address) {
-		return new ServerBootstrap().group(this.eventLoops)
+		Channel port = new ServerBootstrap().group(this.eventLoops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -76,16 +81,21 @@
 			.bind(address)
 			.syncUninterruptibly()
 			.channel();
+		this.callerChannels.add(port);
+		return port;
 	}
 
 	private void initializePipeline(SocketChannel channel) {
+		this.callerChannels.add(channel);
 		CallerLimits limits = this.components.desiredState().current().limits();
+		int maxBodyBytes = (int) Math.min(Integer.MAX_VALUE, limits.maxBodyBytes());
 		ProxyTargetConnectionPool connectionPool = this.connectionPools.computeIfAbsent(channel.eventLoop(),
 				this::createConnectionPool);
 		channel.pipeline()
 			.addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs(), TimeUnit.MILLISECONDS),
 					new StrictRequestDecoder(limits.maxHeaderBytes()), new HttpResponseEncoder(),
-					new HttpObjectAggregator((int) Math.min(Integer.MAX_VALUE, limits.maxBodyBytes())),
+					new RequestBodyLimiter(this.components.bufferBudget(), maxBodyBytes),
+					new HttpObjectAggregator(maxBodyBytes),
 					new CallerConnection(this.components, connectionPool, new CallerConnection.OpenRequestCounter() {
 
 						@Override
@@ -103,7 +113,7 @@
 
 	private ProxyTargetConnectionPool createConnectionPool(EventLoop loop) {
 		ProxyTargetConnectionPool pool = new ProxyTargetConnectionPool(loop, this.components.headerNames().requestId(),
-				this.components.clock());
+				this.components.bufferBudget(), this.components.clock());
 		loop.scheduleWithFixedDelay(pool::closeExpired, IDLE_SWEEP_INTERVAL_MS, IDLE_SWEEP_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 		return pool;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -80,6 +80,8 @@
 
 	private final ResponseWriter responseWriter;
 
+	private final int bodyBytes;
+
 	private final long startedMs;
 
 	private final String requestId;
@@ -124,6 +126,7 @@
 		this.eventLoop = eventLoop;
 		this.connectionPool = connectionPool;
 		this.request = request;
+		this.bodyBytes = request.content().readableBytes();
 		this.callerMapper = new CallerMessageMapper(components.headerNames(), request);
 		this.targetMapper = new TargetMessageMapper(components.headerNames());
 		this.responseWriter = responseWriter;
@@ -154,8 +157,7 @@
 		this.desiredStateVersion = state.version();
 		DecoderResult decoderResult = this.request.decoderResult();
 		if (decoderResult.isFailure() || !this.request.uri().startsWith("/")) {
-			refuse((decoderResult.cause() instanceof TooLongFrameException) ? Refusal.HEADERS_TOO_LARGE
-					: Refusal.MALFORMED);
+			refuse(refusalOf(decoderResult.cause()));
 			return;
 		}
 		if (this.components.shutdown().refusingRequests()) {
@@ -180,6 +182,13 @@
 		}
 	}
 
+	private static Refusal refusalOf(@Nullable Throwable decoderFailure) {
+		if (decoderFailure instanceof BudgetedByteBuf.ExhaustedException) {
+			return Refusal.NO_MEMORY;
+		}
+		return (decoderFailure instanceof TooLongFrameException) ? Refusal.HEADERS_TOO_LARGE : Refusal.MALFORMED;
+	}
+
 	private long remainingMs() {
 		return this.deadlineMs - this.components.clock().millis();
 	}
@@ -189,8 +198,7 @@
 		ObservedTarget target = this.components.targetSelector()
 			.select(this.service,
 					(candidate) -> this.triedTargets.contains(candidate.listing().id()) == this.retryTriedTargets,
-					new TargetSelector.AttemptProfile(admittedRoute.name(), retryable,
-							this.request.content().readableBytes()));
+					new TargetSelector.AttemptProfile(admittedRoute.name(), retryable, this.bodyBytes));
 		if (target == null) {
 			refuse((this.sentAttempts > 0) ? Refusal.ALL_DECLINED : Refusal.NO_TARGET);
 			return;
@@ -199,7 +207,7 @@
 		Attempt attempt = new Attempt(target, admittedRoute);
 		this.currentAttempt = attempt;
 		this.components.attemptRecorder().recordSent(target);
-		this.connectionPool.acquire(target.listing(), retryable, attempt::connectionReady);
+		this.connectionPool.acquire(target.listing(), this.requestId, retryable, attempt::connectionReady);
 	}
 
 	private void deadlineReached() {
@@ -214,10 +222,11 @@
 	}
 
 	/**
-	 * Called when the caller has closed its connection. Cancels the running attempt if it
-	 * may be cancelled, and ends the request.
+	 * Called when the caller does not wait for the response any more. Cancels the running
+	 * attempt if it may be cancelled, and ends the request.
+	 * @param outcome why, for the log
 	 */
-	void callerDisconnected() {
+	void abandon(String outcome) {
 		if (this.finished) {
 			return;
 		}
@@ -228,12 +237,24 @@
 			runningAttempt.cancel();
 		}
 		if (runningAttempt == null || cancellable || !runningAttempt.sent) {
-			finish("caller-left", 0);
+			finish(outcome, 0);
 		}
 		// A sent request of a route that is not idempotent runs on, as its work cannot be
 		// redone.
 	}
 
+	/**
+	 * Called when the process is about to end. Answers the request with a refusal that
+	 * says whether it may have run.
+	 */
+	void endForShutdown() {
+		Attempt runningAttempt = this.currentAttempt;
+		if (runningAttempt != null) {
+			runningAttempt.cancel();
+		}
+		refuse(Refusal.STOPPING);
+	}
+
 	private void proceed(RetryRules.NextStep next, @Nullable HttpResponse response, ByteBuf body) {
 		RouteRule admittedRoute = this.route;
 		if (next instanceof RetryRules.Retry && admittedRoute != null) {
@@ -281,6 +302,7 @@
 		if (pending != null) {
 			pending.cancel(false);
 		}
+		this.components.bufferBudget().release(this.bodyBytes);
 		this.request.release();
 		long tookMs = this.components.clock().millis() - this.startedMs;
 		AccountRule requestAccount = this.account;
@@ -389,7 +411,7 @@
 		}
 
 		private void cancel() {
-			recordOutcome(new AttemptOutcome.Cancelled());
+			recordOutcome(this.sent ? new AttemptOutcome.Cancelled() : new AttemptOutcome.NotSent("cancelled"));
 			cancelConnection();
 		}
 
@@ -400,6 +422,7 @@
 		private void end(AttemptOutcome outcome, boolean deadlineReached, @Nullable HttpResponse response,
 				ByteBuf body) {
 			if (this.ended) {
+				body.release();
 				return;
 			}
 			recordOutcome(outcome);
@@ -410,12 +433,16 @@
 				ProxiedRequest.this.unsentAttempts++;
 			}
 			if (ProxiedRequest.this.finished) {
+				body.release();
 				return;
 			}
 			ProxiedRequest.this.currentAttempt = null;
 			RetryRules.NextStep next = ProxiedRequest.this.components.retryRules()
 				.nextStep(this.admittedRoute, ProxiedRequest.this.service, outcome, ProxiedRequest.this.sentAttempts,
 						ProxiedRequest.this.unsentAttempts, deadlineReached || remainingMs() <= DEADLINE_MARGIN_MS);
+			if (!(next instanceof RetryRules.Deliver)) {
+				body.release();
+			}
 			proceed(next, response, body);
 		}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
@@ -3,12 +3,14 @@
 import org.plantainspur.core.desired.DesiredStateView;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.AdmissionControl;
+import org.plantainspur.core.proxy.BufferBudget;
 import org.plantainspur.core.proxy.RetryBudget;
 import org.plantainspur.core.proxy.RetryRules;
 import org.plantainspur.core.target.AttemptRecorder;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.gateway.log.FailureReporter;
 import org.plantainspur.gateway.log.GatewayMetrics;
 
 /**
@@ -25,13 +27,16 @@
  * @param retryBudget limits the attempts beyond the first
  * @param targetHealthListener told of failed and recovered targets, for the other hosts
  * @param shutdown tells whether the host is stopping
+ * @param bufferBudget limits the memory for bodies
+ * @param failures told of unexpected exceptions
  * @param log receives a line for each request
  * @param metrics counts requests and measures their latency
  */
 public record ProxyComponents(Clock clock, HeaderNames headerNames, StartupLatch startupLatch,
 		DesiredStateView desiredState, AdmissionControl admission, TargetSelector targetSelector,
 		AttemptRecorder attemptRecorder, RetryRules retryRules, RetryBudget retryBudget,
-		TargetHealthListener targetHealthListener, ShutdownState shutdown, DecisionLog log, GatewayMetrics metrics) {
+		TargetHealthListener targetHealthListener, ShutdownState shutdown, BufferBudget bufferBudget,
+		FailureReporter failures, DecisionLog log, GatewayMetrics metrics) {
 
 	/**
 	 * Told of changes in the health of targets that other hosts should know of.
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -15,10 +16,13 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.core.proxy.BufferBudget;
+
 /**
  * One connection to a target, used by one request at a time. After a response that is
- * incomplete, or bytes that belong to no request, it is closed and not used again. All
- * methods run on the connection's event loop.
+ * incomplete, or bytes that belong to no request, it is closed and not used again. What a
+ * target may send is bounded in each state, as a target in trouble may send bytes without
+ * end. All methods run on the connection's event loop.
  */
 final class ProxyTargetConnection extends ChannelInboundHandlerAdapter {
 
@@ -28,8 +32,25 @@
 	 */
 	static final int MAX_BODY_BYTES = 8 << 20;
 
+	/**
+	 * The most bytes of any kind that a target may send for one request. Beyond the body
+	 * it leaves room for heads, chunk sizes, interim responses and responses to earlier
+	 * requests.
+	 */
+	private static final long MAX_RECEIVED_BYTES = MAX_BODY_BYTES + (1 << 20);
+
+	/**
+	 * The most interim responses, and responses to earlier requests, that are skipped
+	 * while one response is awaited.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 8;
+
+	private static final int STATUS_SWITCHING_PROTOCOLS = 101;
+
 	private final String requestIdHeader;
 
+	private final BufferBudget bufferBudget;
+
 	private final StateListener stateListener;
 
 	private @Nullable Channel channel;
@@ -46,6 +67,12 @@
 
 	private boolean skipping;
 
+	private int skippedResponses;
+
+	private boolean hadForeignResponse;
+
+	private long receivedBytes;
+
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
 	private long keepAliveTimeoutMs = DEFAULT_KEEP_ALIVE_TIMEOUT_MS;
@@ -56,8 +83,9 @@
 	 */
 	static final long DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 5_000;
 
-	ProxyTargetConnection(String requestIdHeader, StateListener stateListener) {
+	ProxyTargetConnection(String requestIdHeader, BufferBudget bufferBudget, StateListener stateListener) {
 		this.requestIdHeader = requestIdHeader;
+		this.bufferBudget = bufferBudget;
 		this.stateListener = stateListener;
 	}
 
@@ -78,11 +106,25 @@
 		return this.keepAliveTimeoutMs;
 	}
 
+	// Returns the handler that counts the bytes which the target sends; it must come
+	// before the decoder, which consumes some of them without a message.
+	ChannelHandler byteCounter() {
+		return new ByteCounter();
+	}
+
+	// Returns whether a request with this id was the last one on this connection. A late
+	// copy of its response could not be told from the response to a repetition.
+	boolean lastCarried(String id) {
+		return this.requestId.equals(id);
+	}
+
 	void send(FullHttpRequest request, String id, ResponseListener responseListener) {
 		this.listener = responseListener;
 		this.requestId = id;
 		this.requestWritten = false;
 		this.responseHead = null;
+		this.skippedResponses = 0;
+		this.receivedBytes = 0;
 		channel().writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
 			if (future.isSuccess()) {
 				this.requestWritten = true;
@@ -96,6 +138,7 @@
 	/** Cancels the request: closes the connection, which the target can notice. */
 	void cancel() {
 		this.listener = null;
+		releaseBody();
 		channel().close();
 	}
 
@@ -119,12 +162,22 @@
 				fail("the response is not valid HTTP: " + response.decoderResult().cause());
 				return;
 			}
+			if (response.status().code() == STATUS_SWITCHING_PROTOCOLS) {
+				fail("the target switched to another protocol");
+				return;
+			}
 			// Interim responses, and responses to an earlier request of the connection,
 			// are skipped.
-			this.skipping = response.status().code() < 200
-					|| !this.requestId.equals(response.headers().get(this.requestIdHeader));
+			boolean foreign = response.status().code() >= 200
+					&& !this.requestId.equals(response.headers().get(this.requestIdHeader));
+			this.hadForeignResponse |= foreign;
+			this.skipping = response.status().code() < 200 || foreign;
+			if (this.skipping && ++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+				fail("the target sent more than " + MAX_SKIPPED_RESPONSES + " other responses");
+				return;
+			}
 			this.responseHead = response;
-			this.body = Unpooled.EMPTY_BUFFER;
+			releaseBody();
 		}
 		if (message instanceof HttpContent content && !this.skipping) {
 			if (content.decoderResult().isFailure()) {
@@ -146,10 +199,20 @@
 			fail("the body of the response is larger than " + MAX_BODY_BYTES + " bytes");
 			return;
 		}
-		if (this.body == Unpooled.EMPTY_BUFFER) {
-			this.body = Unpooled.buffer(Math.max(256, content.readableBytes()));
+		try {
+			if (this.body == Unpooled.EMPTY_BUFFER) {
+				this.body = new BudgetedByteBuf(this.bufferBudget, MAX_BODY_BYTES);
+			}
+			this.body.writeBytes(content);
 		}
-		this.body.writeBytes(content);
+		catch (BudgetedByteBuf.ExhaustedException ex) {
+			fail(String.valueOf(ex.getMessage()));
+		}
+	}
+
+	private void releaseBody() {
+		this.body.release();
+		this.body = Unpooled.EMPTY_BUFFER;
 	}
 
 	private void responseComplete() {
@@ -171,7 +234,8 @@
 		this.listener = null;
 		ByteBuf wholeBody = this.body;
 		this.body = Unpooled.EMPTY_BUFFER;
-		boolean reusable = delimited && this.requestWritten && HttpUtil.isKeepAlive(response) && channel().isActive();
+		boolean reusable = delimited && !this.hadForeignResponse && this.requestWritten
+				&& HttpUtil.isKeepAlive(response) && channel().isActive();
 		readKeepAliveTimeout(response);
 		responseListener.responseReceived(response, wholeBody);
 		if (reusable) {
@@ -213,12 +277,30 @@
 		ResponseListener responseListener = this.listener;
 		this.listener = null;
 		this.responseHead = null;
+		releaseBody();
 		channel().close();
 		if (responseListener != null) {
 			responseListener.failed(reason);
 		}
 	}
 
+	private final class ByteCounter extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			int bytes = (message instanceof ByteBuf buffer) ? buffer.readableBytes() : 0;
+			ProxyTargetConnection.this.receivedBytes += bytes;
+			if (ProxyTargetConnection.this.listener != null
+					&& ProxyTargetConnection.this.receivedBytes <= MAX_RECEIVED_BYTES) {
+				context.fireChannelRead(message);
+				return;
+			}
+			ReferenceCountUtil.release(message);
+			fail("the target sent more than " + MAX_RECEIVED_BYTES + " bytes, or bytes that belong to no request");
+		}
+
+	}
+
 	/**
 	 * Told once how a request ended.
 	 */
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -19,7 +19,9 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.core.proxy.BufferBudget;
 import org.plantainspur.core.target.TargetListing;
+import org.plantainspur.core.target.TargetProcess;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -55,28 +57,33 @@
 
 	private final Clock clock;
 
-	private final Map<String, Deque<IdleConnection>> idle = new HashMap<>();
+	private final BufferBudget bufferBudget;
 
-	ProxyTargetConnectionPool(EventLoop loop, String requestIdHeader, Clock clock) {
+	private final Map<TargetProcess, Deque<IdleConnection>> idle = new HashMap<>();
+
+	ProxyTargetConnectionPool(EventLoop loop, String requestIdHeader, BufferBudget bufferBudget, Clock clock) {
 		this.loop = loop;
 		this.requestIdHeader = requestIdHeader;
+		this.bufferBudget = bufferBudget;
 		this.clock = clock;
 	}
 
 	/**
 	 * Takes an idle connection to a target from the pool, or opens a new one.
 	 * @param target the target's listing, with its address
+	 * @param requestId the id of the request that the connection is for
 	 * @param retryable whether the request may be retried if the connection fails
 	 * @param callback receives the connection, or {@code null} if connecting failed
 	 */
-	void acquire(TargetListing target, boolean retryable, Consumer<@Nullable ProxyTargetConnection> callback) {
-		ProxyTargetConnection pooled = takeIdle(target.id(), retryable);
+	void acquire(TargetListing target, String requestId, boolean retryable,
+			Consumer<@Nullable ProxyTargetConnection> callback) {
+		ProxyTargetConnection pooled = takeIdle(target.process(), requestId, retryable);
 		if (pooled != null) {
 			callback.accept(pooled);
 			return;
 		}
-		ProxyTargetConnection connection = new ProxyTargetConnection(this.requestIdHeader,
-				new PoolMembership(target.id()));
+		ProxyTargetConnection connection = new ProxyTargetConnection(this.requestIdHeader, this.bufferBudget,
+				new PoolMembership(target.process()));
 		ChannelFuture connecting = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -85,7 +92,7 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					channel.pipeline().addLast(new HttpClientCodec(), connection);
+					channel.pipeline().addLast(connection.byteCounter(), new HttpClientCodec(), connection);
 				}
 
 			})
@@ -94,8 +101,8 @@
 			.addListener((ChannelFutureListener) (future) -> callback.accept(future.isSuccess() ? connection : null));
 	}
 
-	private @Nullable ProxyTargetConnection takeIdle(String id, boolean retryable) {
-		Deque<IdleConnection> idleConnections = this.idle.get(id);
+	private @Nullable ProxyTargetConnection takeIdle(TargetProcess process, String requestId, boolean retryable) {
+		Deque<IdleConnection> idleConnections = this.idle.get(process);
 		if (idleConnections == null) {
 			return null;
 		}
@@ -103,7 +110,8 @@
 		IdleConnection latest = idleConnections.peekLast();
 		while (latest != null) {
 			long idleMs = now - latest.sinceMs();
-			if (!latest.connection().channel().isActive() || idleMs > idleLifetimeMs(latest.connection())) {
+			if (!latest.connection().channel().isActive() || idleMs > idleLifetimeMs(latest.connection())
+					|| latest.connection().lastCarried(requestId)) {
 				idleConnections.pollLast();
 				latest.connection().channel().close();
 				latest = idleConnections.peekLast();
@@ -145,16 +153,16 @@
 
 	private final class PoolMembership implements ProxyTargetConnection.StateListener {
 
-		private final String targetId;
+		private final TargetProcess process;
 
-		private PoolMembership(String targetId) {
-			this.targetId = targetId;
+		private PoolMembership(TargetProcess process) {
+			this.process = process;
 		}
 
 		@Override
 		public void becameIdle(ProxyTargetConnection connection) {
-			Deque<IdleConnection> idleConnections = ProxyTargetConnectionPool.this.idle.computeIfAbsent(this.targetId,
-					(id) -> new ArrayDeque<>());
+			Deque<IdleConnection> idleConnections = ProxyTargetConnectionPool.this.idle.computeIfAbsent(this.process,
+					(key) -> new ArrayDeque<>());
 			idleConnections.addLast(new IdleConnection(connection, ProxyTargetConnectionPool.this.clock.millis()));
 			if (idleConnections.size() > MAX_IDLE_PER_TARGET) {
 				idleConnections.pollFirst().connection().channel().close();
@@ -163,7 +171,7 @@
 
 		@Override
 		public void closed(ProxyTargetConnection connection) {
-			Deque<IdleConnection> idleConnections = ProxyTargetConnectionPool.this.idle.get(this.targetId);
+			Deque<IdleConnection> idleConnections = ProxyTargetConnectionPool.this.idle.get(this.process);
 			if (idleConnections != null) {
 				idleConnections.removeIf((candidate) -> candidate.connection() == connection);
 			}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
@@ -76,6 +76,12 @@
 			// not run, and the target has confirmed neither.
 			return new AttemptOutcome.Broken("status " + status + " without the header that confirms it");
 		}
+		String encoding = response.headers().get(HttpHeaderNames.CONTENT_ENCODING);
+		if (encoding != null && !encoding.equalsIgnoreCase("identity")) {
+			// Callers ask for bodies without an encoding, so these are other bytes than
+			// the target's.
+			return new AttemptOutcome.Broken("the body has the content encoding " + encoding);
+		}
 		return new AttemptOutcome.Answered(status, status < FIRST_SERVER_ERROR_STATUS);
 	}
 
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -7,6 +7,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -15,6 +17,7 @@
 import org.plantainspur.gateway.GatewayHost;
 import org.plantainspur.gateway.GatewayShutdown;
 import org.plantainspur.platform.PlatformHostFactory;
+import org.plantainspur.platform.PlatformHostMain;
 import org.plantainspur.standins.http.Handler;
 import org.plantainspur.standins.http.Response;
 import org.plantainspur.standins.http.StandInServer;
@@ -52,16 +55,29 @@
 
 	/** Writes a new desired state in which the account mill has the given key. */
 	void writeDesiredState(String key) {
+		writeDesiredState(key, 2_000);
+	}
+
+	/** Writes a new desired state with the given timeout of the route book. */
+	void writeDesiredStateWithTimeout(long timeoutMs) {
+		writeDesiredState(KEY, timeoutMs);
+	}
+
+	private void writeDesiredState(String key, long timeoutMs) {
 		this.version += 3;
-		this.store.put("op", "config", """
-				{"version":"%08x","routes":{"columns":["name","host","prefix","routeType","timeoutMs","targetLatencyMs",
-				"priority","maxAttempts","public","service"],"rows":[
-				["read","jobs.example","/read/","safe",2000,500,0,2,false,"s"],
-				["book","jobs.example","/book/","non_idempotent",2000,500,0,2,false,"s"]]},
-				"services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/health",100]]},
-				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-				"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
-				"rows":[["mill",["%s"],0,1000,1000]]}}""".formatted(this.version, key));
+		this.store.put("op", "config",
+				"""
+						{"version":"%08x","routes":{"columns":["name","host","prefix","routeType","timeoutMs","targetLatencyMs",
+						"priority","maxAttempts","public","service"],"rows":[
+						["read","jobs.example","/read/","safe",2000,500,0,2,false,"s"],
+						["other","jobs.example","/other/","safe",2000,500,0,2,false,"t"],
+						["once","jobs.example","/once/","non_idempotent",2000,500,0,1,false,"s"],
+						["book","jobs.example","/book/","non_idempotent",%d,500,0,2,false,"s"]]},
+						"services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/health",100],["t","/health",100]]},
+						"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+						"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
+						"rows":[["mill",["%s"],0,1000,1000]]}}"""
+					.formatted(this.version, timeoutMs, key));
 	}
 
 	/**
@@ -75,10 +91,25 @@
 		return server;
 	}
 
+	/**
+	 * Starts a target whose connections the given handler serves as raw streams, and
+	 * lists it in the table store as ready.
+	 */
+	RawTarget startRawTarget(String id, RawTarget.ConnectionHandler handler) throws IOException {
+		RawTarget target = new RawTarget(handler);
+		this.resources.add(target);
+		listTarget(id, target.port(), "ready");
+		return target;
+	}
+
 	void listTarget(String id, int port, String state) {
+		listTarget("s", id, port, state);
+	}
+
+	void listTarget(String service, String id, int port, String state) {
 		this.store.put("servers", id, """
-				{"service":"s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":4,"state":"%s",
-				"coldLeftMs":0,"seq":1}""".formatted(port, state));
+				{"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":4,"state":"%s",
+				"coldLeftMs":0,"seq":1}""".formatted(service, port, state));
 	}
 
 	static Response signedResponse(String requestId, String text) {
@@ -107,8 +138,38 @@
 		return startHost(name, previous.ports());
 	}
 
+	/**
+	 * Starts a host as a process with the memory and stack sizes of
+	 * {@code deploy/system.toml}, and waits until it is ready.
+	 */
+	HostProcess startReadyHostProcess(String name) throws IOException {
+		int[] ports = freePorts();
+		Path settings = Files.writeString(Files.createTempFile(name, ".conf"), settings(name, ports));
+		ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
+				"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled", "-cp",
+				System.getProperty("java.class.path"), PlatformHostMain.class.getName());
+		builder.environment().put("PLANTAINSPUR_CONFIG", settings.toString());
+		Path log = Files.createTempFile(name, ".log");
+		Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+		this.resources.add(() -> {
+			process.destroyForcibly().waitFor();
+			Files.delete(settings);
+			Files.delete(log);
+		});
+		await(() -> sendRequest(ports[1], "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+		return new HostProcess(process, ports[0], log);
+	}
+
 	private Host startHost(String name, int[] ports) throws IOException {
-		String settings = """
+		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings(name, ports),
+				(event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields)));
+		Host host = new Host(gateway, gateway.start(), ports);
+		this.resources.add(gateway);
+		return host;
+	}
+
+	private String settings(String name, int[] ports) {
+		return """
 				nodeName=%s
 				ip=127.0.0.1
 				zone=a
@@ -120,11 +181,6 @@
 				platform.address=127.0.0.1:%d
 				bounds=graceS=5,retryBudgetRatio=0.2,budgetExtra=60
 				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, this.store.port());
-		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings,
-				(event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields)));
-		Host host = new Host(gateway, gateway.start(), ports);
-		this.resources.add(gateway);
-		return host;
 	}
 
 	// The peer port serves UDP and TCP; the next higher port serves metrics.
@@ -225,6 +281,9 @@
 		this.store.close();
 	}
 
+	record HostProcess(Process process, int port, Path log) {
+	}
+
 	record Host(GatewayHost gateway, GatewayShutdown shutdown, int[] ports) {
 
 		int port() {
--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -0,0 +1,312 @@
+package org.plantainspur.standins.gateway;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against targets in trouble that send bytes which are no answer, or an answer
+ * that belongs to another request.
+ */
+class HostileTargetsTests {
+
+	private GatewayFixture fixture;
+
+	@BeforeEach
+	void open() throws IOException {
+		this.fixture = new GatewayFixture();
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		this.fixture.close();
+	}
+
+	private static String response(String id, String body) {
+		return "HTTP/1.1 200 OK\r\nX-Plantainspur-Attempt-Id: " + id
+				+ "\r\nX-Plantainspur-Response-Signature: signed\r\nContent-Length: " + body.length() + "\r\n\r\n"
+				+ body;
+	}
+
+	private static String decline(String id) {
+		return "HTTP/1.1 503 Full\r\nX-Plantainspur-Attempt-Id: " + id
+				+ "\r\nX-Plantainspur-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+	}
+
+	private static String get(int port, String path, String id) {
+		return GatewayFixture.sendRequest(port, GatewayFixture.requestText("GET", path, id, ""));
+	}
+
+	private static String book(int port, String id) {
+		return GatewayFixture.sendRequest(port,
+				GatewayFixture.requestText("POST", "/book/1", id, "Content-Length: 0\r\n"));
+	}
+
+	/**
+	 * Bytes that are no answer may come without end, in a head or a body. They must
+	 * neither use up the memory of the host nor keep a request from being answered.
+	 */
+	@Nested
+	class EndlessBytes {
+
+		@ParameterizedTest
+		@EnumSource
+		void theRequestFailsAndTheConnectionIsClosed(Endless endless) throws Exception {
+			CountDownLatch closed = new CountDownLatch(1);
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				try {
+					endless.serve(connection);
+				}
+				finally {
+					closed.countDown();
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			long startNanos = System.nanoTime();
+			assertThat(book(host.port(), "r1")).matches("(?s)HTTP/1.1 50[24].*");
+			assertThat((System.nanoTime() - startNanos) / 1_000_000).isLessThan(2_500);
+			assertThat(closed.await(1, TimeUnit.SECONDS)).as("the connection to the target is closed").isTrue();
+		}
+
+		@Test
+		void aHostWithLittleMemoryServesOthersBesideTwentySuchTargets() throws Exception {
+			Endless[] kinds = Endless.values();
+			for (int i = 0; i < 20; i++) {
+				HostileTargetsTests.this.fixture.startRawTarget("i-" + i, kinds[i % kinds.length]::serve);
+			}
+			RawTarget good = new RawTarget((connection) -> {
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					connection.write(response(id, "done"));
+				}
+			});
+			HostileTargetsTests.this.fixture.listTarget("t", "t-1", good.port(), "ready");
+			GatewayFixture.HostProcess host = HostileTargetsTests.this.fixture.startReadyHostProcess("a1");
+			AtomicBoolean ended = new AtomicBoolean();
+			List<Thread> callers = new ArrayList<>();
+			for (int i = 0; i < 20; i++) {
+				int caller = i;
+				Thread thread = new Thread(() -> {
+					for (int request = 0; !ended.get(); request++) {
+						get(host.port(), "/read/1", "bad-" + caller + "-" + request);
+					}
+				});
+				thread.start();
+				callers.add(thread);
+			}
+			int served = 0;
+			for (int i = 0; i < 60; i++) {
+				served += get(host.port(), "/other/1", "good-" + i).startsWith("HTTP/1.1 200") ? 1 : 0;
+				GatewayFixture.sleep(50);
+			}
+			ended.set(true);
+			for (Thread caller : callers) {
+				caller.join();
+			}
+			good.close();
+			assertThat(host.process().isAlive()).isTrue();
+			assertThat(Files.readString(host.log())).doesNotContain("OutOfMemoryError");
+			assertThat(served).as("requests to the healthy service that were served").isEqualTo(60);
+		}
+
+	}
+
+	/** Guards against a response that reaches the caller of another request. */
+	@Nested
+	class LateCopies {
+
+		@Test
+		void aSecondCopyThatArrivesWithTheNextRequestIsSkipped() throws IOException {
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				String previous = "";
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					connection.write(previous + response(id, "for " + id));
+					previous = response(id, "for " + id);
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			for (int i = 0; i < 5; i++) {
+				assertThat(get(host.port(), "/read/1", "r" + i)).startsWith("HTTP/1.1 200").endsWith("for r" + i);
+			}
+		}
+
+		@Test
+		void aSecondCopyOnAnIdleConnectionClosesIt() throws IOException {
+			AtomicInteger connections = new AtomicInteger();
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				connections.incrementAndGet();
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					connection.write(response(id, "for " + id));
+					GatewayFixture.sleep(50);
+					connection.write(response(id, "for " + id));
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			for (int i = 0; i < 3; i++) {
+				assertThat(get(host.port(), "/read/1", "r" + i)).startsWith("HTTP/1.1 200").endsWith("for r" + i);
+				GatewayFixture.sleep(150);
+			}
+			assertThat(connections).hasValue(3);
+		}
+
+		/**
+		 * The request is sent to the target that declined it once more, under the same
+		 * id. A late copy of the first response would say that the repetition did not
+		 * run, and the request would be sent a third time, although it has run.
+		 */
+		@Test
+		void aSecondCopyOfADeclineDoesNotAnswerTheRepetitionOfTheRequest() throws IOException {
+			AtomicInteger requests = new AtomicInteger();
+			AtomicInteger runs = new AtomicInteger();
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				String late = "";
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					if (requests.incrementAndGet() == 1) {
+						late = decline(id);
+						connection.write(late);
+					}
+					else {
+						runs.incrementAndGet();
+						connection.write(late + response(id, "done"));
+						late = "";
+					}
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			assertThat(GatewayFixture.sendRequest(host.port(),
+					GatewayFixture.requestText("POST", "/once/1", "r1", "Content-Length: 0\r\n")))
+				.startsWith("HTTP/1.1 200");
+			assertThat(runs).hasValue(1);
+		}
+
+	}
+
+	@Nested
+	class ForeignBodies {
+
+		@Test
+		void aBodyWithAContentEncodingIsReplacedByAFailure() throws IOException {
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					connection.write(response(id, "packed").replace("\r\n\r\n", "\r\nContent-Encoding: gzip\r\n\r\n"));
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			assertThat(book(host.port(), "r1")).startsWith("HTTP/1.1 502").doesNotContain("packed");
+		}
+
+	}
+
+	/** What a target sends without end after it has read a request. */
+	enum Endless {
+
+		BODY_OF_DECLARED_LENGTH {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write(response(id, "").replace("Content-Length: 0", "Content-Length: 1000000000000"));
+				connection.writeEndlessly("x");
+			}
+		},
+
+		CHUNKED_BODY {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write(response(id, "").replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+				connection.writeEndlessly("10\r\n0123456789abcdef\r\n");
+			}
+		},
+
+		CHUNK_EXTENSION {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write(response(id, "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + "10;");
+				connection.writeEndlessly("x");
+			}
+		},
+
+		TRAILER {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write(response(id, "").replace("Content-Length: 0", "Transfer-Encoding: chunked") + "0\r\n");
+				connection.writeEndlessly("A: b\r\n");
+			}
+		},
+
+		BODY_UNTIL_CLOSE {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write(response(id, "").replace("Content-Length: 0\r\n", ""));
+				connection.writeEndlessly("x");
+			}
+		},
+
+		HEADER_LINES {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write("HTTP/1.1 200 OK\r\n");
+				connection.writeEndlessly("X-Name: value\r\n");
+			}
+		},
+
+		STATUS_LINE {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write("HTTP/1.1 200 ");
+				connection.writeEndlessly("x");
+			}
+		},
+
+		LINE_BREAKS {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.writeEndlessly("\r\n");
+			}
+		},
+
+		INTERIM_RESPONSES {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.writeEndlessly("HTTP/1.1 100 Continue\r\n\r\n");
+			}
+		},
+
+		RESPONSES_TO_OTHERS {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.writeEndlessly(response("another", "not yours"));
+			}
+		},
+
+		OTHER_PROTOCOL {
+			@Override
+			void write(RawTarget.Connection connection, String id) throws IOException {
+				connection.write("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+				connection.writeEndlessly("x");
+			}
+		};
+
+		abstract void write(RawTarget.Connection connection, String id) throws IOException;
+
+		void serve(RawTarget.Connection connection) throws IOException {
+			String id = connection.readRequestId();
+			if (id != null) {
+				write(connection, id);
+			}
+		}
+
+	}
+
+}
