Read the store before the tables of a host that is out of touch with it

Cause: a host that starts fetched the tables of the freshest peer, whatever their age. Beside a peer that had been cut off from the store, a withdrawn key was accepted and a target that had left was used again after a restart. Change: while all peers with tables are out of touch, a starting host reads the store and turns to the peer 500 ms later if the store has not answered. Responses of the store and of peers are limited to 8 MiB instead of 16.

--- a/core/src/main/java/org/plantainspur/core/fleet/StoreReaderElection.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/StoreReaderElection.java
@@ -34,6 +34,14 @@
 	 */
 	static final long START_STEP_MS = 250;
 
+	/**
+	 * A host without tables fetches those of a host that is out of touch with the store
+	 * only this long after it could have read the store itself. The store answers within
+	 * this time if it can be reached; a withdrawn key or a target that has left would
+	 * otherwise be in use again after a restart beside such a host.
+	 */
+	static final long STALE_FETCH_DELAY_MS = 500;
+
 	/**
 	 * A host that must read goes on for at least this long, so that the hosts do not take
 	 * turns as readers.
@@ -76,14 +84,23 @@
 				fetchFrom = other;
 			}
 		}
+		long startReadMs = this.firstDecisionMs + START_STEP_MS * step(rank);
+		if (!complete && fetchFrom != null && isOutOfTouch(fetchFrom) && nowMs < startReadMs + STALE_FETCH_DELAY_MS) {
+			fetchFrom = null;
+		}
 		boolean mustRead = complete ? rank == 0 || freshestAgeMs > this.maxAgeMs + TAKEOVER_STEP_MS * step(rank)
-				: fetchFrom == null && nowMs - this.firstDecisionMs >= START_STEP_MS * step(rank);
+				: fetchFrom == null && nowMs >= startReadMs;
 		if (mustRead) {
 			this.readsUntilMs = nowMs + MIN_READER_MS;
 		}
 		return new Decision(nowMs <= this.readsUntilMs, fetchFrom);
 	}
 
+	// A reader that is late is relieved within the minimum time of a reader.
+	private boolean isOutOfTouch(PeerReadState peer) {
+		return peer.ageMs() > this.maxAgeMs + MIN_READER_MS;
+	}
+
 	// The step at which a host begins: 0 for the first host, 1 for the next one, 2 for
 	// the next two, 3 for the next four.
 	private static int step(int rank) {
--- a/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
@@ -107,6 +107,40 @@
 
 	}
 
+	/**
+	 * Guards against a restart next to a host that is out of touch with the store: its
+	 * tables may still hold a withdrawn key or a target that has left.
+	 */
+	@Nested
+	class StartupBesideAHostOutOfTouch {
+
+		private final StoreReaderElection.PeerReadState outOfTouch = peerState("a", 10, 5_000);
+
+		@Test
+		void theStoreIsReadBeforeTheTablesOfThatHost() {
+			assertThat(decide(1, false, 0, this.outOfTouch).fetchFrom()).isNull();
+			StoreReaderElection.Decision decision = decide(1, false, StoreReaderElection.START_STEP_MS,
+					this.outOfTouch);
+			assertThat(decision.readStore()).isTrue();
+			assertThat(decision.fetchFrom()).isNull();
+		}
+
+		@Test
+		void itsTablesAreUsedWhenTheStoreDoesNotAnswer() {
+			decide(1, false, 0, this.outOfTouch);
+			assertThat(decide(1, false, StoreReaderElection.START_STEP_MS + StoreReaderElection.STALE_FETCH_DELAY_MS,
+					this.outOfTouch)
+				.fetchFrom()).isEqualTo(this.outOfTouch);
+		}
+
+		@Test
+		void theTablesOfAHostInTouchArePreferred() {
+			StoreReaderElection.PeerReadState inTouch = peerState("b", 9, 1_500);
+			assertThat(decide(2, false, 0, this.outOfTouch, inTouch).fetchFrom()).isEqualTo(inTouch);
+		}
+
+	}
+
 	/**
 	 * Guards against fetching rows that are older than necessary, or that this host
 	 * already has.
--- a/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
@@ -40,7 +40,11 @@
 
 	private static final int CONNECT_TIMEOUT_MS = 1_000;
 
-	private static final int MAX_RESPONSE_BODY_BYTES = 16 << 20;
+	/**
+	 * The longest response. A table of 12,000 targets takes about half of it, and a small
+	 * host holds it twice while it is decoded.
+	 */
+	private static final int MAX_RESPONSE_BODY_BYTES = 8 << 20;
 
 	private static final int MAX_IDLE_CONNECTIONS = 4;
 
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -120,7 +120,7 @@
 
 	Host startReadyHost(String name) throws IOException {
 		Host host = startHost(name);
-		await(() -> sendRequest(host.readyPort(), "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+		awaitReady(host);
 		return host;
 	}
 
@@ -129,6 +129,20 @@
 		return startHost(name, freePorts());
 	}
 
+	/**
+	 * Starts a host that reaches the table store at another port, such as that of a
+	 * {@link TcpForwarder}, and waits until it is ready.
+	 */
+	Host startReadyHostWithStoreAt(String name, int storePort) throws IOException {
+		Host host = startHost(name, freePorts(), storePort);
+		awaitReady(host);
+		return host;
+	}
+
+	void awaitReady(Host host) {
+		await(() -> sendRequest(host.readyPort(), "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200"));
+	}
+
 	/**
 	 * Closes a host without a graceful shutdown and starts it again at the same
 	 * addresses.
@@ -144,7 +158,8 @@
 	 */
 	HostProcess startReadyHostProcess(String name) throws IOException {
 		int[] ports = freePorts();
-		Path settings = Files.writeString(Files.createTempFile(name, ".conf"), settings(name, ports));
+		Path settings = Files.writeString(Files.createTempFile(name, ".conf"),
+				settings(name, ports, this.store.port()));
 		ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
 				"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled", "-cp",
 				System.getProperty("java.class.path"), PlatformHostMain.class.getName());
@@ -161,14 +176,18 @@
 	}
 
 	private Host startHost(String name, int[] ports) throws IOException {
-		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings(name, ports),
+		return startHost(name, ports, this.store.port());
+	}
+
+	private Host startHost(String name, int[] ports, int storePort) throws IOException {
+		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings(name, ports, storePort),
 				(event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields)));
 		Host host = new Host(gateway, gateway.start(), ports);
 		this.resources.add(gateway);
 		return host;
 	}
 
-	private String settings(String name, int[] ports) {
+	private static String settings(String name, int[] ports, int storePort) {
 		return """
 				nodeName=%s
 				ip=127.0.0.1
@@ -180,7 +199,7 @@
 				internalPorts=%d,%d
 				platform.address=127.0.0.1:%d
 				bounds=graceS=5,retryBudgetRatio=0.2,budgetExtra=60
-				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, this.store.port());
+				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, storePort);
 	}
 
 	// The peer port serves UDP and TCP; the next higher port serves metrics.
