Count a caller's deadline from the head of its request

Cause: a body may take a second and more to arrive, and the time of a request began when its body was complete, so a target was given more time than the caller waits. Change: the body limiter notes when each head arrives.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -34,10 +34,12 @@
 
 	private final ProxyTargetConnectionPool connectionPool;
 
+	private final RequestBodyLimiter bodyLimiter;
+
 	private final OpenRequestCounter openRequests;
 
 	/** The requests that have not been started, in the order of their arrival. */
-	private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+	private final Deque<Arrival> waiting = new ArrayDeque<>();
 
 	/** The started requests whose responses have not been sent, in the same order. */
 	private final Deque<Exchange> running = new ArrayDeque<>();
@@ -47,9 +49,10 @@
 	private boolean closing;
 
 	CallerConnection(ProxyComponents components, ProxyTargetConnectionPool connectionPool,
-			OpenRequestCounter openRequests) {
+			RequestBodyLimiter bodyLimiter, OpenRequestCounter openRequests) {
 		this.components = components;
 		this.connectionPool = connectionPool;
+		this.bodyLimiter = bodyLimiter;
 		this.openRequests = openRequests;
 	}
 
@@ -59,11 +62,12 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
+		Arrival arrival = new Arrival(request, this.bodyLimiter.takeArrivalMs());
 		if (this.closing) {
-			discard(request);
+			discard(arrival);
 			return;
 		}
-		this.waiting.addLast(request);
+		this.waiting.addLast(arrival);
 		startNext(context);
 	}
 
@@ -75,8 +79,8 @@
 		}
 		this.starting = true;
 		try {
-			FullHttpRequest next = this.waiting.peekFirst();
-			while (next != null && mayStart(next)) {
+			Arrival next = this.waiting.peekFirst();
+			while (next != null && mayStart(next.request())) {
 				this.waiting.removeFirst();
 				start(context, next);
 				next = this.waiting.peekFirst();
@@ -105,10 +109,11 @@
 		return route != null && route.idempotent();
 	}
 
-	private void start(ChannelHandlerContext context, FullHttpRequest request) {
+	private void start(ChannelHandlerContext context, Arrival arrival) {
+		FullHttpRequest request = arrival.request();
 		Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess());
 		ProxiedRequest proxiedRequest = new ProxiedRequest(this.components, context.channel().eventLoop(),
-				this.connectionPool, request, (response) -> responseReady(context, exchange, response));
+				this.connectionPool, request, arrival.ms(), (response) -> responseReady(context, exchange, response));
 		exchange.request = proxiedRequest;
 		this.openRequests.increment();
 		this.running.addLast(exchange);
@@ -182,9 +187,9 @@
 		}
 	}
 
-	private void discard(FullHttpRequest request) {
-		this.components.bufferBudget().release(request.content().readableBytes());
-		request.release();
+	private void discard(Arrival arrival) {
+		this.components.bufferBudget().release(arrival.request().content().readableBytes());
+		arrival.request().release();
 	}
 
 	@Override
@@ -206,6 +211,10 @@
 		context.close();
 	}
 
+	/** A request that has been read, and the clock's reading when it began to arrive. */
+	private record Arrival(FullHttpRequest request, long ms) {
+	}
+
 	/** A started request and, once there is one, its response. */
 	private static final class Exchange {
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
@@ -91,24 +91,25 @@
 		int maxBodyBytes = (int) Math.min(Integer.MAX_VALUE, limits.maxBodyBytes());
 		ProxyTargetConnectionPool connectionPool = this.connectionPools.computeIfAbsent(channel.eventLoop(),
 				this::createConnectionPool);
+		RequestBodyLimiter bodyLimiter = new RequestBodyLimiter(this.components.bufferBudget(), maxBodyBytes,
+				this.components.clock());
 		channel.pipeline()
 			.addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs(), TimeUnit.MILLISECONDS),
-					new StrictRequestDecoder(limits.maxHeaderBytes()), new HttpResponseEncoder(),
-					new RequestBodyLimiter(this.components.bufferBudget(), maxBodyBytes),
-					new HttpObjectAggregator(maxBodyBytes),
-					new CallerConnection(this.components, connectionPool, new CallerConnection.OpenRequestCounter() {
-
-						@Override
-						public void increment() {
-							CallerServer.this.openRequests.incrementAndGet();
-						}
-
-						@Override
-						public void decrement() {
-							CallerServer.this.openRequests.decrementAndGet();
-						}
-
-					}));
+					new StrictRequestDecoder(limits.maxHeaderBytes()), new HttpResponseEncoder(), bodyLimiter,
+					new HttpObjectAggregator(maxBodyBytes), new CallerConnection(this.components, connectionPool,
+							bodyLimiter, new CallerConnection.OpenRequestCounter() {
+
+								@Override
+								public void increment() {
+									CallerServer.this.openRequests.incrementAndGet();
+								}
+
+								@Override
+								public void decrement() {
+									CallerServer.this.openRequests.decrementAndGet();
+								}
+
+							}));
 	}
 
 	private ProxyTargetConnectionPool createConnectionPool(EventLoop loop) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -82,7 +82,7 @@
 
 	private final int bodyBytes;
 
-	private final long startedMs;
+	private final long arrivedMs;
 
 	private final String requestId;
 
@@ -121,7 +121,7 @@
 	private boolean finished;
 
 	ProxiedRequest(ProxyComponents components, EventLoop eventLoop, ProxyTargetConnectionPool connectionPool,
-			FullHttpRequest request, ResponseWriter responseWriter) {
+			FullHttpRequest request, long arrivedMs, ResponseWriter responseWriter) {
 		this.components = components;
 		this.eventLoop = eventLoop;
 		this.connectionPool = connectionPool;
@@ -130,7 +130,7 @@
 		this.callerMapper = new CallerMessageMapper(components.headerNames(), request);
 		this.targetMapper = new TargetMessageMapper(components.headerNames());
 		this.responseWriter = responseWriter;
-		this.startedMs = components.clock().millis();
+		this.arrivedMs = arrivedMs;
 		this.requestId = this.callerMapper.requestId();
 	}
 
@@ -175,7 +175,7 @@
 			this.route = admitted.route();
 			this.account = admitted.account();
 			this.service = admitted.service();
-			this.deadlineMs = this.startedMs + Math.min(this.callerMapper.deadlineMs(), admitted.route().timeoutMs());
+			this.deadlineMs = this.arrivedMs + Math.min(this.callerMapper.deadlineMs(), admitted.route().timeoutMs());
 			this.timer = this.eventLoop.schedule(this::deadlineReached, remainingMs(), TimeUnit.MILLISECONDS);
 			this.components.retryBudget().earn(this.service);
 			startAttempt(admitted.route());
@@ -304,7 +304,7 @@
 		}
 		this.components.bufferBudget().release(this.bodyBytes);
 		this.request.release();
-		long tookMs = this.components.clock().millis() - this.startedMs;
+		long tookMs = this.components.clock().millis() - this.arrivedMs;
 		AccountRule requestAccount = this.account;
 		RouteRule admittedRoute = this.route;
 		String accountName = (requestAccount != null) ? requestAccount.name() : "";
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RequestBodyLimiter.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RequestBodyLimiter.java
@@ -1,5 +1,8 @@
 package org.plantainspur.gateway.http;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -14,6 +17,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.proxy.BufferBudget;
+import org.plantainspur.core.time.Clock;
 
 /**
  * Takes the bodies of one caller's requests out of the host's memory for bodies while
@@ -28,6 +32,11 @@
 
 	private final long maxBodyBytes;
 
+	private final Clock clock;
+
+	/** When the heads of the requests arrived that the next handler will pass on. */
+	private final Deque<Long> arrivalsMs = new ArrayDeque<>();
+
 	private @Nullable HttpRequest head;
 
 	private long bodyBytes;
@@ -43,9 +52,11 @@
 	 * Creates a limiter for one connection.
 	 * @param budget the host's memory for bodies
 	 * @param maxBodyBytes the longest body that the next handler accepts
+	 * @param clock the host's clock
 	 */
-	RequestBodyLimiter(BufferBudget budget, long maxBodyBytes) {
+	RequestBodyLimiter(BufferBudget budget, long maxBodyBytes, Clock clock) {
 		this.budget = budget;
+		this.clock = clock;
 		this.maxBodyBytes = maxBodyBytes;
 	}
 
@@ -59,6 +70,9 @@
 			this.head = request;
 			this.bodyBytes = 0;
 			this.tooLong = HttpUtil.getContentLength(request, -1L) > this.maxBodyBytes;
+			if (!this.tooLong) {
+				this.arrivalsMs.addLast(this.clock.millis());
+			}
 		}
 		if (message instanceof HttpContent content && !take(content.content().readableBytes())) {
 			this.exhausted = true;
@@ -73,11 +87,25 @@
 		context.fireChannelRead(message);
 	}
 
+	/**
+	 * Returns when the head of the next complete request arrived. Callers' deadlines
+	 * count from there, and a long body may take a part of that time.
+	 * @return the clock's reading in milliseconds; must be called once for each complete
+	 * request
+	 */
+	long takeArrivalMs() {
+		Long arrivalMs = this.arrivalsMs.pollFirst();
+		return (arrivalMs != null) ? arrivalMs : this.clock.millis();
+	}
+
 	private boolean take(int bytes) {
 		this.bodyBytes += bytes;
-		if (this.tooLong || this.bodyBytes > this.maxBodyBytes) {
+		if (!this.tooLong && this.bodyBytes > this.maxBodyBytes) {
 			this.tooLong = true;
+			this.arrivalsMs.pollLast();
 			release();
+		}
+		if (this.tooLong) {
 			return true;
 		}
 		if (bytes > 0 && !this.budget.tryTake(bytes, this.bodyBytes)) {
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -55,15 +55,20 @@
 
 	/** Writes a new desired state in which the account mill has the given key. */
 	void writeDesiredState(String key) {
-		writeDesiredState(key, 2_000);
+		writeDesiredState(key, 2_000, 65_536);
 	}
 
 	/** Writes a new desired state with the given timeout of the route book. */
 	void writeDesiredStateWithTimeout(long timeoutMs) {
-		writeDesiredState(KEY, timeoutMs);
+		writeDesiredState(KEY, timeoutMs, 65_536);
 	}
 
-	private void writeDesiredState(String key, long timeoutMs) {
+	/** Writes a new desired state with the given longest body of a request. */
+	void writeDesiredStateWithMaxBody(int maxBodyBytes) {
+		writeDesiredState(KEY, 2_000, maxBodyBytes);
+	}
+
+	private void writeDesiredState(String key, long timeoutMs, int maxBodyBytes) {
 		this.version += 3;
 		this.store.put("op", "config",
 				"""
@@ -74,10 +79,10 @@
 						["once","jobs.example","/once/","non_idempotent",2000,500,0,1,false,"s"],
 						["book","jobs.example","/book/","non_idempotent",%d,500,0,2,false,"s"]]},
 						"services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/health",100],["t","/health",100]]},
-						"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+						"limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 						"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
 						"rows":[["mill",["%s"],0,1000,1000]]}}"""
-					.formatted(this.version, timeoutMs, key));
+					.formatted(this.version, timeoutMs, maxBodyBytes, key));
 	}
 
 	/**
