--- a/core/src/test/java/org/plantainspur/core/testing/FreePorts.java
+++ b/core/src/test/java/org/plantainspur/core/testing/FreePorts.java
@@ -12,13 +12,17 @@
  */
 public final class FreePorts {
 
-	private static final int FIRST_PORT = 20_000;
+	private static final int PORT_COUNT = 12_000 / Integer.getInteger("plantainspur.test.forks", 1);
 
-	private static final int PORT_COUNT = 12_000;
+	/**
+	 * The first port of this process. Test processes that run side by side have ranges of
+	 * their own, numbered from 1.
+	 */
+	private static final int FIRST_PORT = 20_000 + (Integer.getInteger("plantainspur.test.fork", 1) - 1) * PORT_COUNT;
 
 	/**
 	 * The offset of the next port to try. Starts at a value derived from the process id,
-	 * so that concurrent test processes seldom try the same ports.
+	 * so that concurrent test runs seldom try the same ports.
 	 */
 	private static final AtomicInteger nextOffset = new AtomicInteger(
 			(int) (ProcessHandle.current().pid() * 97 % PORT_COUNT));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.DatagramSocket;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -14,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 
+import org.plantainspur.core.testing.FreePorts;
 import org.plantainspur.gateway.GatewayHost;
 import org.plantainspur.gateway.GatewayShutdown;
 import org.plantainspur.platform.PlatformHostFactory;
@@ -209,24 +209,22 @@
 
 	// The peer port serves UDP and TCP; the next higher port serves metrics.
 	private static int[] freePorts() throws IOException {
-		int[] ports = new int[4];
-		for (int i = 0; i < 3; i++) {
-			try (ServerSocket socket = new ServerSocket(0)) {
-				ports[i] = socket.getLocalPort();
-			}
+		int[] ports = { FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next() };
+		int metricsPort = FreePorts.next();
+		while (metricsPort != ports[3] + 1 || !isUdpPortFree(ports[3])) {
+			ports[3] = metricsPort;
+			metricsPort = FreePorts.next();
 		}
-		for (int port = 20_000 + (int) (System.nanoTime() % 10_000); port < 32_000; port += 2) {
-			try (ServerSocket tcp = new ServerSocket(port);
-					ServerSocket nextPort = new ServerSocket(port + 1);
-					DatagramSocket udp = new DatagramSocket(port)) {
-				ports[3] = port;
-				return ports;
-			}
-			catch (IOException ex) {
-				// One of the ports is in use; the next pair is tried.
-			}
+		return ports;
+	}
+
+	private static boolean isUdpPortFree(int port) {
+		try (DatagramSocket udp = new DatagramSocket(port)) {
+			return udp.isBound();
+		}
+		catch (IOException ex) {
+			return false;
 		}
-		throw new IOException("no two consecutive ports below 32000 are free");
 	}
 
 	static String requestText(String method, String path, String id, String extraHeaders) {
