Refuse a request whose length is no number with 400

Cause: the new limit of request bodies read the length of a request that the decoder had rejected; the exception closed the connection without an answer. Found by MalformedMessagesTests, which sends changed messages to the ports of callers, the directory and hosts. Change: only the length of a valid request is read. Measured: MalformedMessagesTests changedRequestsDoNoHarm failed before the change and passes, as do UploadTests and SettingsFileTests.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/RequestBodyLimiter.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RequestBodyLimiter.java
@@ -69,7 +69,9 @@
 		if (message instanceof HttpRequest request) {
 			this.head = request;
 			this.bodyBytes = 0;
-			this.tooLong = HttpUtil.getContentLength(request, -1L) > this.maxBodyBytes;
+			// The length of a malformed request may be no number.
+			this.tooLong = request.decoderResult().isSuccess()
+					&& HttpUtil.getContentLength(request, -1L) > this.maxBodyBytes;
 			if (!this.tooLong) {
 				this.arrivalsMs.addLast(this.clock.millis());
 			}
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -320,6 +320,10 @@
 			return this.ports[2];
 		}
 
+		int peerPort() {
+			return this.ports[3];
+		}
+
 	}
 
 }
