--- a/review/src/review/Kit.java
+++ b/review/src/review/Kit.java
@@ -62,6 +62,9 @@
 	/** The ids that the clients have sent. */
 	final Map<String, String> sent = new ConcurrentHashMap<>();
 
+	/** The status that the client got for each id. */
+	final Map<String, Integer> answered = new ConcurrentHashMap<>();
+
 	private Kit(Path folder) throws IOException {
 		this.record = new PrintStream(folder.resolve("record.txt").toFile(), StandardCharsets.UTF_8);
 		this.work = Files.createTempDirectory("review");
@@ -609,6 +612,7 @@
 			this.kit.log("client sends " + method + " " + path + " id " + id);
 			try {
 				Message response = exchange(head, body, (int) deadlineMs + 500);
+				this.kit.answered.put(id, response.status());
 				this.kit.log("client got " + response.startLine() + " for id " + id
 						+ (response.header("X-Plantainspur-Response-Signature").isEmpty() ? ""
 								: " signature " + response.header("X-Plantainspur-Response-Signature"))
--- a/review/src/review/LeftoverBytes.java
+++ b/review/src/review/LeftoverBytes.java
@@ -114,6 +114,8 @@
 					twice++;
 				}
 			}
+			long refused = kit.runs.keySet().stream().filter((id) -> kit.answered.getOrDefault(id, 0) == 503).count();
+			kit.log("besides, REFUSED: " + refused + " requests were answered 503 and have run");
 			kit.log(kit.runs.size() + " requests ran, " + twice + " of them more than once");
 			return kit.runs.isEmpty() ? Kit.CANNOT_RUN : (twice > 0) ? Kit.BROKEN : Kit.HELD;
 		}
