--- a/review/src/review/CrashingRequest.java
+++ b/review/src/review/CrashingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -33,6 +34,9 @@
 		List<String> arrivals = new ArrayList<>();
 		List<String> lateRetries = new ArrayList<>();
 		Set<String> lost = ConcurrentHashMap.newKeySet();
+		// The claims that an endpoint was running when a late retry crashed it.
+		Set<String> endedByLateRetry = ConcurrentHashMap.newKeySet();
+		Map<String, Set<String>> running = new ConcurrentHashMap<>();
 		for (int i = 1; i <= 8; i++) {
 			kit.endpoint("selo", "i-" + i, 2, (endpoint, connection, request) -> {
 				if (Kit.TROUBLE && request.path().equals(CRASHING_PATH)) {
@@ -41,6 +45,7 @@
 						arrivals.add(request.id());
 						if (retry && crashes.size() >= 3 && Kit.nowMs() - crashes.get(2) > CONTACT_MS) {
 							lateRetries.add(request.id() + " at " + endpoint.id);
+							endedByLateRetry.addAll(running.getOrDefault(endpoint.id, Set.of()));
 						}
 						crashes.add(Kit.nowMs());
 					}
@@ -56,7 +61,10 @@
 					return;
 				}
 				endpoint.run(request);
+				Set<String> claims = running.computeIfAbsent(endpoint.id, (id) -> ConcurrentHashMap.newKeySet());
+				claims.add(request.id());
 				Kit.sleep(110);
+				claims.remove(request.id());
 				connection.write(Kit.answer(200, request.id(), "done"));
 			});
 		}
@@ -98,6 +106,8 @@
 		host.copyLog("crashing");
 		kit.log(crashes.size() + " crashes; " + served.get() + " claims were served, " + lost.size()
 				+ " were begun and have no result");
+		endedByLateRetry.retainAll(lost);
+		kit.log(endedByLateRetry.size() + " of these ran at an endpoint that a late retry crashed: " + endedByLateRetry);
 		kit.log("BUDGET: " + lateRetries.size() + " retries reached endpoints later than " + CONTACT_MS
 				+ " ms after the third crash; allowed " + MAX_RETRIES + ": " + lateRetries);
 		return (served.get() == 0) ? Kit.CANNOT_RUN
