--- a/review/src/review/LeftoverBytes.java
+++ b/review/src/review/LeftoverBytes.java
@@ -92,9 +92,44 @@
 		}
 		kit.log(answers.get() + " answers of i-1, " + spoiled.get() + " of them spoiled");
 		host.copyLog("Declined");
+		kit.log("besides, MIXED: " + successesForFailures(kit, clients.get(0))
+				+ " failures of an endpoint reached the client as a success");
 		return TwiceCheck.check(kit);
 	}
 
+	/**
+	 * Sends claims to an endpoint that adds the beginning of a second copy to one answer
+	 * in 40 and answers the next request with a failure.
+	 */
+	private static int successesForFailures(Kit kit, Kit.Client client) throws Exception {
+		AtomicInteger answers = new AtomicInteger();
+		kit.endpoint("selo", "i-3", 2, (endpoint, connection, request) -> {
+			endpoint.run(request);
+			int number = answers.incrementAndGet();
+			if (Kit.TROUBLE && number % 40 == 39) {
+				String answer = "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 17:00:00 GMT\r\n"
+						+ Kit.answer(200, request.id(), "done").substring("HTTP/1.1 200 OK\r\n".length());
+				kit.log(endpoint.id + " sends 40 bytes of a second copy of its answer to id " + request.id());
+				connection.write(answer + answer.substring(0, 40));
+				return;
+			}
+			connection.write(Kit.answer((number % 40 == 0) ? 500 : 200, request.id(), "done"));
+		});
+		Kit.sleep(1_500);
+		int mixed = 0;
+		for (int number = 0; number < 160; number++) {
+			String id = "c" + number;
+			Kit.Message response = client.request("PUT", Config.HOST, "/claims/" + id, id, 3_000, Config.KEY);
+			String signature = (response != null) ? response.header("X-Plantainspur-Response-Signature") : "";
+			if (response != null && response.status() == 200 && signature.endsWith(".500")) {
+				kit.log("MIXED: id " + id + " got " + response.startLine() + " with the signature " + signature);
+				mixed++;
+			}
+			Kit.sleep(15);
+		}
+		return mixed;
+	}
+
 	private static void send(Kit kit, Kit.Client client, String id) {
 		client.request("POST", Config.HOST, "/nc/" + id, id, 5_000, Config.KEY);
 	}
