--- a/review/src/review/LeftoverBytes.java
+++ b/review/src/review/LeftoverBytes.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -92,42 +94,70 @@
 		}
 		kit.log(answers.get() + " answers of i-1, " + spoiled.get() + " of them spoiled");
 		host.copyLog("Declined");
-		kit.log("besides, MIXED: " + successesForFailures(kit, clients.get(0))
+		kit.log("besides, MIXED: " + successesForFailures(kit, clients)
 				+ " failures of an endpoint reached the client as a success");
 		return TwiceCheck.check(kit);
 	}
 
 	/**
-	 * Sends claims to an endpoint that adds the beginning of a second copy to one answer
-	 * in 40 and answers the next request with a failure.
+	 * Sends claims to two endpoints, one of which adds the beginning of a second copy to
+	 * at most 3 in 100 of its answers, and answers the next request on that connection with
+	 * a failure. Returns how many of these failures reached a client as a success.
 	 */
-	private static int successesForFailures(Kit kit, Kit.Client client) throws Exception {
+	private static int successesForFailures(Kit kit, List<Kit.Client> clients) throws Exception {
 		AtomicInteger answers = new AtomicInteger();
+		AtomicInteger spoiled = new AtomicInteger();
+		Set<Integer> spoiledConnections = ConcurrentHashMap.newKeySet();
 		kit.endpoint("selo", "i-3", 2, (endpoint, connection, request) -> {
 			endpoint.run(request);
-			int number = answers.incrementAndGet();
-			if (Kit.TROUBLE && number % 40 == 39) {
+			Kit.sleep(20);
+			boolean spoil = Kit.TROUBLE && spoiled.get() + 1 <= answers.incrementAndGet() * MAX_SPOILED_SHARE;
+			if (spoiledConnections.remove(connection.number)) {
+				kit.log(endpoint.id + " answers 500 to id " + request.id() + " on connection " + connection.number);
+				connection.write(Kit.answer(500, request.id(), "failed"));
+			}
+			else if (spoil) {
+				spoiled.incrementAndGet();
+				spoiledConnections.add(connection.number);
 				String answer = "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 17:00:00 GMT\r\n"
 						+ Kit.answer(200, request.id(), "done").substring("HTTP/1.1 200 OK\r\n".length());
-				kit.log(endpoint.id + " sends 40 bytes of a second copy of its answer to id " + request.id());
+				kit.log(endpoint.id + " sends 40 bytes of a second copy of its answer to id " + request.id()
+						+ " on connection " + connection.number);
 				connection.write(answer + answer.substring(0, 40));
-				return;
 			}
-			connection.write(Kit.answer((number % 40 == 0) ? 500 : 200, request.id(), "done"));
+			else {
+				connection.write(Kit.answer(200, request.id(), "done"));
+			}
+		});
+		kit.endpoint("selo", "i-4", 2, (endpoint, connection, request) -> {
+			endpoint.run(request);
+			Kit.sleep(20);
+			connection.write(Kit.answer(200, request.id(), "done"));
 		});
 		Kit.sleep(1_500);
-		int mixed = 0;
-		for (int number = 0; number < 160; number++) {
-			String id = "c" + number;
-			Kit.Message response = client.request("PUT", Config.HOST, "/claims/" + id, id, 3_000, Config.KEY);
-			String signature = (response != null) ? response.header("X-Plantainspur-Response-Signature") : "";
-			if (response != null && response.status() == 200 && signature.endsWith(".500")) {
-				kit.log("MIXED: id " + id + " got " + response.startLine() + " with the signature " + signature);
-				mixed++;
-			}
-			Kit.sleep(15);
+		AtomicInteger mixed = new AtomicInteger();
+		List<Thread> callers = new ArrayList<>();
+		for (int i = 0; i < clients.size(); i++) {
+			int caller = i;
+			callers.add(Kit.thread(() -> {
+				for (int number = 0; number < 120; number++) {
+					String id = "c" + caller + "-" + number;
+					Kit.Message response = clients.get(caller)
+						.request("PUT", Config.HOST, "/claims/" + id, id, 3_000, Config.KEY);
+					String signature = (response != null) ? response.header("X-Plantainspur-Response-Signature") : "";
+					if (response != null && response.status() == 200 && signature.endsWith(".500")) {
+						kit.log("MIXED: id " + id + " got " + response.startLine() + " with the signature " + signature);
+						mixed.incrementAndGet();
+					}
+					Kit.sleep(30);
+				}
+			}));
+		}
+		for (Thread caller : callers) {
+			caller.join();
 		}
-		return mixed;
+		kit.log(answers.get() + " answers of i-3, " + spoiled.get() + " of them spoiled");
+		return mixed.get();
 	}
 
 	private static void send(Kit kit, Kit.Client client, String id) {
