Keep bytes behind a response out of the next one

Cause: a response counted as complete when its framing ended. The beginning of a second copy behind it stayed in the decoder, which neither the count of bytes nor the handler sees, and the connection was used again. The head of the next response was then parsed as the end of the earlier one. If the same bytes come after the next request was sent, no check of an idle connection helps.

Change: one decoder for all connections that carry one request at a time (to targets, the store and other hosts). It tells whether bytes are left behind a response, fails bytes that come while none is awaited, and rejects a head that contains a second status line.

The tests of ProxyTargetConnectionTests.PartsOfASecondCopy cut a copy at every byte; 4 of 4 failed before. HostileTargetsTests.TruncatedCopies (a request ran twice) and EventLoopHttpClientTests failed before, too. All pass now.

The decoder knows the method of its one request, so a response to HEAD is also decoded right behind a skipped copy.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
@@ -22,10 +22,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -46,6 +46,9 @@
 	 */
 	private static final int MAX_RESPONSE_BODY_BYTES = 8 << 20;
 
+	/** The longest response with its head and the framing of its body. */
+	private static final long MAX_RECEIVED_BYTES = MAX_RESPONSE_BODY_BYTES + (1 << 20);
+
 	private static final int MAX_IDLE_CONNECTIONS = 4;
 
 	private final EventLoop eventLoop;
@@ -95,9 +98,10 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
+					StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_RECEIVED_BYTES);
 					channel.pipeline()
-						.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BODY_BYTES),
-								new ResponseHandler());
+						.addLast(decoder, new HttpRequestEncoder(), new HttpObjectAggregator(MAX_RESPONSE_BODY_BYTES),
+								new ResponseHandler(decoder));
 				}
 
 			})
@@ -157,7 +161,7 @@
 				return;
 			}
 			this.channel = connection;
-			connection.pipeline().get(ResponseHandler.class).call = this;
+			connection.pipeline().get(ResponseHandler.class).begin(this);
 			DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
 					HttpMethod.valueOf(this.method), this.uri, Unpooled.wrappedBuffer(this.body));
 			request.headers()
@@ -194,8 +198,19 @@
 
 	private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
 
+		private final StrictResponseDecoder decoder;
+
 		private @Nullable Call call;
 
+		private ResponseHandler(StrictResponseDecoder decoder) {
+			this.decoder = decoder;
+		}
+
+		private void begin(Call begun) {
+			this.call = begun;
+			this.decoder.awaitResponse(HttpMethod.valueOf(begun.method));
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
 			Call pendingCall = this.call;
@@ -204,7 +219,12 @@
 				context.close();
 				return;
 			}
-			if (HttpUtil.isKeepAlive(response)
+			boolean clean = this.decoder.responseComplete();
+			if (response.decoderResult().isFailure()) {
+				pendingCall.fail("the response is not valid HTTP: " + response.decoderResult().cause());
+				return;
+			}
+			if (clean && HttpUtil.isKeepAlive(response)
 					&& EventLoopHttpClient.this.idleConnections.size() < MAX_IDLE_CONNECTIONS) {
 				EventLoopHttpClient.this.idleConnections.addLast(context.channel());
 			}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -4,12 +4,13 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -53,6 +54,8 @@
 
 	private final StateListener stateListener;
 
+	private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_RECEIVED_BYTES);
+
 	private @Nullable Channel channel;
 
 	private @Nullable ResponseListener listener;
@@ -71,8 +74,6 @@
 
 	private boolean hadForeignResponse;
 
-	private long receivedBytes;
-
 	private ByteBuf body = Unpooled.EMPTY_BUFFER;
 
 	private long keepAliveTimeoutMs = DEFAULT_KEEP_ALIVE_TIMEOUT_MS;
@@ -106,10 +107,9 @@
 		return this.keepAliveTimeoutMs;
 	}
 
-	// Returns the handler that counts the bytes which the target sends; it must come
-	// before the decoder, which consumes some of them without a message.
-	ChannelHandler byteCounter() {
-		return new ByteCounter();
+	// Adds the handlers of this connection to the pipeline of its new channel.
+	void addTo(ChannelPipeline pipeline) {
+		pipeline.addLast(this.decoder, new HttpRequestEncoder(), this);
 	}
 
 	// Returns whether a request with this id was the last one on this connection. A late
@@ -124,7 +124,7 @@
 		this.requestWritten = false;
 		this.responseHead = null;
 		this.skippedResponses = 0;
-		this.receivedBytes = 0;
+		this.decoder.awaitResponse(request.method());
 		channel().writeAndFlush(request).addListener((ChannelFutureListener) (future) -> {
 			if (future.isSuccess()) {
 				this.requestWritten = true;
@@ -234,8 +234,8 @@
 		this.listener = null;
 		ByteBuf wholeBody = this.body;
 		this.body = Unpooled.EMPTY_BUFFER;
-		boolean reusable = delimited && !this.hadForeignResponse && this.requestWritten
-				&& HttpUtil.isKeepAlive(response) && channel().isActive();
+		boolean reusable = this.decoder.responseComplete() && delimited && !this.hadForeignResponse
+				&& this.requestWritten && HttpUtil.isKeepAlive(response) && channel().isActive();
 		readKeepAliveTimeout(response);
 		responseListener.responseReceived(response, wholeBody);
 		if (reusable) {
@@ -284,23 +284,6 @@
 		}
 	}
 
-	private final class ByteCounter extends ChannelInboundHandlerAdapter {
-
-		@Override
-		public void channelRead(ChannelHandlerContext context, Object message) {
-			int bytes = (message instanceof ByteBuf buffer) ? buffer.readableBytes() : 0;
-			ProxyTargetConnection.this.receivedBytes += bytes;
-			if (ProxyTargetConnection.this.listener != null
-					&& ProxyTargetConnection.this.receivedBytes <= MAX_RECEIVED_BYTES) {
-				context.fireChannelRead(message);
-				return;
-			}
-			ReferenceCountUtil.release(message);
-			fail("the target sent more than " + MAX_RECEIVED_BYTES + " bytes, or bytes that belong to no request");
-		}
-
-	}
-
 	/**
 	 * Told once how a request ended.
 	 */
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -16,7 +16,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.proxy.BufferBudget;
@@ -92,7 +91,7 @@
 
 				@Override
 				protected void initChannel(SocketChannel channel) {
-					channel.pipeline().addLast(connection.byteCounter(), new HttpClientCodec(), connection);
+					connection.addTo(channel.pipeline());
 				}
 
 			})
--- /dev/null
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -0,0 +1,115 @@
+package org.plantainspur.gateway.http;
+
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Decodes responses on a connection that carries one request at a time, and detects bytes
+ * that belong to no response. A server in trouble may send a response once more, whole or
+ * in part. A part that stays in the decoder would be taken for the beginning of the next
+ * response, with the status and headers of the earlier one.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+
+	private static final String PROTOCOL_NAME = "HTTP";
+
+	private static final String STATUS_LINE_START = "HTTP/1.";
+
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
+	private final long maxBytes;
+
+	private boolean awaitingResponse;
+
+	private boolean headRequest;
+
+	private long receivedBytes;
+
+	/**
+	 * Creates a decoder that awaits no response yet.
+	 * @param maxBytes the most bytes that may arrive for one request
+	 */
+	StrictResponseDecoder(long maxBytes) {
+		this.maxBytes = maxBytes;
+	}
+
+	/**
+	 * Prepares for the response to a request; must be called before the request is
+	 * written.
+	 * @param method the method of the request
+	 */
+	void awaitResponse(HttpMethod method) {
+		this.awaitingResponse = true;
+		this.headRequest = method.equals(HttpMethod.HEAD);
+		this.receivedBytes = 0;
+	}
+
+	/**
+	 * Ends the wait; must be called when the response is complete.
+	 * @return whether nothing has arrived behind the response, so that the connection may
+	 * carry another request
+	 */
+	boolean responseComplete() {
+		this.awaitingResponse = false;
+		return actualReadableBytes() == 0;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+		this.receivedBytes += (message instanceof ByteBuf buffer) ? buffer.readableBytes() : 0;
+		if (this.awaitingResponse && this.receivedBytes <= this.maxBytes) {
+			super.channelRead(context, message);
+			return;
+		}
+		ReferenceCountUtil.release(message);
+		context.fireExceptionCaught(this.awaitingResponse
+				? new TooLongFrameException("the server sent more than " + this.maxBytes + " bytes for one request")
+				: new CorruptedFrameException("the server sent bytes that belong to no request"));
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		int decodedBefore = out.size();
+		super.decode(context, buffer, out);
+		for (Object decoded : out.subList(decodedBefore, out.size())) {
+			if (decoded instanceof HttpResponse response && response.decoderResult().isSuccess()
+					&& isMerged(response)) {
+				response.setDecoderResult(
+						DecoderResult.failure(new IllegalArgumentException("a second status line within the head")));
+			}
+		}
+	}
+
+	// Returns whether the head consists of the beginning of one response and of another
+	// one, whose status line then follows anywhere in the first line or in a header.
+	private static boolean isMerged(HttpResponse response) {
+		if (!response.protocolVersion().protocolName().equals(PROTOCOL_NAME)
+				|| response.status().reasonPhrase().contains(STATUS_LINE_START)) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : response.headers()) {
+			if (header.getValue().contains(STATUS_LINE_START) && STATUS_LINE.matcher(header.getValue()).find()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return this.headRequest || super.isContentAlwaysEmpty(message);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -0,0 +1,211 @@
+package org.plantainspur.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import org.plantainspur.core.proxy.BufferBudget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ProxyTargetConnectionTests {
+
+	private final List<EmbeddedChannel> channels = new ArrayList<>();
+
+	@AfterEach
+	void closeChannels() {
+		this.channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+	}
+
+	private TestConnection open() {
+		TestConnection connection = new TestConnection();
+		this.channels.add(connection.channel);
+		return connection;
+	}
+
+	private static String answer(String id, String body) {
+		return "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 17:00:00 GMT\r\nRequest-Id: " + id
+				+ "\r\nSignature: signed\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+	}
+
+	private static String failure(String id) {
+		return answer(id, "failed").replace("200 OK", "500 Internal Server Error");
+	}
+
+	private static String decline(String id) {
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nLoad: 2,8,2\r\nRequest-Id: " + id
+				+ "\r\nContent-Length: 0\r\n\r\n";
+	}
+
+	/**
+	 * Guards against a response that is merged with the beginning of a second copy of an
+	 * earlier one: its status and headers would be taken for those of the next response,
+	 * and a request that has run would be sent to another target.
+	 */
+	@Nested
+	class PartsOfASecondCopy {
+
+		@ParameterizedTest
+		@EnumSource
+		void whichComeWithTheResponseCloseTheConnection(Earlier earlier) {
+			String response = earlier.response("r1");
+			for (int length = 1; length <= response.length(); length++) {
+				TestConnection connection = open();
+				Outcome first = connection.send("r1");
+				connection.receive(response + response.substring(0, length));
+				assertThat(first.status).as("the response itself").isEqualTo(earlier.status);
+				assertThat(connection.channel.isOpen()).as("after %d bytes of a copy", length).isFalse();
+			}
+		}
+
+		@ParameterizedTest
+		@EnumSource
+		void whichComeAfterTheNextRequestDoNotChangeItsResponse(Earlier earlier) {
+			String copy = earlier.response("r1");
+			String next = (earlier == Earlier.ANSWER) ? failure("r2") : answer("r2", "done");
+			int nextStatus = (earlier == Earlier.ANSWER) ? 500 : 200;
+			for (int length = 1; length <= copy.length(); length++) {
+				TestConnection connection = open();
+				connection.send("r1");
+				connection.receive(copy);
+				Outcome second = connection.send("r2");
+				connection.receive(copy.substring(0, length));
+				connection.receive(next);
+				connection.channel.close();
+				boolean own = second.status == nextStatus && "r2".equals(second.requestId) && !second.notRun;
+				assertThat(own || second.failed).as("%d bytes of a copy, then the response: %s", length, second)
+					.isTrue();
+			}
+		}
+
+	}
+
+	/** Guards against a new connection for each request. */
+	@Nested
+	class Reuse {
+
+		@Test
+		void aConnectionIsUsedAgainAfterACompleteResponse() {
+			TestConnection connection = open();
+			for (int i = 0; i < 3; i++) {
+				Outcome outcome = connection.send("r" + i);
+				connection.receive(answer("r" + i, "done"));
+				assertThat(outcome.status).isEqualTo(200);
+				assertThat(connection.idleCount).isEqualTo(i + 1);
+			}
+		}
+
+		@Test
+		void theResponseToAHeadRequestHasNoBody() {
+			TestConnection connection = open();
+			Outcome outcome = connection.send(HttpMethod.HEAD, "r1");
+			connection.receive(answer("r1", "done").replace("\r\n\r\ndone", "\r\n\r\n"));
+			assertThat(outcome.status).isEqualTo(200);
+			assertThat(connection.idleCount).isEqualTo(1);
+		}
+
+	}
+
+	/** The response that a target sends before it sends parts of a second copy. */
+	enum Earlier {
+
+		ANSWER(200), DECLINE(503);
+
+		private final int status;
+
+		Earlier(int status) {
+			this.status = status;
+		}
+
+		String response(String id) {
+			return (this == ANSWER) ? answer(id, "done") : decline(id);
+		}
+
+	}
+
+	/** A connection whose target is the test. */
+	private static final class TestConnection implements ProxyTargetConnection.StateListener {
+
+		private final ProxyTargetConnection connection = new ProxyTargetConnection("Request-Id",
+				new BufferBudget(1 << 20), this);
+
+		private final EmbeddedChannel channel = new EmbeddedChannel();
+
+		private int idleCount;
+
+		private TestConnection() {
+			this.connection.addTo(this.channel.pipeline());
+		}
+
+		Outcome send(String id) {
+			return send(HttpMethod.POST, id);
+		}
+
+		Outcome send(HttpMethod method, String id) {
+			Outcome outcome = new Outcome();
+			this.connection.send(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"), id, outcome);
+			return outcome;
+		}
+
+		void receive(String bytes) {
+			if (this.channel.isOpen()) {
+				this.channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
+			}
+		}
+
+		@Override
+		public void becameIdle(ProxyTargetConnection idleConnection) {
+			this.idleCount++;
+		}
+
+		@Override
+		public void closed(ProxyTargetConnection closedConnection) {
+		}
+
+	}
+
+	/** How a request ended. */
+	private static final class Outcome implements ProxyTargetConnection.ResponseListener {
+
+		private int status;
+
+		private String requestId = "";
+
+		private boolean notRun;
+
+		private boolean failed;
+
+		@Override
+		public void responseReceived(HttpResponse response, ByteBuf body) {
+			body.release();
+			this.status = response.status().code();
+			this.requestId = response.headers().get("Request-Id", "");
+			this.notRun = response.headers().contains("Not-Run");
+		}
+
+		@Override
+		public void failed(String reason) {
+			this.failed = true;
+		}
+
+		@Override
+		public String toString() {
+			return this.failed ? "failed" : this.status + " for " + this.requestId + ", not run: " + this.notRun;
+		}
+
+	}
+
+}
--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -4,10 +4,14 @@
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -51,6 +55,12 @@
 		return GatewayFixture.sendRequest(port, GatewayFixture.requestText("GET", path, id, ""));
 	}
 
+	// Sends a request of the route whose requests are sent to one target only.
+	private static String once(int port, String id) {
+		return GatewayFixture.sendRequest(port,
+				GatewayFixture.requestText("POST", "/once/1", id, "Content-Length: 0\r\n"));
+	}
+
 	private static String book(int port, String id) {
 		return GatewayFixture.sendRequest(port,
 				GatewayFixture.requestText("POST", "/book/1", id, "Content-Length: 0\r\n"));
@@ -186,14 +196,59 @@
 				}
 			});
 			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
-			assertThat(GatewayFixture.sendRequest(host.port(),
-					GatewayFixture.requestText("POST", "/once/1", "r1", "Content-Length: 0\r\n")))
-				.startsWith("HTTP/1.1 200");
+			assertThat(once(host.port(), "r1")).startsWith("HTTP/1.1 200");
 			assertThat(runs).hasValue(1);
 		}
 
 	}
 
+	/**
+	 * Guards against the beginning of a second copy that stays in the host's decoder: the
+	 * next request on the connection was taken for declined, and ran twice.
+	 */
+	@Nested
+	class TruncatedCopies {
+
+		@Test
+		void theRequestAfterATruncatedCopyOfADeclineRunsOnce() throws Exception {
+			CountDownLatch declined = new CountDownLatch(1);
+			Map<String, Integer> runs = new ConcurrentHashMap<>();
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					if (id.equals("r1") && declined.getCount() > 0) {
+						connection
+							.write(decline(id) + "HTTP/1.1 503 Full\r\nX-Plantainspur-Not-Executed: 1\r\nX-Name: ");
+						declined.countDown();
+					}
+					else {
+						runs.merge(id, 1, Integer::sum);
+						connection.write(response(id, "done"));
+					}
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			// The first requests and assertions load classes; the next ones must come
+			// before
+			// the declined request is sent again.
+			for (int i = 0; i < 4; i++) {
+				assertThat(once(host.port(), "w" + i)).startsWith("HTTP/1.1 200");
+			}
+			CompletableFuture<String> first = CompletableFuture.supplyAsync(() -> once(host.port(), "r1"));
+			assertThat(declined.await(2, TimeUnit.SECONDS)).isTrue();
+			GatewayFixture.sleep(20);
+			// Each of the host's two threads for requests has connections of its own.
+			List<CompletableFuture<String>> next = Stream.of("r2", "r3", "r4", "r5")
+				.map((id) -> CompletableFuture.supplyAsync(() -> once(host.port(), id)))
+				.toList();
+			for (CompletableFuture<String> response : next) {
+				assertThat(response.get(2, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+			}
+			assertThat(first.get(2, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+			assertThat(runs.values()).as("runs of %s", runs.keySet()).hasSize(9).containsOnly(1);
+		}
+
+	}
+
 	@Nested
 	class ForeignBodies {
 
