Keep a request off every connection that has carried it

Cause: a response is matched to its request by id, and the repetition of a declined request has the id of the first attempt. A connection remembered only the last id that it had carried, so after one request of another caller the repetition could get the connection on which a late copy of the decline was still to come.

Change: a connection remembers all ids that it has carried, and the pool skips it for these. It carries at most 200 requests. Connections that have carried the id are no longer closed, as they can serve other requests.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -1,5 +1,8 @@
 package org.plantainspur.gateway.http;
 
+import java.util.HashSet;
+import java.util.Set;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -46,6 +49,12 @@
 	 */
 	private static final int MAX_SKIPPED_RESPONSES = 8;
 
+	/**
+	 * The most requests that a connection carries, which bounds the ids that it
+	 * remembers.
+	 */
+	static final int MAX_CARRIED_REQUESTS = 200;
+
 	private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
 	private final String requestIdHeader;
@@ -60,6 +69,8 @@
 
 	private @Nullable ResponseListener listener;
 
+	private final Set<String> carriedIds = new HashSet<>();
+
 	private String requestId = "";
 
 	private boolean requestWritten;
@@ -112,15 +123,17 @@
 		pipeline.addLast(this.decoder, new HttpRequestEncoder(), this);
 	}
 
-	// Returns whether a request with this id was the last one on this connection. A late
-	// copy of its response could not be told from the response to a repetition.
-	boolean lastCarried(String id) {
-		return this.requestId.equals(id);
+	// Returns whether a request with this id was sent on this connection before. A late
+	// copy of its response could not be told from the response to a repetition, whatever
+	// the connection has carried in between.
+	boolean hasCarried(String id) {
+		return this.carriedIds.contains(id);
 	}
 
 	void send(FullHttpRequest request, String id, ResponseListener responseListener) {
 		this.listener = responseListener;
 		this.requestId = id;
+		this.carriedIds.add(id);
 		this.requestWritten = false;
 		this.responseHead = null;
 		this.skippedResponses = 0;
@@ -235,7 +248,8 @@
 		ByteBuf wholeBody = this.body;
 		this.body = Unpooled.EMPTY_BUFFER;
 		boolean reusable = this.decoder.responseComplete() && delimited && !this.hadForeignResponse
-				&& this.requestWritten && HttpUtil.isKeepAlive(response) && channel().isActive();
+				&& this.requestWritten && HttpUtil.isKeepAlive(response) && channel().isActive()
+				&& this.carriedIds.size() < MAX_CARRIED_REQUESTS;
 		readKeepAliveTimeout(response);
 		responseListener.responseReceived(response, wholeBody);
 		if (reusable) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -106,21 +106,22 @@
 			return null;
 		}
 		long now = this.clock.millis();
-		IdleConnection latest = idleConnections.peekLast();
-		while (latest != null) {
-			long idleMs = now - latest.sinceMs();
-			if (!latest.connection().channel().isActive() || idleMs > idleLifetimeMs(latest.connection())
-					|| latest.connection().lastCarried(requestId)) {
-				idleConnections.pollLast();
-				latest.connection().channel().close();
-				latest = idleConnections.peekLast();
-				continue;
+		Iterator<IdleConnection> latestFirst = idleConnections.descendingIterator();
+		while (latestFirst.hasNext()) {
+			IdleConnection candidate = latestFirst.next();
+			ProxyTargetConnection connection = candidate.connection();
+			long idleMs = now - candidate.sinceMs();
+			if (!connection.channel().isActive() || idleMs > idleLifetimeMs(connection)) {
+				latestFirst.remove();
+				connection.channel().close();
 			}
-			if (!retryable && idleMs > MAX_IDLE_IF_NOT_RETRYABLE_MS) {
+			else if (!retryable && idleMs > MAX_IDLE_IF_NOT_RETRYABLE_MS) {
 				return null;
 			}
-			idleConnections.pollLast();
-			return latest.connection();
+			else if (!connection.hasCarried(requestId)) {
+				latestFirst.remove();
+				return connection;
+			}
 		}
 		return null;
 	}
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -108,6 +108,26 @@
 			}
 		}
 
+		/**
+		 * Guards against a late copy of a response that answers a repetition of its
+		 * request, after any number of other requests.
+		 */
+		@Test
+		void aConnectionKnowsAllRequestsThatItHasCarried() {
+			TestConnection connection = open();
+			int carried = 0;
+			while (connection.channel.isOpen()) {
+				connection.send("r" + carried);
+				connection.receive(decline("r" + carried));
+				carried++;
+			}
+			assertThat(carried).isEqualTo(ProxyTargetConnection.MAX_CARRIED_REQUESTS);
+			for (int i = 0; i < carried; i++) {
+				assertThat(connection.connection.hasCarried("r" + i)).isTrue();
+			}
+			assertThat(connection.connection.hasCarried("another")).isFalse();
+		}
+
 		@Test
 		void theResponseToAHeadRequestHasNoBody() {
 			TestConnection connection = open();
--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -61,6 +61,30 @@
 				GatewayFixture.requestText("POST", "/once/1", id, "Content-Length: 0\r\n"));
 	}
 
+	/**
+	 * Sends the request r1, which must be declined once, and further requests on both of
+	 * the host's threads before r1 is sent to its target again. All must be answered.
+	 */
+	private void serveOthersWhileADeclinedRequestWaits(CountDownLatch declined) throws Exception {
+		GatewayFixture.Host host = this.fixture.startReadyHost("a1");
+		// The first requests and assertions load classes; the next ones must come
+		// before the declined request is sent again.
+		for (int i = 0; i < 4; i++) {
+			assertThat(once(host.port(), "w" + i)).startsWith("HTTP/1.1 200");
+		}
+		CompletableFuture<String> first = CompletableFuture.supplyAsync(() -> once(host.port(), "r1"));
+		assertThat(declined.await(2, TimeUnit.SECONDS)).isTrue();
+		GatewayFixture.sleep(20);
+		// Each of the host's two threads for requests has connections of its own.
+		List<CompletableFuture<String>> next = Stream.of("r2", "r3", "r4", "r5")
+			.map((id) -> CompletableFuture.supplyAsync(() -> once(host.port(), id)))
+			.toList();
+		for (CompletableFuture<String> response : next) {
+			assertThat(response.get(2, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+		}
+		assertThat(first.get(2, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+	}
+
 	private static String book(int port, String id) {
 		return GatewayFixture.sendRequest(port,
 				GatewayFixture.requestText("POST", "/book/1", id, "Content-Length: 0\r\n"));
@@ -202,6 +226,43 @@
 
 	}
 
+	/**
+	 * Guards against a late copy of a decline that answers the repetition of the request:
+	 * the connection had carried another request in between, and the request was sent a
+	 * third time although it was running.
+	 */
+	@Nested
+	class LateCopiesAfterAnotherRequest {
+
+		@Test
+		void doNotMakeTheDeclinedRequestRunTwice() throws Exception {
+			CountDownLatch declined = new CountDownLatch(1);
+			Map<String, Integer> runs = new ConcurrentHashMap<>();
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				boolean hasDeclined = false;
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					if (id.equals("r1") && declined.getCount() > 0) {
+						hasDeclined = true;
+						connection.write(decline(id));
+						declined.countDown();
+						continue;
+					}
+					runs.merge(id, 1, Integer::sum);
+					if (hasDeclined) {
+						// This connection is the last one to become idle, which the host
+						// uses first.
+						GatewayFixture.sleep(40);
+						connection.write(id.equals("r1") ? decline(id) : "");
+					}
+					connection.write(response(id, "done"));
+				}
+			});
+			serveOthersWhileADeclinedRequestWaits(declined);
+			assertThat(runs.values()).as("runs of %s", runs.keySet()).hasSize(9).containsOnly(1);
+		}
+
+	}
+
 	/**
 	 * Guards against the beginning of a second copy that stays in the host's decoder: the
 	 * next request on the connection was taken for declined, and ran twice.
@@ -226,24 +287,7 @@
 					}
 				}
 			});
-			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
-			// The first requests and assertions load classes; the next ones must come
-			// before
-			// the declined request is sent again.
-			for (int i = 0; i < 4; i++) {
-				assertThat(once(host.port(), "w" + i)).startsWith("HTTP/1.1 200");
-			}
-			CompletableFuture<String> first = CompletableFuture.supplyAsync(() -> once(host.port(), "r1"));
-			assertThat(declined.await(2, TimeUnit.SECONDS)).isTrue();
-			GatewayFixture.sleep(20);
-			// Each of the host's two threads for requests has connections of its own.
-			List<CompletableFuture<String>> next = Stream.of("r2", "r3", "r4", "r5")
-				.map((id) -> CompletableFuture.supplyAsync(() -> once(host.port(), id)))
-				.toList();
-			for (CompletableFuture<String> response : next) {
-				assertThat(response.get(2, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
-			}
-			assertThat(first.get(2, TimeUnit.SECONDS)).startsWith("HTTP/1.1 200");
+			serveOthersWhileADeclinedRequestWaits(declined);
 			assertThat(runs.values()).as("runs of %s", runs.keySet()).hasSize(9).containsOnly(1);
 		}
 
