Quarantine requests that crash one target after another

Cause: the host looked only at the request at hand. Retries were bounded for one request of a caller, but not for the same request when it came again, and a lost connection was not told from a malformed response.

Change: SequentialCrashQuarantine counts connections that are lost while a target is running a request, by the request's fingerprint, and refuses the request with 503 from the third crash on, before each attempt. Crashes count only one after another, and are discarded if the target responds to an attempt sent shortly after or the request is completed, so that targets which fail together do not make a popular request suspect. Hosts report crashes in their heartbeats.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.store.TableStates;
 
 /**
@@ -28,11 +29,13 @@
  * @param failedTargets identities of the targets that failed since the last heartbeat
  * @param recoveredTargets identities of suspect targets that succeeded since then
  * @param digests the digests of whole failure domains
+ * @param requestCrashes the crashes of targets that requests have caused; only sent with
+ * tables
  */
 public record HostHeartbeat(String host, long startMs, String failureDomain, String callerAddress, String peerAddress,
 		double cores, boolean acceptingCallers, long version, TableStates tables, long storeAgeMs,
 		Map<String, AccountUsage> usage, List<String> accountsNearLimit, List<String> failedTargets,
-		List<String> recoveredTargets, List<DomainDigest> digests) {
+		List<String> recoveredTargets, List<DomainDigest> digests, List<RequestCrash> requestCrashes) {
 
 	public HostHeartbeat {
 		usage = Map.copyOf(usage);
@@ -40,6 +43,7 @@
 		failedTargets = List.copyOf(failedTargets);
 		recoveredTargets = List.copyOf(recoveredTargets);
 		digests = List.copyOf(digests);
+		requestCrashes = List.copyOf(requestCrashes);
 	}
 
 	/**
@@ -50,7 +54,7 @@
 	public HostHeartbeat withDigests(List<DomainDigest> newDigests) {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, this.acceptingCallers, this.version, this.tables, this.storeAgeMs, this.usage,
-				this.accountsNearLimit, this.failedTargets, this.recoveredTargets, newDigests);
+				this.accountsNearLimit, this.failedTargets, this.recoveredTargets, newDigests, this.requestCrashes);
 	}
 
 	/**
@@ -62,7 +66,7 @@
 	public HostHeartbeat forOtherDomain(DomainDigest digest) {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, this.acceptingCallers, this.version, this.tables, this.storeAgeMs, Map.of(), List.of(),
-				List.of(), List.of(), List.of(digest));
+				List.of(), List.of(), List.of(digest), this.requestCrashes);
 	}
 
 	/**
@@ -73,7 +77,7 @@
 	public HostHeartbeat presumedAccepting() {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, true, this.version, this.tables, this.storeAgeMs, this.usage, this.accountsNearLimit,
-				this.failedTargets, this.recoveredTargets, this.digests);
+				this.failedTargets, this.recoveredTargets, this.digests, this.requestCrashes);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
@@ -36,6 +36,9 @@
 	 */
 	NO_ROOM(503, true, 300),
 
+	/** The same request has crashed the targets that ran it. */
+	QUARANTINED(503, true, 10_000),
+
 	/** The host has no memory for the body of the request. */
 	NO_MEMORY(503, true, 500),
 
--- a/core/src/main/java/org/plantainspur/core/request/RequestFingerprint.java
+++ b/core/src/main/java/org/plantainspur/core/request/RequestFingerprint.java
@@ -1,5 +1,6 @@
 package org.plantainspur.core.request;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.HexFormat;
@@ -10,6 +11,9 @@
  */
 public final class RequestFingerprint {
 
+	/** The digits of a fingerprint that hosts send to each other: 128 bits. */
+	private static final int SHORT_LENGTH = 32;
+
 	private RequestFingerprint() {
 	}
 
@@ -19,10 +23,27 @@
 	 * @return the SHA-256 of method, path, query and body in lower-case hexadecimal
 	 */
 	public static String of(CallerRequest request) {
+		return hash(request.method() + "\n" + request.path() + "\n" + request.query() + "\n",
+				ByteBuffer.wrap(request.body()));
+	}
+
+	/**
+	 * Returns a fingerprint that also tells accounts apart.
+	 * @param account the name of the client account, empty for a request without one
+	 * @param method the request's method
+	 * @param uri the request's path with its query
+	 * @param body the request's body, which is read to its end
+	 * @return 32 hexadecimal digits
+	 */
+	public static String of(String account, String method, String uri, ByteBuffer body) {
+		return hash(account + "\n" + method + "\n" + uri + "\n", body).substring(0, SHORT_LENGTH);
+	}
+
+	private static String hash(String head, ByteBuffer body) {
 		MessageDigest digest = KeyHash.sha256();
-		String methodPathAndQuery = request.method() + "\n" + request.path() + "\n" + request.query() + "\n";
-		digest.update(methodPathAndQuery.getBytes(StandardCharsets.UTF_8));
-		return HexFormat.of().formatHex(digest.digest(request.body()));
+		digest.update(head.getBytes(StandardCharsets.UTF_8));
+		digest.update(body);
+		return HexFormat.of().formatHex(digest.digest());
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
+++ b/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
@@ -44,14 +44,23 @@
 	}
 
 	/**
-	 * The request was sent, but no complete response arrived; the target may have run the
-	 * request.
+	 * The request was sent, but no complete response arrived, or none that can be used;
+	 * the target may have run the request.
 	 *
 	 * @param reason the observed error, as text for the log
 	 */
 	record Broken(String reason) implements AttemptOutcome {
 	}
 
+	/**
+	 * The request was sent, and the connection ended before any byte of a response; the
+	 * target may have run the request, and may have crashed.
+	 *
+	 * @param reason the observed error, as text for the log
+	 */
+	record ConnectionLost(String reason) implements AttemptOutcome {
+	}
+
 	/**
 	 * The request was sent, but no response arrived in time; the target may have run it.
 	 */
--- a/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
@@ -18,8 +18,12 @@
 	private final StoreReaderElection election = new StoreReaderElection(APPLY_MS);
 
 	private static StoreReaderElection.PeerReadState peerState(String host, long version, long ageMs) {
+		return peerState(host, tables(version), ageMs);
+	}
+
+	private static StoreReaderElection.PeerReadState peerState(String host, TableStates tables, long ageMs) {
 		return new StoreReaderElection.PeerReadState(new HostHeartbeat(host, 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2",
-				1, true, 1, tables(version), ageMs, Map.of(), List.of(), List.of(), List.of(), List.of()), ageMs);
+				1, true, 1, tables, ageMs, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of()), ageMs);
 	}
 
 	// Tables whose rows change with each version.
@@ -171,20 +175,14 @@
 		@Test
 		void theNewerRowsOfOneTableAreFetchedFromAHostWithOlderRowsOfTheOther() {
 			TableStates other = new TableStates(new TableState(11, 11), new TableState(5, 5));
-			StoreReaderElection.PeerReadState peer = new StoreReaderElection.PeerReadState(
-					new HostHeartbeat("a", 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2", 1, true, 1, other, 50, Map.of(),
-							List.of(), List.of(), List.of(), List.of()),
-					50);
+			StoreReaderElection.PeerReadState peer = peerState("a", other, 50);
 			assertThat(decide(1, true, 0, peer).fetchFrom()).isEqualTo(peer);
 		}
 
 		@Test
 		void nothingIsFetchedFromHostsWithTheSameRows() {
 			TableStates later = new TableStates(new TableState(90, 10), new TableState(90, 10));
-			StoreReaderElection.PeerReadState peer = new StoreReaderElection.PeerReadState(
-					new HostHeartbeat("a", 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2", 1, true, 1, later, 50, Map.of(),
-							List.of(), List.of(), List.of(), List.of()),
-					50);
+			StoreReaderElection.PeerReadState peer = peerState("a", later, 50);
 			assertThat(decide(1, true, 0, peer).fetchFrom()).isNull();
 		}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -16,6 +16,7 @@
 import org.plantainspur.core.desired.DesiredStateView;
 import org.plantainspur.core.fleet.EstimatingAccountLimiter;
 import org.plantainspur.core.fleet.UsageMeter;
+import org.plantainspur.core.health.SequentialCrashQuarantine;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.AdmissionControl;
 import org.plantainspur.core.proxy.BufferBudget;
@@ -141,15 +142,17 @@
 		RetryBudget retryBudget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_FRACTION,
 				this.settings.retryConstant() * RETRY_BUDGET_FRACTION / trafficHostCount,
 				this.settings.retryWindowMs());
+		SequentialCrashQuarantine quarantine = new SequentialCrashQuarantine(this.clock,
+				() -> ThreadLocalRandom.current().nextLong());
 		GossipTask gossip = new GossipTask(this.settings, this.clock,
 				new GossipTask.HostState(this.desiredState, meter, limiter, this.targets, attemptRecorder, targetSubset,
-						retryBudget),
+						retryBudget, quarantine),
 				store, storeSynchronizer, this.shutdown::stopping, controlLoop, this.log, this.metrics);
 		ProxyComponents components = new ProxyComponents(this.clock, this.platform.headerNames(), this.startupLatch,
 				this.desiredState, new AdmissionControl(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new LowestCostSelector(this.targets, attemptRecorder, targetSubset, location,
 						this.settings.floorShare(), this.clock, () -> ThreadLocalRandom.current().nextDouble()),
-				attemptRecorder, new RetryRules(retryBudget), retryBudget, gossip, this.shutdown,
+				attemptRecorder, quarantine, new RetryRules(retryBudget), retryBudget, gossip, this.shutdown,
 				new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET), this.failures, this.log,
 				this.metrics);
 		CallerServer callerServer = new CallerServer(components, this.requestLoops, this.openRequests,
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -30,6 +30,7 @@
 import org.plantainspur.core.fleet.StoreReaderElection;
 import org.plantainspur.core.fleet.TrafficHostSelector;
 import org.plantainspur.core.fleet.UsageMeter;
+import org.plantainspur.core.health.SequentialCrashQuarantine;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.RetryBudget;
 import org.plantainspur.core.store.Scheduler;
@@ -174,7 +175,7 @@
 		HostHeartbeat firstHeartbeat = new HostHeartbeat(settings.host(), System.currentTimeMillis(),
 				settings.failureDomain(), hostAndPort(settings.callerAddress()), hostAndPort(settings.peerAddress()),
 				settings.cores(), false, -1, TableStates.NONE, STORE_NEVER_ANSWERED_MS, Map.of(), List.of(), List.of(),
-				List.of(), List.of());
+				List.of(), List.of(), List.of());
 		this.ownHeartbeat = new AtomicReference<>(firstHeartbeat);
 		this.registry = new HostRegistry(store, this.scheduler, firstHeartbeat,
 				() -> this.scheduler.after(0, this::onRegistryRead));
@@ -211,6 +212,7 @@
 		if (heartbeat.host().equals(this.settings.host())) {
 			return;
 		}
+		this.hostState.quarantine().receive(heartbeat.requestCrashes());
 		List<DomainDigest> newDigests = this.view.receive(heartbeat);
 		if (this.registry.receive(heartbeat) && heartbeat.failureDomain().equals(this.settings.failureDomain())) {
 			// A process that has just started fetches the tables from a host that has
@@ -359,7 +361,7 @@
 				previous.callerAddress(), previous.peerAddress(), previous.cores(), acceptingCallers,
 				this.hostState.desiredState().current().version(), this.storeSynchronizer.servedTableStates(),
 				this.storeSynchronizer.storeAgeMs(), usage, this.hostState.meter().takeNearLimit(), newlyFailed,
-				newlyRecovered, List.of());
+				newlyRecovered, List.of(), this.hostState.quarantine().reports());
 	}
 
 	private static <T> List<T> drain(Queue<T> queue) {
@@ -406,10 +408,11 @@
 	 * observed
 	 * @param targetSubset the targets that this host prefers
 	 * @param retryBudget this host's part of the fleet's retry budget
+	 * @param quarantine records the crashes that the other hosts report
 	 */
 	record HostState(DesiredStateView desiredState, UsageMeter meter, EstimatingAccountLimiter limiter,
-			TargetRegistry targets, AttemptRecorder attemptRecorder, TargetSubset targetSubset,
-			RetryBudget retryBudget) {
+			TargetRegistry targets, AttemptRecorder attemptRecorder, TargetSubset targetSubset, RetryBudget retryBudget,
+			SequentialCrashQuarantine quarantine) {
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -20,9 +20,11 @@
 import org.plantainspur.core.desired.AccountRule;
 import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.RouteRule;
+import org.plantainspur.core.health.SequentialCrashQuarantine;
 import org.plantainspur.core.proxy.AdmissionControl;
 import org.plantainspur.core.proxy.Refusal;
 import org.plantainspur.core.proxy.RetryRules;
+import org.plantainspur.core.request.RequestFingerprint;
 import org.plantainspur.core.target.AttemptOutcome;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
@@ -100,6 +102,9 @@
 
 	private @Nullable AccountRule account;
 
+	/** Computed when it is first needed. */
+	private String fingerprint = "";
+
 	private String service = "";
 
 	private long desiredStateVersion;
@@ -194,6 +199,10 @@
 	}
 
 	private void startAttempt(RouteRule admittedRoute) {
+		if (!this.components.quarantine().isEmpty() && this.components.quarantine().quarantined(fingerprint())) {
+			refuse(Refusal.QUARANTINED);
+			return;
+		}
 		boolean retryable = this.components.retryRules().mayRetryAgain(admittedRoute, this.service, this.sentAttempts);
 		ObservedTarget target = this.components.targetSelector()
 			.select(this.service,
@@ -210,6 +219,15 @@
 		this.connectionPool.acquire(target.listing(), this.requestId, retryable, attempt::connectionReady);
 	}
 
+	private String fingerprint() {
+		if (this.fingerprint.isEmpty()) {
+			AccountRule requestAccount = this.account;
+			this.fingerprint = RequestFingerprint.of((requestAccount != null) ? requestAccount.name() : "",
+					this.request.method().name(), this.request.uri(), this.request.content().nioBuffer());
+		}
+		return this.fingerprint;
+	}
+
 	private void deadlineReached() {
 		Attempt runningAttempt = this.currentAttempt;
 		if (runningAttempt != null) {
@@ -339,6 +357,8 @@
 
 		private boolean sent;
 
+		private long sentMs;
+
 		private boolean ended;
 
 		private Attempt(ObservedTarget target, RouteRule admittedRoute) {
@@ -359,6 +379,7 @@
 			}
 			this.connection = acquired;
 			this.sent = true;
+			this.sentMs = ProxiedRequest.this.components.clock().millis();
 			ProxiedRequest.this.sentAttempts++;
 			acquired.send(ProxiedRequest.this.targetMapper.toTargetRequest(ProxiedRequest.this.request,
 					ProxiedRequest.this.account, this.target.listing().id(), remainingMs() - DEADLINE_MARGIN_MS),
@@ -410,6 +431,11 @@
 			end(new AttemptOutcome.Broken(reason), false);
 		}
 
+		@Override
+		public void connectionLost(String reason) {
+			end(new AttemptOutcome.ConnectionLost(reason), false);
+		}
+
 		private void cancel() {
 			recordOutcome(this.sent ? new AttemptOutcome.Cancelled() : new AttemptOutcome.NotSent("cancelled"));
 			cancelConnection();
@@ -453,6 +479,26 @@
 			}
 		}
 
+		private void recordInQuarantine(AttemptOutcome outcome) {
+			SequentialCrashQuarantine quarantine = ProxiedRequest.this.components.quarantine();
+			String targetId = this.target.listing().id();
+			if (outcome instanceof AttemptOutcome.ConnectionLost) {
+				quarantine.recordCrash(fingerprint(), targetId, this.sentMs);
+				ProxiedRequest.this.components.log()
+					.event("target-connection-lost", "id", ProxiedRequest.this.requestId, "target", targetId,
+							"fingerprint", fingerprint());
+			}
+			else if (!quarantine.isEmpty()) {
+				boolean completed = outcome instanceof AttemptOutcome.Answered;
+				if (completed) {
+					quarantine.recordCompletion(fingerprint());
+				}
+				if (completed || outcome instanceof AttemptOutcome.Declined) {
+					quarantine.recordResponse(targetId, this.sentMs);
+				}
+			}
+		}
+
 		private void recordOutcome(AttemptOutcome outcome) {
 			this.ended = true;
 			ProxiedRequest.this.mayHaveRun |= outcome.mayHaveRun();
@@ -460,6 +506,7 @@
 			if (pending != null) {
 				pending.cancel(false);
 			}
+			recordInQuarantine(outcome);
 			long tookMs = ProxiedRequest.this.components.clock().millis() - this.startedMs;
 			boolean wasSuspect = ProxiedRequest.this.components.attemptRecorder().isSuspect(this.target);
 			boolean failed = ProxiedRequest.this.components.attemptRecorder()
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
@@ -1,6 +1,7 @@
 package org.plantainspur.gateway.http;
 
 import org.plantainspur.core.desired.DesiredStateView;
+import org.plantainspur.core.health.SequentialCrashQuarantine;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.AdmissionControl;
 import org.plantainspur.core.proxy.BufferBudget;
@@ -23,6 +24,7 @@
  * @param admission decides whether a request may run
  * @param targetSelector selects the target of an attempt
  * @param attemptRecorder records the outcomes of attempts
+ * @param quarantine tells which requests have crashed targets
  * @param retryRules decides what follows an attempt
  * @param retryBudget limits the attempts beyond the first
  * @param targetHealthListener told of failed and recovered targets, for the other hosts
@@ -34,9 +36,9 @@
  */
 public record ProxyComponents(Clock clock, HeaderNames headerNames, StartupLatch startupLatch,
 		DesiredStateView desiredState, AdmissionControl admission, TargetSelector targetSelector,
-		AttemptRecorder attemptRecorder, RetryRules retryRules, RetryBudget retryBudget,
-		TargetHealthListener targetHealthListener, ShutdownState shutdown, BufferBudget bufferBudget,
-		FailureReporter failures, DecisionLog log, GatewayMetrics metrics) {
+		AttemptRecorder attemptRecorder, SequentialCrashQuarantine quarantine, RetryRules retryRules,
+		RetryBudget retryBudget, TargetHealthListener targetHealthListener, ShutdownState shutdown,
+		BufferBudget bufferBudget, FailureReporter failures, DecisionLog log, GatewayMetrics metrics) {
 
 	/**
 	 * Told of changes in the health of targets that other hosts should know of.
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -277,16 +277,27 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		this.connectionFailed = true;
-		fail("connection failed: " + cause.getMessage());
+		connectionLost("connection failed: " + cause.getMessage());
 		context.close();
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
-		fail("the target closed the connection");
+		connectionLost("the target closed the connection");
 		this.stateListener.closed(this);
 	}
 
+	private void connectionLost(String reason) {
+		ResponseListener responseListener = this.listener;
+		if (responseListener == null || this.decoder.hasReceivedBytes()) {
+			fail(reason);
+			return;
+		}
+		this.listener = null;
+		channel().close();
+		responseListener.connectionLost(reason);
+	}
+
 	private void fail(String reason) {
 		ResponseListener responseListener = this.listener;
 		this.listener = null;
@@ -305,8 +316,18 @@
 
 		void responseReceived(HttpResponse response, ByteBuf body);
 
+		/**
+		 * Called when the response is malformed, incomplete or not the target's.
+		 * @param reason the observed error, as text for the log
+		 */
 		void failed(String reason);
 
+		/**
+		 * Called when the connection ended before any byte of a response.
+		 * @param reason the observed error, as text for the log
+		 */
+		void connectionLost(String reason);
+
 	}
 
 	/**
--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -56,6 +56,14 @@
 		this.receivedBytes = 0;
 	}
 
+	/**
+	 * Returns whether anything has arrived since the wait began.
+	 * @return {@code false} if the server has sent no byte of a response
+	 */
+	boolean hasReceivedBytes() {
+		return this.receivedBytes > 0;
+	}
+
 	/**
 	 * Ends the wait; must be called when the response is complete.
 	 * @return whether nothing has arrived behind the response, so that the connection may
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -16,6 +16,7 @@
 import org.plantainspur.core.fleet.AccountUsage;
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostHeartbeat;
+import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
 import org.plantainspur.gateway.IpAddressAndPort;
@@ -34,8 +35,8 @@
 
 	/**
 	 * Stands where earlier builds send the sum of the versions of their tables, and tells
-	 * that the states of the tables follow at the end. Larger than any such sum, so that
-	 * an earlier build fetches from this host.
+	 * that the states of the tables and the crashes follow at the end. Larger than any
+	 * such sum, so that an earlier build fetches from this host.
 	 */
 	private static final long TABLES_FOLLOW = Long.MAX_VALUE / 2;
 
@@ -75,6 +76,7 @@
 			if (hasTables) {
 				packTableState(packer, heartbeat.tables().desiredState());
 				packTableState(packer, heartbeat.tables().targets());
+				packCrashes(packer, heartbeat.requestCrashes());
 			}
 			return packer.toByteArray();
 		}
@@ -87,6 +89,17 @@
 		packer.packLong(state.version()).packLong(state.digest());
 	}
 
+	private static void packCrashes(MessageBufferPacker packer, List<RequestCrash> crashes) throws IOException {
+		packer.packArrayHeader(crashes.size());
+		for (RequestCrash crash : crashes) {
+			packer.packString(crash.fingerprint())
+				.packString(crash.targetId())
+				.packLong(crash.id())
+				.packLong(crash.sentAgeMs())
+				.packLong(crash.crashedAgeMs());
+		}
+	}
+
 	private static void packStrings(MessageBufferPacker packer, List<String> strings) throws IOException {
 		packer.packArrayHeader(strings.size());
 		for (String string : strings) {
@@ -131,9 +144,10 @@
 			List<DomainDigest> digests = unpackDigests(unpacker);
 			TableStates tables = hasTables ? new TableStates(unpackTableState(unpacker), unpackTableState(unpacker))
 					: TableStates.NONE;
+			List<RequestCrash> requestCrashes = hasTables ? unpackCrashes(unpacker) : List.of();
 			HostHeartbeat heartbeat = new HostHeartbeat(host, startMs, failureDomain, callerAddress, peerAddress, cores,
 					acceptingCallers, version, tables, storeAgeMs, usage, accountsNearLimit, failedTargets,
-					recoveredTargets, digests);
+					recoveredTargets, digests, requestCrashes);
 			return isValid(heartbeat) ? heartbeat : null;
 		}
 		catch (IOException | MessagePackException ex) {
@@ -149,9 +163,14 @@
 				&& IpAddressAndPort.isValid(heartbeat.peerAddress()) && isAmount(heartbeat.cores())
 				&& isValid(heartbeat.tables().desiredState()) && isValid(heartbeat.tables().targets())
 				&& isAge(heartbeat.storeAgeMs()) && isValid(heartbeat.usage())
+				&& heartbeat.requestCrashes().stream().allMatch(HeartbeatCodec::isValid)
 				&& heartbeat.digests().stream().allMatch((digest) -> isValid(digest.accounts()));
 	}
 
+	private static boolean isValid(RequestCrash crash) {
+		return isAge(crash.crashedAgeMs()) && isAge(crash.sentAgeMs()) && crash.sentAgeMs() >= crash.crashedAgeMs();
+	}
+
 	private static boolean isValid(TableState state) {
 		return state.version() >= 0;
 	}
@@ -169,6 +188,16 @@
 		return number >= 0 && Double.isFinite(number);
 	}
 
+	private static List<RequestCrash> unpackCrashes(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackArrayHeader();
+		List<RequestCrash> crashes = new ArrayList<>();
+		for (int i = 0; i < size; i++) {
+			crashes.add(new RequestCrash(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong(),
+					unpacker.unpackLong(), unpacker.unpackLong()));
+		}
+		return crashes;
+	}
+
 	private static TableState unpackTableState(MessageUnpacker unpacker) throws IOException {
 		return new TableState(unpacker.unpackLong(), unpacker.unpackLong());
 	}
--- a/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
@@ -57,7 +57,7 @@
 
 	private static HostHeartbeat heartbeat(String host, String domain, List<String> failed, List<String> recovered) {
 		return new HostHeartbeat(host, 1, domain, host + ":80", host + ":81", 1, true, 1, TableStates.NONE, 0,
-				Map.of("mill", new AccountUsage(5, 1)), List.of(), failed, recovered, List.of());
+				Map.of("mill", new AccountUsage(5, 1)), List.of(), failed, recovered, List.of(), List.of());
 	}
 
 	private static String describe(HostHeartbeat heartbeat) {
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -221,6 +221,11 @@
 			this.failed = true;
 		}
 
+		@Override
+		public void connectionLost(String reason) {
+			this.failed = true;
+		}
+
 		@Override
 		public String toString() {
 			return this.failed ? "failed" : this.status + " for " + this.requestId + ", not run: " + this.notRun;
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -19,6 +19,7 @@
 import org.plantainspur.core.fleet.AccountUsage;
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostHeartbeat;
+import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.store.TableState;
@@ -32,7 +33,8 @@
 			"10.0.0.1:81", 0.6, true, 12, new TableStates(new TableState(900, -5), new TableState(880, 7)), 40,
 			Map.of("mill", new AccountUsage(7, 2.5)), List.of("mill"), List.of("i-1"), List.of("i-2", "i-3"),
 			List.of(new DomainDigest("sea-a", "b1", 5, Map.of("mill", new AccountUsage(9, 0.5)), List.of("i-4"),
-					List.of("i-5"))));
+					List.of("i-5"))),
+			List.of(new RequestCrash("4fe1", "i-6", -9, 1_300, 1_100)));
 
 	@Nested
 	class Heartbeats {
@@ -44,6 +46,17 @@
 			assertThat(this.codec.decode(this.codec.encode(HEARTBEAT))).isEqualTo(HEARTBEAT);
 		}
 
+		/**
+		 * Guards against a heartbeat of an earlier build, whose tables cannot be
+		 * compared, that counts as a host which has rows to fetch.
+		 */
+		@Test
+		void aHeartbeatWithoutTablesHasNone() {
+			HostHeartbeat withoutTables = new HostHeartbeat("a1", 1, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 1, true, 1,
+					TableStates.NONE, 0, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+			assertThat(this.codec.decode(this.codec.encode(withoutTables))).isEqualTo(withoutTables);
+		}
+
 		@Test
 		void aTruncatedHeartbeatIsDropped() {
 			byte[] bytes = this.codec.encode(HEARTBEAT);
@@ -72,7 +85,8 @@
 		private HostHeartbeat heartbeat(String callerAddress, String peerAddress, double cores, long storeAgeMs,
 				float rate) {
 			return new HostHeartbeat("a1", 1, "pdx-a", callerAddress, peerAddress, cores, true, 1, TableStates.NONE,
-					storeAgeMs, Map.of("mill", new AccountUsage(1, rate)), List.of(), List.of(), List.of(), List.of());
+					storeAgeMs, Map.of("mill", new AccountUsage(1, rate)), List.of(), List.of(), List.of(), List.of(),
+					List.of());
 		}
 
 		private boolean accepted(HostHeartbeat heartbeat) {
