Read the changes that come between two pages of a table

Cause: a whole read of several pages took the version of its last page, from which the feed goes on. A change of a row on an earlier page was in neither.

Change: the version of the first page is taken; the feed repeats the later changes, and rows that are known are the same.

Evidence: TableFollowerTests.Following.aChangeBetweenTwoPagesIsRead fails without the change.

--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -52,6 +52,12 @@
 
 	private final List<StoredRow> listedRows = new ArrayList<>();
 
+	/**
+	 * The version of the first page of a whole read. The later pages may be of later
+	 * versions, but the changes since the first page are complete only in the feed.
+	 */
+	private long listedVersion;
+
 	private boolean following;
 
 	private boolean callPending;
@@ -207,6 +213,9 @@
 			onFailure(result);
 			return;
 		}
+		if (this.listedRows.isEmpty()) {
+			this.listedVersion = rows.version();
+		}
 		this.listedRows.addAll(rows.rows());
 		if (rows.more() && !rows.rows().isEmpty()) {
 			// The smallest key greater than the last one.
@@ -216,7 +225,7 @@
 		this.lastResponseMs = this.clock.millis();
 		List<StoredRow> all = List.copyOf(this.listedRows);
 		this.listedRows.clear();
-		deliver(() -> replace(all, rows.version()), 0);
+		deliver(() -> replace(all, this.listedVersion), 0);
 	}
 
 	private void replace(List<StoredRow> all, long version) {
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -106,6 +106,22 @@
 			assertThat(TableFollowerTests.this.store.calls).startsWith("list ", "list b\0");
 		}
 
+		/**
+		 * Guards against a change of a row on the first page while the second one is
+		 * read: a target that began to drain then stayed in use.
+		 */
+		@Test
+		void aChangeBetweenTwoPagesIsRead() {
+			TableFollowerTests.this.store.results.add(rows(5, true, row("a", 1), row("b", 2)));
+			TableFollowerTests.this.store.results.add(rows(7, false, row("c", 7)));
+			TableFollowerTests.this.store.results.add(rows(7, false, row("a", 6), row("c", 7)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(10);
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a, b, c]", "changed [a, c]");
+			assertThat(TableFollowerTests.this.store.calls).containsSequence("list b\0", "changes 5");
+			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(7);
+		}
+
 		@Test
 		void theTableIsReadWholeWhenTheHistoryIsLost() {
 			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
