Refuse requests before three seconds of a stop have passed

Other operators report late requests of a stop that are cut without an answer.

Cause: the stop began to refuse at 3 s of its own clock, which starts some milliseconds after the signal, and checks the time every 50 ms.

Change: it refuses from 2.8 s on. The test asked for exactly 3 s of the stop's clock, which is later than what it guards; it now asks for a refusal 150 ms before 3 s have passed, and fails without the change.

How late a request may be sent and still be accepted was not measured again with a real signal.

--- a/core/src/main/java/org/plantainspur/core/proxy/ShutdownSchedule.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/ShutdownSchedule.java
@@ -11,11 +11,12 @@
 
 	/**
 	 * New requests are served for at most this long. The directory lets callers cache an
-	 * address for 1 s, and some keep it three times as long; after that only callers
-	 * without a newer address connect. A request that is accepted later could not be
-	 * answered in time by a slow target.
+	 * address for 1 s, and some keep it three times as long; after 3 s only callers
+	 * without a newer address connect. A request that is sent later than 3 s after the
+	 * signal could not be answered in time by a slow target, and must not be accepted;
+	 * the rest covers the delay of the signal and the interval between two checks.
 	 */
-	private static final long MAX_ACCEPT_MS = 3_000;
+	private static final long MAX_ACCEPT_MS = 2_800;
 
 	/**
 	 * The fraction of the grace period during which new requests are served if that is
--- a/core/src/test/java/org/plantainspur/core/proxy/ShutdownScheduleTests.java
+++ b/core/src/test/java/org/plantainspur/core/proxy/ShutdownScheduleTests.java
@@ -29,15 +29,17 @@
 	/**
 	 * Guards against requests that are accepted so late that they are cut off at the end
 	 * of the stop. With a grace period of 10 s they were accepted for 5 s and cut off at
-	 * 9.1 s; only those of the first 3 s may still run then.
+	 * 9.1 s; only those of the first 3 s may still run then. Requests that were sent up
+	 * to 3.06 s after the signal were accepted, since the stop begins some milliseconds
+	 * after it and checks the time every 50 ms.
 	 */
 	@Nested
 	class LateRequests {
 
 		@ParameterizedTest
 		@ValueSource(longs = { 6_000, 10_000, 30_000 })
-		void requestsAreAcceptedForThreeSecondsAtMost(long graceMs) {
-			assertThat(firstRefusalMs(new ShutdownSchedule(graceMs))).isEqualTo(3_000);
+		void requestsAreRefusedBeforeThreeSecondsHavePassed(long graceMs) {
+			assertThat(firstRefusalMs(new ShutdownSchedule(graceMs))).isBetween(2_500L, 3_000L - 150);
 		}
 
 		@ParameterizedTest
