Leave the states of the tables out of heartbeats for other domains

A host of another failure domain cannot fetch rows from this one, but the copies for it held the states of the tables, about 40 bytes more with each digest.

Copies for other domains now hold the crashes of requests only if there are any, and no tables. The test fails without the change.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
@@ -29,8 +29,7 @@
  * @param failedTargets identities of the targets that failed since the last heartbeat
  * @param recoveredTargets identities of suspect targets that succeeded since then
  * @param digests the digests of whole failure domains
- * @param requestCrashes the crashes of targets that requests have caused; only sent with
- * tables
+ * @param requestCrashes the crashes of targets that requests have caused
  */
 public record HostHeartbeat(String host, long startMs, String failureDomain, String callerAddress, String peerAddress,
 		double cores, boolean acceptingCallers, long version, TableStates tables, long storeAgeMs,
@@ -65,7 +64,7 @@
 	 */
 	public HostHeartbeat forOtherDomain(DomainDigest digest) {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
-				this.cores, this.acceptingCallers, this.version, this.tables, this.storeAgeMs, Map.of(), List.of(),
+				this.cores, this.acceptingCallers, this.version, TableStates.NONE, this.storeAgeMs, Map.of(), List.of(),
 				List.of(), List.of(), List.of(digest), this.requestCrashes);
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -38,7 +38,7 @@
 	 * that the states of the tables and the crashes follow at the end. Larger than any
 	 * such sum, so that an earlier build fetches from this host.
 	 */
-	private static final long TABLES_FOLLOW = Long.MAX_VALUE / 2;
+	private static final long EXTENSION_FOLLOWS = Long.MAX_VALUE / 2;
 
 	/** A host whose store has never answered reports an age of more than half of this. */
 	private static final long MAX_AGE_MS = Long.MAX_VALUE / 4 * 3;
@@ -49,7 +49,7 @@
 	 * @return the payload of a datagram
 	 */
 	public byte[] encode(HostHeartbeat heartbeat) {
-		boolean hasTables = !heartbeat.tables().equals(TableStates.NONE);
+		boolean extended = !heartbeat.tables().equals(TableStates.NONE) || !heartbeat.requestCrashes().isEmpty();
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			packer.packInt(FORMAT_VERSION)
 				.packString(heartbeat.host())
@@ -60,7 +60,7 @@
 				.packDouble(heartbeat.cores())
 				.packBoolean(heartbeat.acceptingCallers())
 				.packLong(heartbeat.version())
-				.packLong(hasTables ? TABLES_FOLLOW : 0)
+				.packLong(extended ? EXTENSION_FOLLOWS : 0)
 				.packLong(heartbeat.storeAgeMs());
 			packUsage(packer, heartbeat.usage());
 			packStrings(packer, heartbeat.accountsNearLimit());
@@ -73,7 +73,7 @@
 				packStrings(packer, digest.failedTargets());
 				packStrings(packer, digest.recoveredTargets());
 			}
-			if (hasTables) {
+			if (extended) {
 				packTableState(packer, heartbeat.tables().desiredState());
 				packTableState(packer, heartbeat.tables().targets());
 				packCrashes(packer, heartbeat.requestCrashes());
@@ -135,16 +135,16 @@
 			double cores = unpacker.unpackDouble();
 			boolean acceptingCallers = unpacker.unpackBoolean();
 			long version = unpacker.unpackLong();
-			boolean hasTables = unpacker.unpackLong() == TABLES_FOLLOW;
+			boolean extended = unpacker.unpackLong() == EXTENSION_FOLLOWS;
 			long storeAgeMs = unpacker.unpackLong();
 			Map<String, AccountUsage> usage = unpackUsage(unpacker);
 			List<String> accountsNearLimit = unpackStrings(unpacker);
 			List<String> failedTargets = unpackStrings(unpacker);
 			List<String> recoveredTargets = unpackStrings(unpacker);
 			List<DomainDigest> digests = unpackDigests(unpacker);
-			TableStates tables = hasTables ? new TableStates(unpackTableState(unpacker), unpackTableState(unpacker))
+			TableStates tables = extended ? new TableStates(unpackTableState(unpacker), unpackTableState(unpacker))
 					: TableStates.NONE;
-			List<RequestCrash> requestCrashes = hasTables ? unpackCrashes(unpacker) : List.of();
+			List<RequestCrash> requestCrashes = extended ? unpackCrashes(unpacker) : List.of();
 			HostHeartbeat heartbeat = new HostHeartbeat(host, startMs, failureDomain, callerAddress, peerAddress, cores,
 					acceptingCallers, version, tables, storeAgeMs, usage, accountsNearLimit, failedTargets,
 					recoveredTargets, digests, requestCrashes);
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -52,11 +52,35 @@
 		 */
 		@Test
 		void aHeartbeatWithoutTablesHasNone() {
-			HostHeartbeat withoutTables = new HostHeartbeat("a1", 1, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 1, true, 1,
-					TableStates.NONE, 0, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+			HostHeartbeat withoutTables = heartbeatWithoutTables(List.of());
 			assertThat(this.codec.decode(this.codec.encode(withoutTables))).isEqualTo(withoutTables);
 		}
 
+		@Test
+		void aHeartbeatWithoutTablesMayReportCrashes() {
+			HostHeartbeat withCrash = heartbeatWithoutTables(HEARTBEAT.requestCrashes());
+			assertThat(this.codec.decode(this.codec.encode(withCrash))).isEqualTo(withCrash);
+		}
+
+		/**
+		 * Guards against the states of the tables in the copies for other failure
+		 * domains, which cannot use them: bytes between failure domains are billed.
+		 */
+		@Test
+		void theCopyForAnotherDomainIsSmallWithoutCrashes() {
+			HostHeartbeat heartbeat = heartbeatWithoutTables(List.of());
+			HostHeartbeat withTables = new HostHeartbeat("a1", 1, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 1, true, 1,
+					HEARTBEAT.tables(), 0, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+			DomainDigest digest = HEARTBEAT.digests().get(0);
+			assertThat(this.codec.encode(withTables.forOtherDomain(digest)))
+				.hasSameSizeAs(this.codec.encode(heartbeat.forOtherDomain(digest)));
+		}
+
+		private HostHeartbeat heartbeatWithoutTables(List<RequestCrash> crashes) {
+			return new HostHeartbeat("a1", 1, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 1, true, 1, TableStates.NONE, 0,
+					Map.of(), List.of(), List.of(), List.of(), List.of(), crashes);
+		}
+
 		@Test
 		void aTruncatedHeartbeatIsDropped() {
 			byte[] bytes = this.codec.encode(HEARTBEAT);
