Send the crashes of requests to other failure domains twice only

Reports of crashes went with each digest to each other domain for 5 s, and from each domain that had received them.

Each crash is now sent twice to other domains, and only by the domain that saw it.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
@@ -60,12 +60,13 @@
 	 * Returns this heartbeat as sent to another failure domain, without the details for
 	 * hosts of its own domain.
 	 * @param digest the digest of this failure domain
+	 * @param crashes the crashes of requests that the other domain must know of
 	 * @return a changed copy
 	 */
-	public HostHeartbeat forOtherDomain(DomainDigest digest) {
+	public HostHeartbeat forOtherDomain(DomainDigest digest, List<RequestCrash> crashes) {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, this.acceptingCallers, this.version, TableStates.NONE, this.storeAgeMs, Map.of(), List.of(),
-				List.of(), List.of(), List.of(digest), this.requestCrashes);
+				List.of(), List.of(), List.of(digest), crashes);
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/health/SequentialCrashQuarantine.java
+++ b/core/src/main/java/org/plantainspur/core/health/SequentialCrashQuarantine.java
@@ -189,8 +189,8 @@
 		long now = this.clock.millis();
 		for (RequestCrash report : reports) {
 			if (report.crashedAgeMs() < LIFETIME_MS) {
-				add(report.fingerprint(), new Crash(report.targetId(), report.id(), now - report.sentAgeMs(),
-						now - report.crashedAgeMs()));
+				add(report.fingerprint(),
+						new Crash("", report.id(), now - report.sentAgeMs(), now - report.crashedAgeMs()));
 			}
 		}
 	}
@@ -221,12 +221,13 @@
 	}
 
 	/**
-	 * A crash, in readings of this host's clock.
+	 * A crash, in readings of this host's clock. The target is empty if another host has
+	 * reported the crash, as it cannot be refuted any more.
 	 */
 	private record Crash(String targetId, long id, long sentMs, long crashedMs) {
 
 		RequestCrash toReport(String fingerprint, long now) {
-			return new RequestCrash(fingerprint, this.targetId, this.id, now - this.sentMs, now - this.crashedMs);
+			return new RequestCrash(fingerprint, this.id, now - this.sentMs, now - this.crashedMs);
 		}
 
 		boolean isRefutedBy(String answeringTargetId, long answeredAttemptSentMs) {
--- a/gateway/src/main/java/org/plantainspur/gateway/DomainRepresentative.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/DomainRepresentative.java
@@ -8,11 +8,13 @@
 import java.util.function.ToLongFunction;
 
 import org.plantainspur.core.fleet.AccountUsage;
+import org.plantainspur.core.fleet.CrashReports;
 import org.plantainspur.core.fleet.DigestSchedule;
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.DomainUsageTotals;
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.fleet.RegionTargetUpdates;
+import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.target.HostLocation;
 
 /**
@@ -44,6 +46,10 @@
 
 	private final Set<String> accountsNearLimit = new HashSet<>();
 
+	private final CrashReports regionCrashReports = new CrashReports();
+
+	private final CrashReports otherRegionCrashReports = new CrashReports();
+
 	/**
 	 * Creates a representative that has sent nothing yet.
 	 * @param settings the host's settings
@@ -71,6 +77,15 @@
 		this.targetUpdates.add(heartbeat.failedTargets(), heartbeat.recoveredTargets());
 	}
 
+	/**
+	 * Records what another failure domain reports.
+	 * @param heartbeat the heartbeat of a host of that domain
+	 */
+	void receiveFromOtherDomain(HostHeartbeat heartbeat) {
+		this.regionCrashReports.addReceived(heartbeat.requestCrashes());
+		this.otherRegionCrashReports.addReceived(heartbeat.requestCrashes());
+	}
+
 	/**
 	 * Sends the digests that are due, if this host is the representative of its failure
 	 * domain.
@@ -93,11 +108,12 @@
 		}
 		RegionTargetUpdates.Batch batch = this.targetUpdates.take(now);
 		if (!usage.isEmpty() || !batch.isEmpty()) {
-			send(ownHeartbeat, digest(ownHeartbeat, usage, batch), HostLocation.Distance.SAME_REGION);
+			send(ownHeartbeat, digest(ownHeartbeat, usage, batch), HostLocation.Distance.SAME_REGION,
+					this.regionCrashReports);
 		}
 		if (!usage.isEmpty()) {
 			send(ownHeartbeat, digest(ownHeartbeat, usage, RegionTargetUpdates.Batch.EMPTY),
-					HostLocation.Distance.OTHER_REGION);
+					HostLocation.Distance.OTHER_REGION, this.otherRegionCrashReports);
 		}
 	}
 
@@ -107,9 +123,12 @@
 				batch.failed(), batch.recovered());
 	}
 
-	private void send(HostHeartbeat ownHeartbeat, DomainDigest digest, HostLocation.Distance distance) {
-		this.heartbeatSender.accept(ownHeartbeat.forOtherDomain(digest), this.registry.recipientsInOtherDomains(
-				(failureDomain) -> this.location.distanceTo(failureDomain) == distance, this.silenceMs));
+	private void send(HostHeartbeat ownHeartbeat, DomainDigest digest, HostLocation.Distance distance,
+			CrashReports crashReports) {
+		List<RequestCrash> crashes = crashReports.take(ownHeartbeat.requestCrashes());
+		this.heartbeatSender.accept(ownHeartbeat.forOtherDomain(digest, crashes),
+				this.registry.recipientsInOtherDomains(
+						(failureDomain) -> this.location.distanceTo(failureDomain) == distance, this.silenceMs));
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -229,6 +229,9 @@
 				this.storeReadAllowedMs = Math.min(this.storeReadAllowedMs, this.clock.millis());
 			}
 		}
+		else {
+			this.representative.receiveFromOtherDomain(heartbeat);
+		}
 		List<DomainDigest> otherDomainDigests = newDigests.stream()
 			.filter((digest) -> !digest.failureDomain().equals(this.settings.failureDomain()))
 			.toList();
