--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -92,6 +92,14 @@
 		this.clock.advance(end - this.clock.millis());
 	}
 
+	// Reads a table with the row a from the store and stops following it.
+	private void readTheStoreOnce() {
+		this.store.results.add(rows(5, false, row("a", 1)));
+		this.follower.follow(true);
+		this.follower.follow(false);
+		runFor(10);
+	}
+
 	/** Guards against rows or changes that are missed while following the store. */
 	@Nested
 	class Following {
@@ -280,10 +288,7 @@
 
 		@Test
 		void changesAreFetchedFromAnotherHostWithoutACallToTheStore() {
-			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
-			TableFollowerTests.this.follower.follow(true);
-			TableFollowerTests.this.follower.follow(false);
-			runFor(10);
+			readTheStoreOnce();
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(7, false, row("b", 7)));
 			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
@@ -294,10 +299,7 @@
 
 		@Test
 		void theWholeTableIsFetchedWhenTheOtherHostHasLostTheHistory() {
-			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
-			TableFollowerTests.this.follower.follow(true);
-			TableFollowerTests.this.follower.follow(false);
-			runFor(10);
+			readTheStoreOnce();
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(new StoreResult.HistoryLost());
 			other.results.add(rows(7, false, row("b", 7)));
@@ -310,10 +312,7 @@
 
 		@Test
 		void theStoreIsReadOnceWhenTheOtherHostReturnsNoRows() {
-			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
-			TableFollowerTests.this.follower.follow(true);
-			TableFollowerTests.this.follower.follow(false);
-			runFor(10);
+			readTheStoreOnce();
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(new StoreResult.HistoryLost());
 			other.results.add(new StoreResult.Unavailable("stopping"));
@@ -330,10 +329,7 @@
 		 */
 		@Test
 		void nothingIsFetchedFromAHostWithTheSameRowsAndItsVersionIsTaken() {
-			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
-			TableFollowerTests.this.follower.follow(true);
-			TableFollowerTests.this.follower.follow(false);
-			runFor(10);
+			readTheStoreOnce();
 			TableState later = new TableState(900, TableFollowerTests.this.follower.replica().state().digest());
 			ScriptedStore other = new ScriptedStore();
 			TableFollowerTests.this.follower.fetchFrom(other, later);
