Log and count bytes of targets that belong to no awaited response

The incident of failures answered as successes has three hypotheses, and the log told none of them apart: a connection that was closed for bytes behind a response or while idle, and a skipped response to another request, left no trace. Each now has a target-unexpected-bytes line and a counter.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
@@ -113,8 +113,7 @@
 	}
 
 	private ProxyTargetConnectionPool createConnectionPool(EventLoop loop) {
-		ProxyTargetConnectionPool pool = new ProxyTargetConnectionPool(loop, this.components.headerNames().requestId(),
-				this.components.bufferBudget(), this.components.clock());
+		ProxyTargetConnectionPool pool = new ProxyTargetConnectionPool(loop, this.components);
 		loop.scheduleWithFixedDelay(pool::closeExpired, IDLE_SWEEP_INTERVAL_MS, IDLE_SWEEP_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 		return pool;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -183,7 +184,10 @@
 			// are skipped.
 			boolean foreign = response.status().code() >= 200
 					&& !this.requestId.equals(response.headers().get(this.requestIdHeader));
-			this.hadForeignResponse |= foreign;
+			if (foreign) {
+				this.hadForeignResponse = true;
+				this.stateListener.receivedUnexpected(UnexpectedBytes.OTHER_RESPONSE, this.requestId);
+			}
 			this.skipping = response.status().code() < 200 || foreign;
 			if (this.skipping && ++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
 				fail("the target sent more than " + MAX_SKIPPED_RESPONSES + " other responses");
@@ -247,8 +251,12 @@
 		this.listener = null;
 		ByteBuf wholeBody = this.body;
 		this.body = Unpooled.EMPTY_BUFFER;
-		boolean reusable = this.decoder.responseComplete() && delimited && !this.hadForeignResponse
-				&& this.requestWritten && HttpUtil.isKeepAlive(response) && channel().isActive()
+		boolean endsCleanly = this.decoder.responseComplete();
+		if (!endsCleanly) {
+			this.stateListener.receivedUnexpected(UnexpectedBytes.BEHIND_RESPONSE, this.requestId);
+		}
+		boolean reusable = endsCleanly && delimited && !this.hadForeignResponse && this.requestWritten
+				&& HttpUtil.isKeepAlive(response) && channel().isActive()
 				&& this.carriedIds.size() < MAX_CARRIED_REQUESTS;
 		readKeepAliveTimeout(response);
 		responseListener.responseReceived(response, wholeBody);
@@ -277,6 +285,9 @@
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 		this.connectionFailed = true;
+		if (this.listener == null && cause instanceof CorruptedFrameException) {
+			this.stateListener.receivedUnexpected(UnexpectedBytes.WHILE_IDLE, this.requestId);
+		}
 		connectionLost("connection failed: " + cause.getMessage());
 		context.close();
 	}
@@ -331,10 +342,34 @@
 	}
 
 	/**
-	 * Told when a connection is ready for another request and when it has closed.
+	 * Bytes of a target that belong to no response that is awaited.
+	 */
+	enum UnexpectedBytes {
+
+		/** A response to another request, while one was awaited. */
+		OTHER_RESPONSE,
+
+		/** Bytes that arrived together with the end of a response. */
+		BEHIND_RESPONSE,
+
+		/** Bytes that arrived while the connection was idle. */
+		WHILE_IDLE
+
+	}
+
+	/**
+	 * Told when a connection is ready for another request, when it has closed, and what
+	 * arrived on it besides the awaited responses.
 	 */
 	interface StateListener {
 
+		/**
+		 * Called when bytes arrived that belong to no awaited response.
+		 * @param kind what arrived
+		 * @param requestId the id of the latest request on the connection
+		 */
+		void receivedUnexpected(UnexpectedBytes kind, String requestId);
+
 		void becameIdle(ProxyTargetConnection connection);
 
 		void closed(ProxyTargetConnection connection);
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -18,10 +19,12 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.BufferBudget;
 import org.plantainspur.core.target.TargetListing;
 import org.plantainspur.core.target.TargetProcess;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.gateway.log.GatewayMetrics;
 
 /**
  * Connection pool of one event loop for all targets. Not thread-safe: all calls must come
@@ -58,13 +61,19 @@
 
 	private final BufferBudget bufferBudget;
 
+	private final DecisionLog log;
+
+	private final GatewayMetrics metrics;
+
 	private final Map<TargetProcess, Deque<IdleConnection>> idle = new HashMap<>();
 
-	ProxyTargetConnectionPool(EventLoop loop, String requestIdHeader, BufferBudget bufferBudget, Clock clock) {
+	ProxyTargetConnectionPool(EventLoop loop, ProxyComponents components) {
 		this.loop = loop;
-		this.requestIdHeader = requestIdHeader;
-		this.bufferBudget = bufferBudget;
-		this.clock = clock;
+		this.requestIdHeader = components.headerNames().requestId();
+		this.bufferBudget = components.bufferBudget();
+		this.clock = components.clock();
+		this.log = components.log();
+		this.metrics = components.metrics();
 	}
 
 	/**
@@ -169,6 +178,14 @@
 			}
 		}
 
+		@Override
+		public void receivedUnexpected(ProxyTargetConnection.UnexpectedBytes kind, String requestId) {
+			String name = kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+			ProxyTargetConnectionPool.this.metrics.count("target_unexpected_bytes_total", name);
+			ProxyTargetConnectionPool.this.log.event("target-unexpected-bytes", "target", this.process.id(), "kind",
+					name, "id", requestId);
+		}
+
 		@Override
 		public void closed(ProxyTargetConnection connection) {
 			Deque<IdleConnection> idleConnections = ProxyTargetConnectionPool.this.idle.get(this.process);
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -93,6 +93,33 @@
 
 	}
 
+	/** Guards against bytes that close a connection, or are skipped, without a trace. */
+	@Nested
+	class Reports {
+
+		@Test
+		void nameTheBytesThatBelongToNoAwaitedResponse() {
+			TestConnection connection = open();
+			connection.send("r1");
+			connection.receive(answer("r1", "done"));
+			connection.send("r2");
+			connection.receive(answer("r1", "done"));
+			connection.receive(answer("r2", "done") + "HTTP/1.1 2");
+			assertThat(connection.unexpected).containsExactly("OTHER_RESPONSE r2", "BEHIND_RESPONSE r2");
+		}
+
+		@Test
+		void nameTheBytesThatArriveWhileTheConnectionIsIdle() {
+			TestConnection connection = open();
+			connection.send("r1");
+			connection.receive(answer("r1", "done"));
+			connection.receive("HTTP/1.1 2");
+			assertThat(connection.unexpected).containsExactly("WHILE_IDLE r1");
+			assertThat(connection.channel.isOpen()).isFalse();
+		}
+
+	}
+
 	/** Guards against a new connection for each request. */
 	@Nested
 	class Reuse {
@@ -164,6 +191,8 @@
 
 		private final EmbeddedChannel channel = new EmbeddedChannel();
 
+		private final List<String> unexpected = new ArrayList<>();
+
 		private int idleCount;
 
 		private TestConnection() {
@@ -191,6 +220,11 @@
 			this.idleCount++;
 		}
 
+		@Override
+		public void receivedUnexpected(ProxyTargetConnection.UnexpectedBytes kind, String requestId) {
+			this.unexpected.add(kind + " " + requestId);
+		}
+
 		@Override
 		public void closed(ProxyTargetConnection closedConnection) {
 		}
