Require keys when the list of accounts is empty

A desired state whose table of accounts has no row let every request run on routes that need a key, with a withdrawn key or one that never existed: the state derived from its accounts whether keys are needed.

--- a/core/src/main/java/org/plantainspur/core/desired/DesiredState.java
+++ b/core/src/main/java/org/plantainspur/core/desired/DesiredState.java
@@ -29,6 +29,8 @@
 
 	private final Map<String, AccountRule> accountsByKey;
 
+	private final boolean requiresKeys;
+
 	private final CallerLimits limits;
 
 	private DesiredState(Builder builder) {
@@ -36,6 +38,7 @@
 		this.services = Map.copyOf(builder.services);
 		this.accounts = Map.copyOf(builder.accounts);
 		this.accountsByKey = Map.copyOf(builder.accountsByKey);
+		this.requiresKeys = builder.requiresKeys;
 		this.limits = builder.limits;
 		Map<String, List<RouteRule>> sorted = new HashMap<>();
 		Comparator<RouteRule> longestFirst = Comparator.comparingInt((RouteRule route) -> -route.prefix().length());
@@ -111,10 +114,10 @@
 
 	/**
 	 * Returns whether requests on routes that are not open need a key.
-	 * @return {@code true} if the state has at least one account
+	 * @return {@code true} if the state lists accounts, even if there are none
 	 */
 	public boolean requiresKeys() {
-		return !this.accounts.isEmpty();
+		return this.requiresKeys;
 	}
 
 	/**
@@ -149,6 +152,8 @@
 
 		private final Map<String, AccountRule> accountsByKey = new HashMap<>();
 
+		private boolean requiresKeys;
+
 		private CallerLimits limits = CallerLimits.DEFAULT;
 
 		private Builder(long version) {
@@ -175,6 +180,16 @@
 			return this;
 		}
 
+		/**
+		 * Requires a key on all routes that are not open, although the state may have no
+		 * account: then no request may run there. Adding an account implies this.
+		 * @return this builder
+		 */
+		public Builder requireKeys() {
+			this.requiresKeys = true;
+			return this;
+		}
+
 		/**
 		 * Adds an account with its keys, or replaces the one of the same name.
 		 * @param account the account
@@ -184,7 +199,7 @@
 		public Builder account(AccountRule account, List<String> keys) {
 			this.accounts.put(account.name(), account);
 			keys.forEach((key) -> this.accountsByKey.put(key, account));
-			return this;
+			return requireKeys();
 		}
 
 		/**
