Reject responses that end with their connection

Towards the platform a write counted as done, and rows and hosts as empty, after any head that had reached its status code; bytes behind a response of the platform became the next one, so that a conflict counted as a write.

Cause: HttpClient's blocking parser takes the end of the stream for the end of a line and of the head. The client of the platform also accepted bodies that end with the connection, and checked only connections idle for 2 s.

Change: the stream of a StrictHttpConnection ends with an exception, which covers heads, chunks, trailers and bodies at one place. StrictConnections builds the pools to targets and to the platform; each pooled connection is checked before use. TargetConnection and StaleCheckSocketHolder are renamed, as the platform's client uses them now. For https addresses only the start of the handshake is tested.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnection.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/StrictHttpConnection.java
@@ -3,36 +3,46 @@
 import java.io.IOException;
 import java.net.Socket;
 
+import javax.net.ssl.SSLSocket;
+
 import org.apache.hc.client5.http.impl.io.DefaultManagedHttpClientConnection;
 import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 
 /**
- * A connection to a target whose stale check does not block. HttpClient's own stale check
- * waits 1 ms for input on each live connection, which is a third of the latency budget,
- * and it accepts unsolicited input as the start of the next response.
+ * A client's connection that accepts complete responses only, and whose stale check does
+ * not block. HttpClient's own stale check waits 1 ms for input on each live connection,
+ * which is a third of the latency budget, and it accepts unsolicited input as the start
+ * of the next response.
  */
-final class TargetConnection extends DefaultManagedHttpClientConnection {
+final class StrictHttpConnection extends DefaultManagedHttpClientConnection {
 
 	/**
-	 * Timeout passed to HttpClient, which takes 0 as no timeout. The non-blocking read
-	 * never waits for it.
+	 * Timeout passed to HttpClient, which takes 0 as no timeout. Only connections with
+	 * TLS, which targets never have, wait for it.
 	 */
 	private static final Timeout STALE_CHECK_TIMEOUT = Timeout.ofMilliseconds(1);
 
-	private volatile @Nullable StaleCheckSocketHolder socketHolder;
+	private volatile @Nullable StrictSocketHolder socketHolder;
 
 	/**
 	 * Creates a connection that is not open yet.
 	 * @param id the name of the connection in HttpClient's log
 	 */
-	TargetConnection(String id) {
+	StrictHttpConnection(String id) {
 		super(id);
 	}
 
 	@Override
 	public void bind(Socket connectedSocket) throws IOException {
-		StaleCheckSocketHolder holder = new StaleCheckSocketHolder(connectedSocket);
+		StrictSocketHolder holder = new StrictSocketHolder(connectedSocket);
+		bind(holder);
+		this.socketHolder = holder;
+	}
+
+	@Override
+	public void bind(SSLSocket tlsSocket, Socket connectedSocket) throws IOException {
+		StrictSocketHolder holder = new StrictSocketHolder(tlsSocket, connectedSocket);
 		bind(holder);
 		this.socketHolder = holder;
 	}
@@ -45,7 +55,7 @@
 	 */
 	@Override
 	public boolean isStale() throws IOException {
-		StaleCheckSocketHolder holder = this.socketHolder;
+		StrictSocketHolder holder = this.socketHolder;
 		if (holder == null || !isOpen()) {
 			return true;
 		}
--- a/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnectionPool.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnectionPool.java
@@ -1,24 +1,13 @@
 package org.plantainspur.adapters.http;
 
-import java.nio.channels.SocketChannel;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntSupplier;
 
-import org.apache.hc.client5.http.DnsResolver;
 import org.apache.hc.client5.http.HttpRoute;
-import org.apache.hc.client5.http.SchemePortResolver;
-import org.apache.hc.client5.http.config.ConnectionConfig;
-import org.apache.hc.client5.http.impl.io.DefaultHttpClientConnectionOperator;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManager;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
-import org.apache.hc.client5.http.io.HttpClientConnectionOperator;
-import org.apache.hc.client5.http.ssl.TlsSocketStrategy;
 import org.apache.hc.core5.http.HttpHost;
-import org.apache.hc.core5.http.config.RegistryBuilder;
 import org.apache.hc.core5.http.io.SocketConfig;
-import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
 import org.plantainspur.core.routing.Target;
@@ -31,18 +20,6 @@
 
 	private static final Timeout CONNECT_TIMEOUT = Timeout.ofMilliseconds(1000);
 
-	/**
-	 * Checks every pooled connection before each use. Otherwise a request could be sent
-	 * on a connection that the target has already closed, and its outcome would be
-	 * unknown.
-	 */
-	private static final ConnectionConfig CONNECTION_CONFIG = ConnectionConfig.custom()
-		.setConnectTimeout(CONNECT_TIMEOUT)
-		.setValidateAfterInactivity(TimeValue.ZERO_MILLISECONDS)
-		.build();
-
-	private final AtomicLong connectionsCreated = new AtomicLong();
-
 	private final ConcurrentMap<HttpHost, Integer> appliedLimits = new ConcurrentHashMap<>();
 
 	private final IntSupplier memberCount;
@@ -55,13 +32,11 @@
 	 */
 	TargetConnectionPool(IntSupplier memberCount) {
 		this.memberCount = memberCount;
-		this.manager = new ChannelSocketManagerBuilder()
-			.setConnectionFactory(
-					(socket) -> new TargetConnection("target-" + this.connectionsCreated.incrementAndGet()))
+		this.manager = StrictConnections.managerBuilder("target")
 			.setMaxConnPerRoute(1)
 			.setMaxConnTotal(Integer.MAX_VALUE)
 			.setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
-			.setDefaultConnectionConfig(CONNECTION_CONFIG)
+			.setDefaultConnectionConfig(StrictConnections.configBuilder().setConnectTimeout(CONNECT_TIMEOUT).build())
 			.build();
 	}
 
@@ -87,19 +62,4 @@
 		return Math.max(1, target.connections() / Math.max(1, this.memberCount.getAsInt()));
 	}
 
-	/**
-	 * Creates sockets that have a {@link SocketChannel}, as
-	 * {@link StaleCheckSocketHolder} requires.
-	 */
-	private static final class ChannelSocketManagerBuilder extends PoolingHttpClientConnectionManagerBuilder {
-
-		@Override
-		protected HttpClientConnectionOperator createConnectionOperator(SchemePortResolver ports, DnsResolver names,
-				TlsSocketStrategy tls) {
-			return new DefaultHttpClientConnectionOperator((proxy) -> SocketChannel.open().socket(), ports, names,
-					RegistryBuilder.<TlsSocketStrategy>create().build());
-		}
-
-	}
-
 }
--- a/adapters/src/main/java/org/plantainspur/adapters/platform/PlatformClient.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/platform/PlatformClient.java
@@ -14,11 +14,9 @@
 import org.apache.hc.client5.http.classic.methods.HttpGet;
 import org.apache.hc.client5.http.classic.methods.HttpPost;
 import org.apache.hc.client5.http.classic.methods.HttpPut;
-import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
-import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
@@ -27,9 +25,12 @@
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.util.Timeout;
 
+import org.plantainspur.adapters.http.StrictConnections;
+
 /**
  * HTTP client of the platform's table, objects and host list. It never retries a request,
- * since a write whose response was lost may have taken effect.
+ * since a write whose response was lost may have taken effect. A response that is not
+ * complete is an error.
  */
 public final class PlatformClient implements AutoCloseable {
 
@@ -60,9 +61,9 @@
 			.disableAutomaticRetries()
 			.disableRedirectHandling()
 			.disableCookieManagement()
-			.setConnectionManager(PoolingHttpClientConnectionManagerBuilder.create()
+			.setConnectionManager(StrictConnections.managerBuilder("platform")
 				.setDefaultConnectionConfig(
-						ConnectionConfig.custom().setConnectTimeout(timeout).setSocketTimeout(timeout).build())
+						StrictConnections.configBuilder().setConnectTimeout(timeout).setSocketTimeout(timeout).build())
 				.build())
 			.setDefaultRequestConfig(
 					RequestConfig.custom().setResponseTimeout(timeout).setConnectionRequestTimeout(timeout).build())
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -3,14 +3,19 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import org.plantainspur.core.request.CallerRequest;
 import org.plantainspur.core.request.DispatchOutcome;
@@ -337,6 +342,117 @@
 
 	}
 
+	/**
+	 * Guards against a response that breaks off and is taken for complete: the end of the
+	 * connection within a header line, a chunk size or a trailer ends the line, too.
+	 */
+	@Nested
+	class BrokenOffResponse {
+
+		@ParameterizedTest
+		@EnumSource
+		void isUnknownWhenTheTargetClosesTheConnection(ResponseForm form) throws Exception {
+			assertUnknownAtEveryByte(form, ScriptedTarget.TargetSideConnection::close);
+		}
+
+		@ParameterizedTest
+		@EnumSource
+		void isUnknownWhenTheTargetResetsTheConnection(ResponseForm form) throws Exception {
+			assertUnknownAtEveryByte(form, ScriptedTarget.TargetSideConnection::reset);
+		}
+
+		private void assertUnknownAtEveryByte(ResponseForm form, ConnectionEnd end) throws Exception {
+			for (String text : List.of(form.text, form.textWithConnectionClose())) {
+				AtomicInteger length = new AtomicInteger();
+				List<String> accepted = new ArrayList<>();
+				try (ScriptedTarget target = new ScriptedTarget((connection) -> {
+					connection.readRequestHead();
+					connection.write(text.substring(0, length.get()));
+					end.end(connection);
+				})) {
+					for (; length.get() < text.length(); length.incrementAndGet()) {
+						DispatchOutcome outcome = dispatch(target.address(), false, 2000);
+						if (!(outcome instanceof DispatchOutcome.Unknown)) {
+							accepted.add(length + " bytes: " + outcome);
+						}
+					}
+				}
+				assertThat(accepted).as("outcomes of the beginning of %s", text).isEmpty();
+			}
+		}
+
+	}
+
+	/**
+	 * Guards against bytes behind a response that are taken for the response to the next
+	 * request on the connection, or for the beginning of its head.
+	 */
+	@Nested
+	class SecondCopy {
+
+		private static final String FAILURE = "HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\nfailed";
+
+		@ParameterizedTest
+		@EnumSource
+		void whichComesWithTheResponseDoesNotChangeTheNextOne(ResponseForm form) throws Exception {
+			List<String> foreign = new ArrayList<>();
+			for (int length = 1; length <= form.text.length(); length++) {
+				String bytes = form.text + form.text.substring(0, length);
+				try (ScriptedTarget target = new ScriptedTarget((connection) -> {
+					connection.readRequestHead();
+					connection.write((connection.number() == 1) ? bytes : FAILURE);
+					connection.readRequestHead();
+					connection.write(FAILURE);
+				})) {
+					dispatch(target.address(), false, 2000);
+					addIfForeign(foreign, length, dispatch(target.address(), false, 2000));
+				}
+			}
+			assertThat(foreign).as("outcomes of a request whose response was a failure").isEmpty();
+		}
+
+		// An outcome that says that it does not know what happened is right, too.
+		private void addIfForeign(List<String> foreign, int length, DispatchOutcome outcome) {
+			boolean own = outcome instanceof DispatchOutcome.Answered answered && answered.status() == 500;
+			if (!own && !(outcome instanceof DispatchOutcome.Unknown)) {
+				foreign.add(length + " bytes: " + outcome);
+			}
+		}
+
+	}
+
+	/** A complete response of a target. */
+	enum ResponseForm {
+
+		BODY_OF_DECLARED_LENGTH("HTTP/1.1 200 OK\r\nX-Name: value\r\nContent-Length: 10\r\n\r\n0123456789"),
+
+		CHUNKED_BODY("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n04\r\npart\r\n06\r\nsecond\r\n"
+				+ "0\r\nX-Trailer: value\r\n\r\n"),
+
+		EMPTY_BODY("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Name: value\r\n\r\n"),
+
+		NO_BODY("HTTP/1.1 204 No Content\r\nX-Name: value\r\n\r\n"),
+
+		DECLINE("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Not-Run: true\r\nX-Target-State: draining\r\n\r\n");
+
+		private final String text;
+
+		ResponseForm(String text) {
+			this.text = text;
+		}
+
+		String textWithConnectionClose() {
+			return this.text.replaceFirst("\r\n", "\r\nConnection: close\r\n");
+		}
+
+	}
+
+	private interface ConnectionEnd {
+
+		void end(ScriptedTarget.TargetSideConnection connection) throws IOException;
+
+	}
+
 	@Nested
 	class Request {
 
--- a/adapters/src/test/java/org/plantainspur/adapters/http/ScriptedTarget.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/ScriptedTarget.java
@@ -10,11 +10,13 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * A target that runs a script of the test on each connection that it accepts.
  */
-final class ScriptedTarget implements AutoCloseable {
+public final class ScriptedTarget implements AutoCloseable {
 
 	private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
@@ -24,7 +26,7 @@
 
 	private final AtomicInteger connections = new AtomicInteger();
 
-	ScriptedTarget(Script script) throws IOException {
+	public ScriptedTarget(Script script) throws IOException {
 		start(() -> {
 			while (true) {
 				Socket socket = this.listener.accept();
@@ -48,11 +50,11 @@
 		thread.start();
 	}
 
-	String address() {
+	public String address() {
 		return "127.0.0.1:" + this.listener.getLocalPort();
 	}
 
-	int connections() {
+	public int connections() {
 		return this.connections.get();
 	}
 
@@ -68,7 +70,7 @@
 		}
 	}
 
-	interface Script {
+	public interface Script {
 
 		void run(TargetSideConnection connection) throws IOException, InterruptedException;
 
@@ -83,7 +85,9 @@
 	/**
 	 * The target's side of one connection.
 	 */
-	static final class TargetSideConnection {
+	public static final class TargetSideConnection {
+
+		private static final Pattern CONTENT_LENGTH = Pattern.compile("(?i)\\r\\nContent-Length: (\\d+)\\r\\n");
 
 		private final Socket socket;
 
@@ -100,7 +104,7 @@
 			this.input = new BufferedInputStream(socket.getInputStream());
 		}
 
-		int number() {
+		public int number() {
 			return this.number;
 		}
 
@@ -109,7 +113,7 @@
 		 * @return the text up to and including the empty line
 		 * @throws IOException if the connection ends
 		 */
-		String readRequestHead() throws IOException {
+		public String readRequestHead() throws IOException {
 			StringBuilder head = new StringBuilder();
 			while (head.indexOf("\r\n\r\n") < 0) {
 				int next = this.input.read();
@@ -122,16 +126,34 @@
 			return head.toString();
 		}
 
-		void write(String text) throws IOException {
+		public int read() throws IOException {
+			return this.input.read();
+		}
+
+		/**
+		 * Reads one request with its body, if it has a Content-Length.
+		 * @return the text up to and including the empty line
+		 * @throws IOException if the connection ends
+		 */
+		public String readRequest() throws IOException {
+			String head = readRequestHead();
+			Matcher length = CONTENT_LENGTH.matcher(head);
+			if (length.find()) {
+				this.input.readNBytes(Integer.parseInt(length.group(1)));
+			}
+			return head;
+		}
+
+		public void write(String text) throws IOException {
 			this.socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 			this.socket.getOutputStream().flush();
 		}
 
-		void close() throws IOException {
+		public void close() throws IOException {
 			this.socket.close();
 		}
 
-		void reset() throws IOException {
+		public void reset() throws IOException {
 			this.socket.setSoLinger(true, 0);
 			this.socket.close();
 		}
