Reject heads that hold the beginning of another response, on the earlier host

What callers saw: the status and headers of an earlier response, on the response to the next request of the connection. A failure counted as a success, or as a decline.

Cause: a part of a second copy that arrives after the next request was sent cannot be seen by the check of an idle connection; HttpClient merges it with the next head, or skips lines until it finds a status line.

Copies that come with the response were caught before, by the check of the buffer.

Change: StrictResponseParser rejects a head with a second status line, as the gateway's decoder does, and does not skip lines.

A whole second copy that arrives after the next request was sent still answers it, as responses bear no id there.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/StrictHttpConnection.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/StrictHttpConnection.java
@@ -30,7 +30,7 @@
 	 * @param id the name of the connection in HttpClient's log
 	 */
 	StrictHttpConnection(String id) {
-		super(id);
+		super(id, null, null, null, null, null, null, (config) -> new StrictResponseParser(config));
 	}
 
 	@Override
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -411,6 +411,26 @@
 			assertThat(foreign).as("outcomes of a request whose response was a failure").isEmpty();
 		}
 
+		@ParameterizedTest
+		@EnumSource
+		void whosePartComesAfterTheNextRequestDoesNotChangeItsResponse(ResponseForm form) throws Exception {
+			List<String> foreign = new ArrayList<>();
+			for (int length = 1; length < form.headLength(); length++) {
+				String part = form.text.substring(0, length);
+				try (ScriptedTarget target = new ScriptedTarget((connection) -> {
+					connection.readRequestHead();
+					connection.write(form.text);
+					connection.readRequestHead();
+					connection.write(part + FAILURE);
+					connection.close();
+				})) {
+					dispatch(target.address(), false, 2000);
+					addIfForeign(foreign, length, dispatch(target.address(), false, 2000));
+				}
+			}
+			assertThat(foreign).as("outcomes of a request whose response was a failure").isEmpty();
+		}
+
 		// An outcome that says that it does not know what happened is right, too.
 		private void addIfForeign(List<String> foreign, int length, DispatchOutcome outcome) {
 			boolean own = outcome instanceof DispatchOutcome.Answered answered && answered.status() == 500;
@@ -445,6 +465,10 @@
 			return this.text.replaceFirst("\r\n", "\r\nConnection: close\r\n");
 		}
 
+		int headLength() {
+			return this.text.indexOf("\r\n\r\n") + 4;
+		}
+
 	}
 
 	private interface ConnectionEnd {
