Test that the gateway takes no broken-off response for complete

Responses with a length, chunks, an empty body, no body, and declines are cut at every byte, with and without `Connection: close`, and end by a close or a reset; so are responses on connections to the store and between hosts.

--- a/gateway/src/test/java/org/plantainspur/gateway/http/EventLoopHttpClientTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/EventLoopHttpClientTests.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -91,4 +93,54 @@
 
 	}
 
+	/** Guards against a response that breaks off and is taken for complete. */
+	@Nested
+	class BrokenOffResponse {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 OK\r\nX-Name: value\r\nContent-Length: 2\r\n\r\n{}",
+				"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n01\r\n{\r\n01\r\n}\r\n0\r\n\r\n",
+				"HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\nX-Name: value\r\n\r\n",
+				"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\nX-Name: value\r\n\r\n" })
+		void hasNoStatus(String text) throws Exception {
+			for (boolean reset : new boolean[] { false, true }) {
+				AtomicInteger length = new AtomicInteger();
+				try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+					Thread acceptor = new Thread(() -> breakOff(server, text, length, reset));
+					acceptor.setDaemon(true);
+					acceptor.start();
+					EventLoopHttpClient client = new EventLoopHttpClient(
+							EventLoopHttpClientTests.this.eventLoops.next(),
+							new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort()));
+					for (; length.get() < text.length(); length.incrementAndGet()) {
+						EventLoopHttpClient.Reply reply = client.call("GET", "/rows", new byte[0], 2_000)
+							.toCompletableFuture()
+							.get(3, TimeUnit.SECONDS);
+						assertThat(reply.status()).as("%s bytes of %s, reset: %s", length, text, reset).isZero();
+						assertThat(reply.bodyExcerpt()).doesNotContain("no response within");
+					}
+				}
+			}
+		}
+
+		// Answers one connection after another with the beginning of a response.
+		private void breakOff(ServerSocket server, String text, AtomicInteger length, boolean reset) {
+			while (!server.isClosed()) {
+				try (Socket connection = server.accept()) {
+					StringBuilder head = new StringBuilder();
+					while (head.indexOf("\r\n\r\n") < 0) {
+						head.append((char) connection.getInputStream().read());
+					}
+					connection.getOutputStream()
+						.write(text.substring(0, length.get()).getBytes(StandardCharsets.ISO_8859_1));
+					connection.setSoLinger(reset, 0);
+				}
+				catch (IOException ex) {
+					// The test has ended.
+				}
+			}
+		}
+
+	}
+
 }
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -1,8 +1,10 @@
 package org.plantainspur.gateway.http;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -93,6 +95,41 @@
 
 	}
 
+	/** Guards against a response that breaks off and is taken for complete. */
+	@Nested
+	class BrokenOffResponse {
+
+		@ParameterizedTest
+		@EnumSource
+		void failsWhenTheTargetClosesTheConnection(ResponseForm form) {
+			assertFailureAtEveryByte(form, (connection) -> connection.channel.close());
+		}
+
+		@ParameterizedTest
+		@EnumSource
+		void failsWhenTheTargetResetsTheConnection(ResponseForm form) {
+			assertFailureAtEveryByte(form, (connection) -> {
+				connection.channel.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+				connection.channel.close();
+			});
+		}
+
+		private void assertFailureAtEveryByte(ResponseForm form, Consumer<TestConnection> end) {
+			for (String text : List.of(form.text, form.text.replaceFirst("\r\n", "\r\nConnection: close\r\n"))) {
+				for (int length = 0; length < text.length(); length++) {
+					TestConnection connection = open();
+					Outcome outcome = connection.send("r1");
+					connection.receive(text.substring(0, length));
+					end.accept(connection);
+					assertThat(outcome.failed && outcome.status == 0).as("%d bytes of %s: %s", length, text, outcome)
+						.isTrue();
+					assertThat(connection.idleCount).isZero();
+				}
+			}
+		}
+
+	}
+
 	/** Guards against bytes that close a connection, or are skipped, without a trace. */
 	@Nested
 	class Reports {
@@ -183,6 +220,28 @@
 
 	}
 
+	/** A complete response to the request r1. */
+	enum ResponseForm {
+
+		BODY_OF_DECLARED_LENGTH(answer("r1", "0123456789")),
+
+		CHUNKED_BODY(answer("r1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+				+ "04\r\npart\r\n06\r\nsecond\r\n0\r\nX-Trailer: value\r\n\r\n"),
+
+		EMPTY_BODY(answer("r1", "")),
+
+		NO_BODY("HTTP/1.1 204 No Content\r\nRequest-Id: r1\r\nSignature: signed\r\n\r\n"),
+
+		DECLINE(decline("r1"));
+
+		private final String text;
+
+		ResponseForm(String text) {
+			this.text = text;
+		}
+
+	}
+
 	/** A connection whose target is the test. */
 	private static final class TestConnection implements ProxyTargetConnection.StateListener {
 
