--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -293,6 +294,35 @@
 
 	}
 
+	/** Guards against a response that breaks off and reaches the caller as a success. */
+	@Nested
+	class BrokenOffResponses {
+
+		@ParameterizedTest
+		@ValueSource(booleans = { false, true })
+		void neverReachTheCallerAsASuccess(boolean connectionClose) throws Exception {
+			AtomicInteger length = new AtomicInteger();
+			AtomicInteger brokenOff = new AtomicInteger();
+			String whole = connectionClose ? response("000", "whole").replaceFirst("\r\n", "\r\nConnection: close\r\n")
+					: response("000", "whole");
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				String id = connection.readRequestId();
+				if (id != null) {
+					brokenOff.incrementAndGet();
+					connection.write(whole.replace("Id: 000", "Id: " + id).substring(0, length.get()));
+				}
+			});
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			// All ids have the same length, so that all responses have.
+			for (; length.get() < whole.length(); length.incrementAndGet()) {
+				String id = String.valueOf(100 + length.get());
+				assertThat(book(host.port(), id)).as("%s bytes", length).matches("(?s)HTTP/1.1 5\\d\\d.*");
+			}
+			assertThat(brokenOff).as("responses that broke off").hasValueGreaterThanOrEqualTo(whole.length());
+		}
+
+	}
+
 	@Nested
 	class ForeignBodies {
 
