--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -55,20 +55,25 @@
 
 	/** Writes a new desired state in which the account mill has the given key. */
 	void writeDesiredState(String key) {
-		writeDesiredState(key, 2_000, 65_536);
+		writeDesiredState(key, 2_000, 65_536, 1_000);
+	}
+
+	/** Writes a new desired state in which the account mill has no rate limit. */
+	void writeDesiredStateWithoutRateLimit() {
+		writeDesiredState(KEY, 2_000, 65_536, 0);
 	}
 
 	/** Writes a new desired state with the given timeout of the route book. */
 	void writeDesiredStateWithTimeout(long timeoutMs) {
-		writeDesiredState(KEY, timeoutMs, 65_536);
+		writeDesiredState(KEY, timeoutMs, 65_536, 1_000);
 	}
 
 	/** Writes a new desired state with the given longest body of a request. */
 	void writeDesiredStateWithMaxBody(int maxBodyBytes) {
-		writeDesiredState(KEY, 2_000, maxBodyBytes);
+		writeDesiredState(KEY, 2_000, maxBodyBytes, 1_000);
 	}
 
-	private void writeDesiredState(String key, long timeoutMs, int maxBodyBytes) {
+	private void writeDesiredState(String key, long timeoutMs, int maxBodyBytes, int requestsPerSecond) {
 		this.version += 3;
 		this.store.put("op", "config",
 				"""
@@ -81,8 +86,8 @@
 						"services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/health",100],["t","/health",100]]},
 						"limits":{"maxHeaderBytes":16384,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 						"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
-						"rows":[["mill",["%s"],0,1000,1000]]}}"""
-					.formatted(this.version, timeoutMs, maxBodyBytes, key));
+						"rows":[["mill",["%s"],0,%d,%d]]}}"""
+					.formatted(this.version, timeoutMs, maxBodyBytes, key, requestsPerSecond, requestsPerSecond));
 	}
 
 	/**
@@ -101,9 +106,14 @@
 	 * lists it in the table store as ready.
 	 */
 	RawServer startRawTarget(String id, RawServer.ConnectionHandler handler) throws IOException {
+		return startRawTarget(id, "a", handler);
+	}
+
+	/** Starts a raw target in the given failure domain. */
+	RawServer startRawTarget(String id, String failureDomain, RawServer.ConnectionHandler handler) throws IOException {
 		RawServer target = new RawServer(handler);
 		this.resources.add(target);
-		listTarget(id, target.port(), "ready");
+		listTarget("s", id, target.port(), "ready", failureDomain);
 		return target;
 	}
 
@@ -112,9 +122,13 @@
 	}
 
 	void listTarget(String service, String id, int port, String state) {
+		listTarget(service, id, port, state, "a");
+	}
+
+	private void listTarget(String service, String id, int port, String state, String failureDomain) {
 		this.store.put("servers", id, """
-				{"service":"%s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":4,"state":"%s",
-				"coldLeftMs":0,"seq":1}""".formatted(service, port, state));
+				{"service":"%s","address":"127.0.0.1:%d","zone":"%s","version":"v1","slots":4,"state":"%s",
+				"coldLeftMs":0,"seq":1}""".formatted(service, port, failureDomain, state));
 	}
 
 	static Response signedResponse(String requestId, String text) {
@@ -162,9 +176,18 @@
 	 * {@code deploy/system.toml}, and waits until it is ready.
 	 */
 	HostProcess startReadyHostProcess(String name) throws IOException {
+		return startReadyHostProcess(name, "a", "zones.a=r");
+	}
+
+	/**
+	 * Starts a host process in a failure domain.
+	 * @param failureDomain the failure domain of the host
+	 * @param regions the lines of the settings that assign failure domains to regions
+	 */
+	HostProcess startReadyHostProcess(String name, String failureDomain, String regions) throws IOException {
 		int[] ports = freePorts();
 		Path settings = Files.writeString(Files.createTempFile(name, ".conf"),
-				settings(name, ports, this.store.port()));
+				settings(name, failureDomain, regions, ports, this.store.port()));
 		ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
 				"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled", "-cp",
 				System.getProperty("java.class.path"), PlatformHostMain.class.getName());
@@ -185,26 +208,28 @@
 	}
 
 	private Host startHost(String name, int[] ports, int storePort) throws IOException {
-		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings(name, ports, storePort),
+		GatewayHost gateway = PlatformHostFactory.create("node.conf",
+				settings(name, "a", "zones.a=r", ports, storePort),
 				(event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields)));
 		Host host = new Host(gateway, gateway.start(), ports);
 		this.resources.add(gateway);
 		return host;
 	}
 
-	private static String settings(String name, int[] ports, int storePort) {
+	private static String settings(String name, String failureDomain, String regions, int[] ports, int storePort) {
 		return """
 				nodeName=%s
 				ip=127.0.0.1
-				zone=a
-				zones.a=r
+				zone=%s
+				%s
 				listen.front=127.0.0.1:%d
 				listen.ready=127.0.0.1:%d
 				listen.directory=127.0.0.1:%d
 				internalPorts=%d,%d
 				platform.address=127.0.0.1:%d
 				bounds=graceS=5,retryBudgetRatio=0.2,budgetExtra=60
-				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, storePort);
+				""".formatted(name, failureDomain, regions, ports[0], ports[1], ports[2], ports[3], ports[3] + 1,
+				storePort);
 	}
 
 	// The peer port serves UDP and TCP; the next higher port serves metrics.
--- a/standins/src/test/java/org/plantainspur/standins/gateway/RawServer.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/RawServer.java
@@ -86,11 +86,14 @@
 	 */
 	static final class Connection {
 
+		private final Socket socket;
+
 		private final InputStream input;
 
 		private final OutputStream output;
 
 		private Connection(Socket socket) throws IOException {
+			this.socket = socket;
 			socket.setTcpNoDelay(true);
 			this.input = socket.getInputStream();
 			this.output = socket.getOutputStream();
@@ -131,6 +134,12 @@
 			this.output.flush();
 		}
 
+		/** Closes the connection with a reset. */
+		void reset() throws IOException {
+			this.socket.setSoLinger(true, 0);
+			this.socket.close();
+		}
+
 		/** Writes a text again and again until the host closes the connection. */
 		void writeEndlessly(String text) throws IOException {
 			byte[] bytes = text.repeat(Math.max(1, 4_096 / text.length())).getBytes(StandardCharsets.ISO_8859_1);
