Name the latest second copy of a connection in the soak's findings

A finding named only what the request before had sent. The soak's record now keeps the latest copy of the connection.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/StutteringTarget.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/StutteringTarget.java
@@ -48,6 +48,7 @@
 		String connectionName = this.name + "/" + this.connections.incrementAndGet();
 		Object writeLock = new Object();
 		String previous = "nothing";
+		String latestCopy = "no copy";
 		SecondCopy pending = null;
 		int position = 0;
 		for (Request request = readRequest(connection); request != null; request = readRequest(connection)) {
@@ -62,7 +63,8 @@
 			Random random = new Random(this.seed ^ (31L * request.id().hashCode() + this.name.hashCode()));
 			Plan plan = Plan.of(request.id(), this.name, this.rates, random);
 			this.record.addSent(request.id(), new SoakRecord.Sent(plan.status(), plan.signature(), plan.body(),
-					plan.ran(), connectionName + "#" + position + " " + plan.ending() + " after " + previous));
+					plan.ran(),
+					connectionName + "#" + position + " " + plan.ending() + " after " + previous + ", " + latestCopy));
 			GatewayFixture.sleep(random.nextInt(6));
 			synchronized (writeLock) {
 				if (pending != null) {
@@ -86,11 +88,11 @@
 				else if (copy != null && copy.moment() == SecondCopy.Moment.LATE) {
 					writeLate(connection, copy, writeLock, random);
 				}
+				previous = request.id() + " status " + plan.status();
 				if (copy != null) {
 					this.record.count(copy.form());
+					latestCopy = "latest copy at #" + position + " " + copy;
 				}
-				previous = request.id() + " status " + plan.status() + " " + plan.ending()
-						+ ((copy != null) ? " and " + copy : "");
 			}
 			if (plan.ending() != Ending.KEEP_OPEN) {
 				this.record.count(plan.ending().name());
