Let requests run until the last sixth of a short grace period

Callers of a host that was stopped with a grace period of less than 5.4 s could lose requests on which the target was working.

Cause: the host ends 0.9 s before the end of the grace period, whatever its length. With 4 s it cut requests off at 3.1 s, while only work in the last sixth, from 3.33 s on, may be cut off.

Evidence: End.openRequestsMayRunUntilTheLastSixth failed on the earlier code for 2, 3, 4 and 5 s with an end after 1.1, 2.1, 3.1 and 4.1 s.

Change: the margin is at most a sixth of the grace period.

--- a/core/src/main/java/org/plantainspur/core/proxy/ShutdownSchedule.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/ShutdownSchedule.java
@@ -35,7 +35,14 @@
 	 * The process ends this long before it would be killed, so that responses still reach
 	 * their callers.
 	 */
-	private static final long KILL_MARGIN_MS = 900;
+	private static final long MAX_KILL_MARGIN_MS = 900;
+
+	/**
+	 * The fraction of the grace period that the margin takes if that is shorter than
+	 * {@link #MAX_KILL_MARGIN_MS}. Work that ends before the last sixth of the grace
+	 * period must not be cut off.
+	 */
+	private static final double KILL_MARGIN_FRACTION = 1 / 6.0;
 
 	/**
 	 * Returns whether new requests are refused.
@@ -54,7 +61,8 @@
 	 * case shortly before the process would be killed
 	 */
 	public boolean mayEnd(long elapsedMs, int openRequests) {
-		return elapsedMs >= this.graceMs - KILL_MARGIN_MS
+		double killMarginMs = Math.min(MAX_KILL_MARGIN_MS, this.graceMs * KILL_MARGIN_FRACTION);
+		return elapsedMs >= this.graceMs - killMarginMs
 				|| (elapsedMs >= this.graceMs * EARLY_END_FRACTION && openRequests == 0);
 	}
 
--- a/core/src/test/java/org/plantainspur/core/proxy/ShutdownScheduleTests.java
+++ b/core/src/test/java/org/plantainspur/core/proxy/ShutdownScheduleTests.java
@@ -54,6 +54,13 @@
 	@Nested
 	class End {
 
+		/** With a grace period of 4 s, requests were cut off at 3.1 s. */
+		@ParameterizedTest
+		@ValueSource(longs = { 2_000, 3_000, 4_000, 5_000, 6_000, 10_000 })
+		void openRequestsMayRunUntilTheLastSixth(long graceMs) {
+			assertThat(endMs(new ShutdownSchedule(graceMs), 1)).isBetween(graceMs * 5 / 6 - STEP_MS, graceMs - 300);
+		}
+
 		@ParameterizedTest
 		@ValueSource(longs = { 6_000, 10_000 })
 		void openRequestsHaveMostOfTheGracePeriod(long graceMs) {
