Answer requests behind others on a connection during a stop

In a planned stop, callers that had sent several requests on a connection got a response to the first one only. The others were cut off, among them requests that targets were running and requests whose response was ready.

Cause: the first response of a stop closed the connection, and requests behind it were abandoned. At the end of the stop the same happened behind a request that was still open.

Change: the response to the last request that was read closes the connection. Requests that run are answered; requests that wait behind them are refused with 503 and reach no target. aStopThatBeginsMeanwhileLeavesTheRequestsBehindUnsent expected the connection to end without a response to the second request, which was read long before; it now expects its refusal and, as before, that it reaches no target.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -22,8 +23,10 @@
 /**
  * Handles one connection of a caller. Pipelined requests of idempotent routes run side by
  * side, all others one after another. Responses are sent in the order of the requests.
- * When a response closes the connection, the requests behind it are abandoned, as callers
- * send them again on another connection, whatever their route.
+ * When a response closes the connection because its caller asked for it, the requests
+ * behind it are abandoned, as callers send them again on another connection, whatever
+ * their route. During a stop, the response to the last request that was read closes the
+ * connection: running requests end, and those that have not been started are refused.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -48,6 +51,9 @@
 
 	private boolean closing;
 
+	/** Whether a response was sent during a stop, so that no request is started. */
+	private boolean refusing;
+
 	CallerConnection(ProxyComponents components, ProxyTargetConnectionPool connectionPool,
 			RequestBodyLimiter bodyLimiter, OpenRequestCounter openRequests) {
 		this.components = components;
@@ -117,7 +123,12 @@
 		exchange.request = proxiedRequest;
 		this.openRequests.increment();
 		this.running.addLast(exchange);
-		proxiedRequest.start();
+		if (this.refusing) {
+			proxiedRequest.endForShutdown();
+		}
+		else {
+			proxiedRequest.start();
+		}
 	}
 
 	private void responseReady(ChannelHandlerContext context, Exchange exchange, FullHttpResponse response) {
@@ -136,19 +147,25 @@
 		while (first != null && first.response != null) {
 			FullHttpResponse response = first.response;
 			this.running.removeFirst();
-			this.openRequests.decrement();
-			if (!first.keepAlive || this.components.shutdown().stopping()) {
+			this.refusing |= this.components.shutdown().stopping();
+			boolean last = this.running.isEmpty() && this.waiting.isEmpty();
+			if (!first.keepAlive || (this.refusing && last)) {
 				this.closing = true;
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-				context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+				write(context, response).addListener(ChannelFutureListener.CLOSE);
 				abandonRequests("behind-close");
 				return;
 			}
-			context.writeAndFlush(response);
+			write(context, response);
 			first = this.running.peekFirst();
 		}
 	}
 
+	private ChannelFuture write(ChannelHandlerContext context, FullHttpResponse response) {
+		this.openRequests.decrement();
+		return context.writeAndFlush(response);
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext context) {
 		this.closing = true;
@@ -173,15 +190,16 @@
 		}
 	}
 
-	// Answers the open requests at the end of a stop. The first response closes the
-	// connection, so those behind it need none.
+	// Answers the open requests at the end of a stop.
 	private void endRequests(ChannelHandlerContext context) {
-		Exchange first = this.running.peekFirst();
-		ProxiedRequest request = (first != null) ? first.request : null;
-		if (request != null) {
-			request.endForShutdown();
+		this.refusing = true;
+		for (Exchange exchange : List.copyOf(this.running)) {
+			ProxiedRequest request = exchange.request;
+			if (exchange.response == null && request != null) {
+				request.endForShutdown();
+			}
 		}
-		else {
+		if (this.running.isEmpty()) {
 			this.closing = true;
 			context.close();
 		}
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -33,6 +33,8 @@
 
 	private static final int TIMEOUT_MILLIS = 5_000;
 
+	private static final int GRACE_SECONDS = 5;
+
 	private final TableStoreStandIn store = new TableStoreStandIn();
 
 	private final List<AutoCloseable> resources = new ArrayList<>();
@@ -162,9 +164,14 @@
 	 * {@code deploy/system.toml}, and waits until it is ready.
 	 */
 	HostProcess startReadyHostProcess(String name) throws IOException {
+		return startReadyHostProcess(name, GRACE_SECONDS);
+	}
+
+	/** Starts such a process with the given grace period. */
+	HostProcess startReadyHostProcess(String name, int graceSeconds) throws IOException {
 		int[] ports = freePorts();
 		Path settings = Files.writeString(Files.createTempFile(name, ".conf"),
-				settings(name, ports, this.store.port()));
+				settings(name, ports, this.store.port(), graceSeconds));
 		ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
 				"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled", "-cp",
 				System.getProperty("java.class.path"), PlatformHostMain.class.getName());
@@ -185,14 +192,14 @@
 	}
 
 	private Host startHost(String name, int[] ports, int storePort) throws IOException {
-		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings(name, ports, storePort),
+		GatewayHost gateway = PlatformHostFactory.create("node.conf", settings(name, ports, storePort, GRACE_SECONDS),
 				(event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields)));
 		Host host = new Host(gateway, gateway.start(), ports);
 		this.resources.add(gateway);
 		return host;
 	}
 
-	private static String settings(String name, int[] ports, int storePort) {
+	private static String settings(String name, int[] ports, int storePort, int graceSeconds) {
 		return """
 				nodeName=%s
 				ip=127.0.0.1
@@ -203,8 +210,8 @@
 				listen.directory=127.0.0.1:%d
 				internalPorts=%d,%d
 				platform.address=127.0.0.1:%d
-				bounds=graceS=5,retryBudgetRatio=0.2,budgetExtra=60
-				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, storePort);
+				bounds=graceS=%d,retryBudgetRatio=0.2,budgetExtra=60
+				""".formatted(name, ports[0], ports[1], ports[2], ports[3], ports[3] + 1, storePort, graceSeconds);
 	}
 
 	// The peer port serves UDP and TCP; the next higher port serves metrics.
--- a/standins/src/test/java/org/plantainspur/standins/gateway/PipelinedRequestsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/PipelinedRequestsTests.java
@@ -148,6 +148,7 @@
 					stopped.countDown();
 				}).start();
 				assertThat(response(socket)).endsWith("for slow-1");
+				assertThat(response(socket)).startsWith("HTTP/1.1 503").containsIgnoringCase("connection: close");
 				assertThat(socket.getInputStream().read()).isEqualTo(-1);
 			}
 			assertThat(stopped.await(10, TimeUnit.SECONDS)).isTrue();
