Keep a stopping process until its responses have been written

Cause: a request counted as done when its response was handed to the connection. At the end of the stop the connection was closed, too, while the response was being written.

Change: a request is open until its response has been written, and a connection that writes its last response is left to close by itself.

--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayShutdown.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayShutdown.java
@@ -70,7 +70,7 @@
 			this.callerChannels.endRequests();
 			if (unfinished > 0) {
 				this.log.event("ended-open-requests", "openRequests", unfinished);
-				Thread.sleep(LAST_RESPONSES_MS);
+				awaitResponses();
 			}
 		}
 		catch (InterruptedException ex) {
@@ -79,6 +79,13 @@
 		this.log.event("stopped", "openRequests", this.openRequests.getAsInt());
 	}
 
+	private void awaitResponses() throws InterruptedException {
+		long endNanos = System.nanoTime() + LAST_RESPONSES_MS * 1_000_000;
+		while (this.openRequests.getAsInt() > 0 && System.nanoTime() < endNanos) {
+			Thread.sleep(POLL_INTERVAL_MS);
+		}
+	}
+
 	@Override
 	public boolean stopping() {
 		return this.stopping.get();
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -161,9 +161,11 @@
 		}
 	}
 
+	// A request stays open until its response has been written, as the process must not
+	// end before.
 	private ChannelFuture write(ChannelHandlerContext context, FullHttpResponse response) {
-		this.openRequests.decrement();
-		return context.writeAndFlush(response);
+		return context.writeAndFlush(response)
+			.addListener((ChannelFutureListener) (future) -> this.openRequests.decrement());
 	}
 
 	@Override
@@ -190,7 +192,8 @@
 		}
 	}
 
-	// Answers the open requests at the end of a stop.
+	// Answers the open requests at the end of a stop. A response that is being written
+	// closes the connection by itself.
 	private void endRequests(ChannelHandlerContext context) {
 		this.refusing = true;
 		for (Exchange exchange : List.copyOf(this.running)) {
@@ -199,7 +202,7 @@
 				request.endForShutdown();
 			}
 		}
-		if (this.running.isEmpty()) {
+		if (this.running.isEmpty() && !this.closing) {
 			this.closing = true;
 			context.close();
 		}
--- a/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
@@ -1,6 +1,7 @@
 package org.plantainspur.standins.gateway;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -248,6 +249,26 @@
 			assertThat(faults).isEmpty();
 		}
 
+		/** The process ended while a caller was still reading its response. */
+		@Test
+		void aResponseIsWrittenToASlowCallerBeforeTheProcessEnds() throws Exception {
+			String body = "x".repeat(6 << 20);
+			PlannedStopTests.this.fixture.startTarget("i-1",
+					(exchange) -> exchange.respond(GatewayFixture.signedResponse(attemptId(exchange), body)));
+			GatewayFixture.HostProcess host = PlannedStopTests.this.fixture.startReadyHostProcess("a1", 10);
+			try (Socket socket = new Socket()) {
+				socket.setReceiveBufferSize(8_192);
+				socket.setSoTimeout(5_000);
+				socket.connect(new InetSocketAddress("127.0.0.1", host.port()));
+				write(socket, GatewayFixture.requestText("POST", "/book/1", "r1", "Content-Length: 0\r\n"));
+				host.process().destroy();
+				GatewayFixture.sleep(8_600);
+				String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+				assertThat(response.substring(0, 12)).isEqualTo("HTTP/1.1 200");
+				assertThat(response.length()).isGreaterThan(body.length());
+			}
+		}
+
 	}
 
 	private static void write(Socket socket, String text) throws IOException {
