Test requests whose body ends while a stopping host refuses requests

HalfReadRequests guards against a request that is passed on because its head came before the refusing time. It passed without a change of the code.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
@@ -62,6 +62,10 @@
 		return thread;
 	}
 
+	private static void write(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+	}
+
 	@Nested
 	class UnderLoad {
 
@@ -197,6 +201,33 @@
 
 	}
 
+	/** Guards against a request that is passed on because its head came early. */
+	@Nested
+	class HalfReadRequests {
+
+		@Test
+		void aRequestWhoseBodyEndsWhenRequestsAreRefusedReachesNoTarget() throws Exception {
+			AtomicInteger runs = new AtomicInteger();
+			PlannedStopTests.this.fixture.startTarget("i-1", (exchange) -> {
+				runs.incrementAndGet();
+				exchange.respond(GatewayFixture.signedResponse(attemptId(exchange), "done"));
+			});
+			GatewayFixture.Host host = PlannedStopTests.this.fixture.startReadyHost("a1");
+			try (Socket socket = new Socket("127.0.0.1", host.port())) {
+				socket.setSoTimeout(5_000);
+				write(socket, GatewayFixture.requestText("POST", "/book/1", "r1", "Content-Length: 4\r\n") + "ab");
+				Thread stopping = stop(host);
+				GatewayFixture.sleep(3_000);
+				write(socket, "cd");
+				assertThat(GatewayFixture.readResponse(socket.getInputStream())).startsWith("HTTP/1.1 503")
+					.containsIgnoringCase("connection: close");
+				stopping.join();
+			}
+			assertThat(runs).hasValue(0);
+		}
+
+	}
+
 	/**
 	 * Stops a process by SIGTERM while requests are sent at every moment until it is
 	 * gone, and guards against requests that were passed on and get no complete response.
@@ -271,10 +302,6 @@
 
 	}
 
-	private static void write(Socket socket, String text) throws IOException {
-		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-	}
-
 	/**
 	 * A request of the load, and what its caller saw.
 	 *
