Test endless bytes of the store and hosts, and late copies under load

EndlessBytesOfStoreAndHosts plays all forms from a store to a host of 64 MB, and from another host to PeerTableReaders. EndlessBytes gains three forms of a response to another request. LateCopiesUnderLoad copies declines on connections that have carried many requests, after the process was listed anew, and with ids that callers share.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -119,6 +119,13 @@
 				"coldLeftMs":0,"seq":1}""".formatted(service, port, state));
 	}
 
+	/** Lists a ready target of the service s, with the start of its process. */
+	void listTargetStartedAt(String id, int port, long startedMs) {
+		this.store.put("servers", id, """
+				{"service":"s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":4,"state":"ready",
+				"coldLeftMs":0,"seq":1,"born":%d}""".formatted(port, startedMs));
+	}
+
 	static Response signedResponse(String requestId, String text) {
 		return Response.text(200, text)
 			.withHeader("X-Plantainspur-Attempt-Id", requestId)
@@ -167,11 +174,20 @@
 		return startReadyHostProcess(name, GRACE_SECONDS);
 	}
 
+	/** Starts such a process that reaches the table store at another port. */
+	HostProcess startReadyHostProcessWithStoreAt(String name, int storePort) throws IOException {
+		return startReadyHostProcess(name, GRACE_SECONDS, storePort);
+	}
+
 	/** Starts such a process with the given grace period. */
 	HostProcess startReadyHostProcess(String name, int graceSeconds) throws IOException {
+		return startReadyHostProcess(name, graceSeconds, this.store.port());
+	}
+
+	private HostProcess startReadyHostProcess(String name, int graceSeconds, int storePort) throws IOException {
 		int[] ports = freePorts();
 		Path settings = Files.writeString(Files.createTempFile(name, ".conf"),
-				settings(name, ports, this.store.port(), graceSeconds));
+				settings(name, ports, storePort, graceSeconds));
 		ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
 				"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled", "-cp",
 				System.getProperty("java.class.path"), PlatformHostMain.class.getName());
--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -1,18 +1,25 @@
 package org.plantainspur.standins.gateway;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.IntFunction;
 import java.util.stream.Stream;
 
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -20,6 +27,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
+import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.gateway.peer.PeerTableReaders;
+
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
@@ -309,6 +319,214 @@
 
 	}
 
+	/**
+	 * Guards against a host that keeps endless responses of the store or of another host
+	 * in memory.
+	 */
+	@Nested
+	class EndlessBytesOfStoreAndHosts {
+
+		private final AtomicReference<@Nullable Endless> fault = new AtomicReference<>();
+
+		private final List<Socket> storeConnections = new CopyOnWriteArrayList<>();
+
+		@Test
+		void aHostWithLittleMemoryServesCallersBesideSuchAStore() throws Exception {
+			HostileTargetsTests.this.fixture.startRawTarget("i-1", (connection) -> {
+				for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+					connection.write(response(id, "done"));
+				}
+			});
+			try (RawServer store = new RawServer(this::serveStore)) {
+				GatewayFixture.HostProcess host = HostileTargetsTests.this.fixture
+					.startReadyHostProcessWithStoreAt("a1", store.port());
+				List<String> failed = new ArrayList<>();
+				for (Endless kind : Endless.values()) {
+					this.fault.set(kind);
+					for (Socket connection : this.storeConnections) {
+						connection.close();
+					}
+					for (int i = 0; i < 30; i++) {
+						String response = get(host.port(), "/read/1", kind + "-" + i);
+						if (!response.startsWith("HTTP/1.1 200")) {
+							failed.add(kind + ": " + response);
+						}
+						GatewayFixture.sleep(50);
+					}
+				}
+				assertThat(host.process().isAlive()).isTrue();
+				assertThat(Files.readString(host.log())).doesNotContain("OutOfMemoryError");
+				assertThat(failed).isEmpty();
+			}
+		}
+
+		// Passes the calls on to the store until the fault begins.
+		private void serveStore(RawServer.Connection connection) throws IOException {
+			Endless kind = this.fault.get();
+			if (kind != null) {
+				connection.readRequestId();
+				kind.write(connection, "");
+				return;
+			}
+			try (Socket upstream = new Socket("127.0.0.1", HostileTargetsTests.this.fixture.store().port())) {
+				this.storeConnections.add(upstream);
+				RawServer.startDaemonThread(() -> {
+					try (upstream) {
+						connection.input().transferTo(upstream.getOutputStream());
+					}
+					catch (IOException ex) {
+						// The host or the test closed the connection.
+					}
+				});
+				upstream.getInputStream().transferTo(connection.output());
+			}
+		}
+
+		@ParameterizedTest
+		@EnumSource
+		void aReadFromSuchAHostEndsAndItsConnectionIsClosed(Endless kind) throws Exception {
+			CountDownLatch closed = new CountDownLatch(1);
+			EventLoopGroup loops = new NioEventLoopGroup(1);
+			try (RawServer peer = new RawServer((connection) -> {
+				try {
+					kind.serve(connection);
+				}
+				finally {
+					closed.countDown();
+				}
+			})) {
+				StoreResult result = new PeerTableReaders(loops.next()).readerOf("127.0.0.1:" + peer.port())
+					.changes("servers", 0, 0)
+					.toCompletableFuture()
+					.get(2, TimeUnit.SECONDS);
+				assertThat(result).isInstanceOf(StoreResult.Unavailable.class);
+				assertThat(closed.await(1, TimeUnit.SECONDS)).as("the connection is closed").isTrue();
+			}
+			finally {
+				loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+			}
+		}
+
+	}
+
+	/**
+	 * Guards against late copies of declines in orders that one connection alone does not
+	 * show: a request must run as often as its callers are told that it ran.
+	 */
+	@Nested
+	class LateCopiesUnderLoad {
+
+		private final AtomicInteger arrivals = new AtomicInteger();
+
+		private final AtomicInteger runs = new AtomicInteger();
+
+		private final AtomicInteger copies = new AtomicInteger();
+
+		// Declines every third request, and sends the copies that the given rule chooses
+		// of the declines of its connection.
+		private void serve(RawServer.Connection connection, CopyRule rule) throws IOException {
+			List<String> declined = new ArrayList<>();
+			int carried = 0;
+			for (String id = connection.readRequestId(); id != null; id = connection.readRequestId()) {
+				carried++;
+				StringBuilder late = new StringBuilder();
+				for (String earlier : declined.subList(Math.max(0, declined.size() - 4), declined.size())) {
+					if (rule.copies(earlier, id, carried)) {
+						late.append(decline(earlier));
+						this.copies.incrementAndGet();
+					}
+				}
+				if (this.arrivals.incrementAndGet() % 3 == 0) {
+					declined.add(id);
+					connection.write(late + decline(id));
+				}
+				else {
+					this.runs.incrementAndGet();
+					GatewayFixture.sleep(2);
+					connection.write(late + response(id, "done"));
+				}
+			}
+		}
+
+		// Returns how many of the requests were answered as completed; all others must
+		// be refused as not run.
+		private int sendAll(int port, int callers, int requests, IntFunction<String> idOf) throws Exception {
+			AtomicInteger next = new AtomicInteger();
+			AtomicInteger completed = new AtomicInteger();
+			List<String> unexpected = new CopyOnWriteArrayList<>();
+			List<CompletableFuture<Void>> ended = new ArrayList<>();
+			for (int i = 0; i < callers; i++) {
+				ended.add(CompletableFuture.runAsync(() -> {
+					for (int number = next.getAndIncrement(); number < requests; number = next.getAndIncrement()) {
+						String response = once(port, idOf.apply(number));
+						if (response.startsWith("HTTP/1.1 200")) {
+							completed.incrementAndGet();
+						}
+						else if (!response.startsWith("HTTP/1.1 503")) {
+							unexpected.add(response);
+						}
+					}
+				}, (task) -> new Thread(task).start()));
+			}
+			for (CompletableFuture<Void> caller : ended) {
+				caller.get(60, TimeUnit.SECONDS);
+			}
+			assertThat(unexpected).isEmpty();
+			return completed.get();
+		}
+
+		/** Nothing stops callers from using the same id at the same time. */
+		@Test
+		void idsThatCallersShareRunAsOftenAsAnswered() throws Exception {
+			HostileTargetsTests.this.fixture.startRawTarget("i-1",
+					(connection) -> serve(connection, (earlier, id, carried) -> true));
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			int completed = sendAll(host.port(), 4, 300, (number) -> "r" + number % 7);
+			assertThat(this.copies).hasPositiveValue();
+			assertThat(this.runs).hasValue(completed);
+		}
+
+		/** A connection forgets no id as long as it is used. */
+		@Test
+		void aCopyAfterManyRequestsOfAConnectionIsNotTaken() throws Exception {
+			HostileTargetsTests.this.fixture.startRawTarget("i-1",
+					(connection) -> serve(connection, (earlier, id, carried) -> earlier.equals(id) || carried > 195));
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			int completed = sendAll(host.port(), 2, 1_500, (number) -> "r" + (number - number % 5 * 20));
+			assertThat(this.copies).hasPositiveValue();
+			assertThat(this.runs).hasValue(completed);
+		}
+
+		/** The process keeps its connections when its entry names another start. */
+		@Test
+		void aCopyAfterTheProcessIsListedAnewIsNotTaken() throws Exception {
+			RawServer target = HostileTargetsTests.this.fixture.startRawTarget("i-1",
+					(connection) -> serve(connection, (earlier, id, carried) -> true));
+			GatewayFixture.Host host = HostileTargetsTests.this.fixture.startReadyHost("a1");
+			AtomicBoolean ended = new AtomicBoolean();
+			Thread lister = new Thread(() -> {
+				for (int i = 0; !ended.get(); i++) {
+					HostileTargetsTests.this.fixture.listTargetStartedAt("i-1", target.port(), 1_000 + i % 2);
+					GatewayFixture.sleep(50);
+				}
+			});
+			lister.start();
+			int completed = sendAll(host.port(), 4, 300, (number) -> "r" + number % 50);
+			ended.set(true);
+			lister.join();
+			assertThat(this.copies).hasPositiveValue();
+			assertThat(this.runs).hasValue(completed);
+		}
+
+	}
+
+	/** Chooses the copies of declines that a target sends. */
+	private interface CopyRule {
+
+		boolean copies(String earlierId, String id, int carriedRequests);
+
+	}
+
 	/** What a target sends without end after it has read a request. */
 	enum Endless {
 
@@ -389,6 +607,30 @@
 			}
 		},
 
+		BODY_OF_ANOTHER_RESPONSE {
+			@Override
+			void write(RawServer.Connection connection, String id) throws IOException {
+				connection.write(decline("another").replace("Content-Length: 0", "Content-Length: 1000000000000"));
+				connection.writeEndlessly("x");
+			}
+		},
+
+		CHUNKS_OF_ANOTHER_RESPONSE {
+			@Override
+			void write(RawServer.Connection connection, String id) throws IOException {
+				connection.write(decline("another").replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+				connection.writeEndlessly("1\r\nx\r\n");
+			}
+		},
+
+		HEAD_OF_ANOTHER_RESPONSE {
+			@Override
+			void write(RawServer.Connection connection, String id) throws IOException {
+				connection.write("HTTP/1.1 503 Full\r\nX-Plantainspur-Attempt-Id: another\r\nX-Name: ");
+				connection.writeEndlessly("x");
+			}
+		},
+
 		OTHER_PROTOCOL {
 			@Override
 			void write(RawServer.Connection connection, String id) throws IOException {
