--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -33,6 +33,8 @@
 
 	private static final int TIMEOUT_MILLIS = 5_000;
 
+	private static final int GRACE_SECONDS = 5;
+
 	private final TableStoreStandIn store = new TableStoreStandIn();
 
 	private final List<AutoCloseable> resources = new ArrayList<>();
@@ -131,6 +133,13 @@
 				"coldLeftMs":0,"seq":1}""".formatted(service, port, failureDomain, state));
 	}
 
+	/** Lists a ready target of the service s, with the start of its process. */
+	void listTargetStartedAt(String id, int port, long startedMs) {
+		this.store.put("servers", id, """
+				{"service":"s","address":"127.0.0.1:%d","zone":"a","version":"v1","slots":4,"state":"ready",
+				"coldLeftMs":0,"seq":1,"born":%d}""".formatted(port, startedMs));
+	}
+
 	static Response signedResponse(String requestId, String text) {
 		return Response.text(200, text)
 			.withHeader("X-Plantainspur-Attempt-Id", requestId)
@@ -176,7 +185,17 @@
 	 * {@code deploy/system.toml}, and waits until it is ready.
 	 */
 	HostProcess startReadyHostProcess(String name) throws IOException {
-		return startReadyHostProcess(name, "a", "zones.a=r");
+		return startReadyHostProcess(name, GRACE_SECONDS);
+	}
+
+	/** Starts such a process that reaches the table store at another port. */
+	HostProcess startReadyHostProcessWithStoreAt(String name, int storePort) throws IOException {
+		return startReadyHostProcess(name, "a", "zones.a=r", storePort, GRACE_SECONDS);
+	}
+
+	/** Starts such a process with the given grace period. */
+	HostProcess startReadyHostProcess(String name, int graceSeconds) throws IOException {
+		return startReadyHostProcess(name, "a", "zones.a=r", this.store.port(), graceSeconds);
 	}
 
 	/**
@@ -185,9 +204,14 @@
 	 * @param regions the lines of the settings that assign failure domains to regions
 	 */
 	HostProcess startReadyHostProcess(String name, String failureDomain, String regions) throws IOException {
+		return startReadyHostProcess(name, failureDomain, regions, this.store.port(), GRACE_SECONDS);
+	}
+
+	private HostProcess startReadyHostProcess(String name, String failureDomain, String regions, int storePort,
+			int graceSeconds) throws IOException {
 		int[] ports = freePorts();
 		Path settings = Files.writeString(Files.createTempFile(name, ".conf"),
-				settings(name, failureDomain, regions, ports, this.store.port()));
+				settings(name, failureDomain, regions, ports, storePort, graceSeconds));
 		ProcessBuilder builder = new ProcessBuilder(System.getProperty("java.home") + "/bin/java", "-Xmx64m",
 				"-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Dio.netty.allocator.type=unpooled", "-cp",
 				System.getProperty("java.class.path"), PlatformHostMain.class.getName());
@@ -209,14 +233,15 @@
 
 	private Host startHost(String name, int[] ports, int storePort) throws IOException {
 		GatewayHost gateway = PlatformHostFactory.create("node.conf",
-				settings(name, "a", "zones.a=r", ports, storePort),
+				settings(name, "a", "zones.a=r", ports, storePort, GRACE_SECONDS),
 				(event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields)));
 		Host host = new Host(gateway, gateway.start(), ports);
 		this.resources.add(gateway);
 		return host;
 	}
 
-	private static String settings(String name, String failureDomain, String regions, int[] ports, int storePort) {
+	private static String settings(String name, String failureDomain, String regions, int[] ports, int storePort,
+			int graceSeconds) {
 		return """
 				nodeName=%s
 				ip=127.0.0.1
@@ -227,9 +252,9 @@
 				listen.directory=127.0.0.1:%d
 				internalPorts=%d,%d
 				platform.address=127.0.0.1:%d
-				bounds=graceS=5,retryBudgetRatio=0.2,budgetExtra=60
+				bounds=graceS=%d,retryBudgetRatio=0.2,budgetExtra=60
 				""".formatted(name, failureDomain, regions, ports[0], ports[1], ports[2], ports[3], ports[3] + 1,
-				storePort);
+				storePort, graceSeconds);
 	}
 
 	// The peer port serves UDP and TCP; the next higher port serves metrics.
