Reject bodies that run on into another response

Callers got a success with a body that was not the target's: a part of the body, then the head of a second copy of the response.

Cause: a target that breaks off a body and sends the response again, or sends a second copy behind a body that lasts until the end of the connection, fills the frame of the first response with bytes of the second. Only heads were checked for a second status line.

EmbeddedHeadDetector looks for a status line within the body that is followed by headers, one of which names a request of the connection. The head may end in bytes that have arrived behind the body. Such a response fails as one that is broken off. Bodies that mention HTTP still pass.

Not detectable: a frame that ends before the id of the copy, if the rest of the copy comes in a later read, and a body without a length that ends early with the connection.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -66,6 +66,8 @@
 
 	private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_RECEIVED_BYTES);
 
+	private final EmbeddedHeadDetector embeddedHeadDetector;
+
 	private @Nullable Channel channel;
 
 	private @Nullable ResponseListener listener;
@@ -100,6 +102,7 @@
 		this.requestIdHeader = requestIdHeader;
 		this.bufferBudget = bufferBudget;
 		this.stateListener = stateListener;
+		this.embeddedHeadDetector = new EmbeddedHeadDetector(requestIdHeader);
 	}
 
 	@Override
@@ -248,6 +251,10 @@
 			fail("the connection failed before the end of the response");
 			return;
 		}
+		if (this.embeddedHeadDetector.isIn(this.body, this.decoder.bytesBehind(), this.carriedIds)) {
+			fail("the body of the response contains the head of another response");
+			return;
+		}
 		this.listener = null;
 		ByteBuf wholeBody = this.body;
 		this.body = Unpooled.EMPTY_BUFFER;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -64,6 +64,15 @@
 		return this.receivedBytes > 0;
 	}
 
+	/**
+	/**
+	 * Returns the bytes that have arrived and are not decoded.
+	 * @return the decoder's own buffer, which must not be changed
+	 */
+	ByteBuf bytesBehind() {
+		return internalBuffer();
+	}
+
 	/**
 	 * Ends the wait; must be called when the response is complete.
 	 * @return whether nothing has arrived behind the response, so that the connection may
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -93,6 +93,49 @@
 
 	}
 
+	/**
+	 * Guards against a body that runs on into a second copy of its response and reaches
+	 * the caller as a success.
+	 */
+	@Nested
+	class ResponsesThatRunOnIntoACopy {
+
+		@Test
+		void afterABreakAnywhereInTheBodyAreNotDelivered() {
+			String response = answer("r1", "done".repeat(100));
+			int headLength = response.indexOf("\r\n\r\n") + 4;
+			for (int length = headLength; length < response.length(); length++) {
+				TestConnection connection = open();
+				Outcome outcome = connection.send("r1");
+				connection.receive(response.substring(0, length));
+				connection.receive(response);
+				assertThat(outcome.failed).as("%d bytes, then a copy: %s", length, outcome).isTrue();
+			}
+		}
+
+		@Test
+		void beforeTheEndOfTheConnectionAreNotDelivered() {
+			String response = answer("r1", "done").replace("Content-Length: 4\r\n", "");
+			TestConnection connection = open();
+			Outcome outcome = connection.send("r1");
+			connection.receive(response + response);
+			connection.channel.close();
+			assertThat(outcome.failed).as("%s", outcome).isTrue();
+		}
+
+		@Test
+		void areNotConfusedWithBodiesThatMentionHttp() {
+			for (String body : List.of("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\n",
+					"HTTP/1.1 200 OK\r\n\r\nRequest-Id: r1\r\n", "Request-Id: r1\r\nHTTP/1.1 200 OK\r\n")) {
+				TestConnection connection = open();
+				Outcome outcome = connection.send("r1");
+				connection.receive(answer("r1", body) + answer("r1", body));
+				assertThat(outcome.status).as(body).isEqualTo(200);
+			}
+		}
+
+	}
+
 	/** Guards against bytes that close a connection, or are skipped, without a trace. */
 	@Nested
 	class Reports {
