Fail requests after malformed chunks of a skipped response

A request waited until its deadline when the target sent a response to another request with malformed chunks before the awaited one.

Cause: decoding errors of skipped bodies were ignored, but after one the decoder drops all bytes of the connection.

The error now fails the request at once.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -199,12 +199,15 @@
 			this.responseHead = response;
 			releaseBody();
 		}
-		if (message instanceof HttpContent content && !this.skipping) {
+		if (message instanceof HttpContent content) {
+			// The decoder drops all bytes after malformed ones, with the awaited response.
 			if (content.decoderResult().isFailure()) {
 				fail("the body of the response is malformed: " + content.decoderResult().cause());
 				return;
 			}
-			append(content.content());
+			if (!this.skipping) {
+				append(content.content());
+			}
 		}
 		if (message instanceof LastHttpContent) {
 			responseComplete();
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -136,6 +136,26 @@
 
 	}
 
+	/**
+	 * Guards against requests that wait until their deadline for no possible response.
+	 */
+	@Nested
+	class RequestsFailAtOnce {
+
+		@Test
+		void afterMalformedChunksOfAResponseToAnotherRequest() {
+			assertFailsAfter("HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n");
+		}
+
+		private void assertFailsAfter(String bytes) {
+			TestConnection connection = open();
+			Outcome outcome = connection.send("r1");
+			connection.receive(bytes);
+			assertThat(outcome.failed).as(bytes).isTrue();
+		}
+
+	}
+
 	/** Guards against bytes that close a connection, or are skipped, without a trace. */
 	@Nested
 	class Reports {
