Fail requests after another response without a length

A request waited until its deadline when the target sent a response to another request, or without an id, that had neither a length nor chunks.

Cause: such a response is skipped, but it lasts until the end of the connection, so the awaited response, if it comes, is part of its body.

The request now fails at once. The rule for the end of a body is one method of the decoder, which also knows that responses to HEAD have no body.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -196,6 +196,10 @@
 				fail("the target sent more than " + MAX_SKIPPED_RESPONSES + " other responses");
 				return;
 			}
+			if (foreign && this.decoder.lastsUntilClose(response)) {
+				fail("the target sent another response, which lasts until it closes the connection");
+				return;
+			}
 			this.responseHead = response;
 			releaseBody();
 		}
@@ -248,8 +252,7 @@
 		if (this.skipping) {
 			return;
 		}
-		boolean delimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-				|| response.status().code() == 204 || response.status().code() == 304;
+		boolean delimited = !this.decoder.lastsUntilClose(response);
 		if (!delimited && this.connectionFailed) {
 			fail("the connection failed before the end of the response");
 			return;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -65,6 +66,15 @@
 	}
 
 	/**
+	 * Returns whether nothing but the end of the connection ends the body of a response.
+	 * @param response the head of a response to the current request
+	 * @return {@code true} if no other response can follow on the connection
+	 */
+	boolean lastsUntilClose(HttpResponse response) {
+		return !isContentAlwaysEmpty(response) && !HttpUtil.isContentLengthSet(response)
+				&& !HttpUtil.isTransferEncodingChunked(response);
+	}
+
 	/**
 	 * Returns the bytes that have arrived and are not decoded.
 	 * @return the decoder's own buffer, which must not be changed
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -147,6 +147,11 @@
 			assertFailsAfter("HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n");
 		}
 
+		@Test
+		void afterAnotherResponseThatLastsUntilTheEndOfTheConnection() {
+			assertFailsAfter("HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n");
+		}
+
 		private void assertFailsAfter(String bytes) {
 			TestConnection connection = open();
 			Outcome outcome = connection.send("r1");
