Fail requests after bytes that begin no response

A request waited until its deadline when the target sent bytes that are no response and have no line end, and kept the connection open.

Cause: the decoder judges a first line only when it is complete.

StrictResponse- Decoder now compares the first bytes of a response with the fixed part of a status line as soon as they arrive.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.plantainspur.gateway.http;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -38,6 +40,8 @@
 
 	private long receivedBytes;
 
+	private boolean betweenResponses = true;
+
 	/**
 	 * Creates a decoder that awaits no response yet.
 	 * @param maxBytes the most bytes that may arrive for one request
@@ -108,9 +112,13 @@
 
 	@Override
 	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		if (this.awaitingResponse && this.betweenResponses) {
+			checkStart(buffer);
+		}
 		int decodedBefore = out.size();
 		super.decode(context, buffer, out);
 		for (Object decoded : out.subList(decodedBefore, out.size())) {
+			this.betweenResponses = decoded instanceof LastHttpContent;
 			if (decoded instanceof HttpResponse response && response.decoderResult().isSuccess()
 					&& isMerged(response)) {
 				response.setDecoderResult(
@@ -119,6 +127,24 @@
 		}
 	}
 
+	// Checks the start of a response before its first line is complete. Bytes that are no
+	// response may have no line end.
+	private void checkStart(ByteBuf buffer) {
+		int from = buffer.readerIndex();
+		while (from < buffer.writerIndex() && isIgnoredBeforeStatusLine(buffer.getByte(from))) {
+			from++;
+		}
+		int length = Math.min(STATUS_LINE_START.length(), buffer.writerIndex() - from);
+		if (!STATUS_LINE_START.startsWith(buffer.toString(from, length, StandardCharsets.ISO_8859_1))) {
+			throw new CorruptedFrameException("the server sent bytes that do not begin a response");
+		}
+		this.betweenResponses = length < STATUS_LINE_START.length();
+	}
+
+	private static boolean isIgnoredBeforeStatusLine(byte character) {
+		return (character >= 0 && character <= ' ') || character == 127;
+	}
+
 	// Returns whether the head consists of the beginning of one response and of another
 	// one, whose status line then follows anywhere in the first line or in a header.
 	private static boolean isMerged(HttpResponse response) {
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -152,6 +152,12 @@
 			assertFailsAfter("HTTP/1.1 200 OK\r\nRequest-Id: r0\r\n\r\n");
 		}
 
+		@Test
+		void afterBytesThatBeginNoResponseAndHaveNoLineEnd() {
+			assertFailsAfter("garbage");
+			assertFailsAfter("\r\n HTTP/2");
+		}
+
 		private void assertFailsAfter(String bytes) {
 			TestConnection connection = open();
 			Outcome outcome = connection.send("r1");
