--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -204,7 +204,8 @@
 			releaseBody();
 		}
 		if (message instanceof HttpContent content) {
-			// The decoder drops all bytes after malformed ones, with the awaited response.
+			// The decoder drops all bytes after malformed ones, with the awaited
+			// response.
 			if (content.decoderResult().isFailure()) {
 				fail("the body of the response is malformed: " + content.decoderResult().cause());
 				return;
