--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -66,6 +66,8 @@
 
 	private final StrictResponseDecoder decoder = new StrictResponseDecoder(MAX_RECEIVED_BYTES);
 
+	private final EmbeddedHeadDetector embeddedHeadDetector;
+
 	private @Nullable Channel channel;
 
 	private @Nullable ResponseListener listener;
@@ -100,6 +102,7 @@
 		this.requestIdHeader = requestIdHeader;
 		this.bufferBudget = bufferBudget;
 		this.stateListener = stateListener;
+		this.embeddedHeadDetector = new EmbeddedHeadDetector(requestIdHeader);
 	}
 
 	@Override
@@ -193,15 +196,23 @@
 				fail("the target sent more than " + MAX_SKIPPED_RESPONSES + " other responses");
 				return;
 			}
+			if (foreign && this.decoder.lastsUntilClose(response)) {
+				fail("the target sent another response, which lasts until it closes the connection");
+				return;
+			}
 			this.responseHead = response;
 			releaseBody();
 		}
-		if (message instanceof HttpContent content && !this.skipping) {
+		if (message instanceof HttpContent content) {
+			// The decoder drops all bytes after malformed ones, with the awaited
+			// response.
 			if (content.decoderResult().isFailure()) {
 				fail("the body of the response is malformed: " + content.decoderResult().cause());
 				return;
 			}
-			append(content.content());
+			if (!this.skipping) {
+				append(content.content());
+			}
 		}
 		if (message instanceof LastHttpContent) {
 			responseComplete();
@@ -242,12 +253,15 @@
 		if (this.skipping) {
 			return;
 		}
-		boolean delimited = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-				|| response.status().code() == 204 || response.status().code() == 304;
+		boolean delimited = !this.decoder.lastsUntilClose(response);
 		if (!delimited && this.connectionFailed) {
 			fail("the connection failed before the end of the response");
 			return;
 		}
+		if (this.embeddedHeadDetector.isIn(this.body, this.decoder.bytesBehind(), this.carriedIds)) {
+			fail("the body of the response contains the head of another response");
+			return;
+		}
 		this.listener = null;
 		ByteBuf wholeBody = this.body;
 		this.body = Unpooled.EMPTY_BUFFER;
