Issue dispatch tokens once other members can relay to this process

A new process put a dispatch token into its locate answers as soon as it had read the configuration. Until it had joined and the other members knew of that, a keyed request with this token that a caller sent to another home host was refused as dispatch-token-expired, or as owner-not-reachable, with run: unknown.

This was found by reading, while RollingReplacementTests was traced. So far a process joined before its server read from the listening socket, which hid most of the window.

A process now issues tokens once each other member has sent it a heartbeat with the sequence number of its join or a later one: the member knows the process, and its connection to it works. Before that, the token in a locate answer is empty, as it is at a host that is about to stop, and the caller asks another host.

TestFleet.awaitReady now also waits until each host issues tokens, since tests use the token of the first host right after it.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/LocateResource.java
@@ -17,6 +17,7 @@
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.idempotency.IdempotencyRegistry;
+import org.plantainspur.core.idempotency.TokenReadiness;
 import org.plantainspur.core.membership.HostAssignment;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.Membership;
@@ -40,6 +41,8 @@
 
 	private final IdempotencyRegistry idempotencyRegistry;
 
+	private final TokenReadiness tokenReadiness;
+
 	private final Member self;
 
 	private final ShutdownSignal shutdownSignal;
@@ -49,15 +52,18 @@
 	 * @param view the configuration in force
 	 * @param hostAssignment chooses the home hosts of each client account
 	 * @param idempotencyRegistry issues dispatch tokens
+	 * @param tokenReadiness whether callers may get tokens of this process
 	 * @param self the member entry of this host
 	 * @param shutdownSignal whether this host is about to stop
 	 */
 	@Inject
 	public LocateResource(ConfigurationView view, HostAssignment hostAssignment,
-			IdempotencyRegistry idempotencyRegistry, Member self, ShutdownSignal shutdownSignal) {
+			IdempotencyRegistry idempotencyRegistry, TokenReadiness tokenReadiness, Member self,
+			ShutdownSignal shutdownSignal) {
 		this.view = view;
 		this.hostAssignment = hostAssignment;
 		this.idempotencyRegistry = idempotencyRegistry;
+		this.tokenReadiness = tokenReadiness;
 		this.self = self;
 		this.shutdownSignal = shutdownSignal;
 	}
@@ -94,7 +100,8 @@
 			.sorted(Comparator.comparing((member) -> !member.region().equals(region)))
 			.map(LocatedHost::of)
 			.toList();
-		String token = this.shutdownSignal.stopping() ? "" : this.idempotencyRegistry.issueToken(account.id());
+		boolean issue = !this.shutdownSignal.stopping() && this.tokenReadiness.mayIssue();
+		String token = issue ? this.idempotencyRegistry.issueToken(account.id()) : "";
 		return new LocateAnswer(hosts, LIFETIME_MILLIS, token);
 	}
 
@@ -119,8 +126,8 @@
 	 * @param hosts the hosts to use, those of the caller's region first
 	 * @param lifetimeMillis how long the answer may be cached, in milliseconds
 	 * @param dispatchToken the prefix of the caller's idempotency keys; empty if this
-	 * host is about to stop, in which case the caller asks one of {@code hosts} for a
-	 * token
+	 * host is about to stop or has just started, in which case the caller asks one of
+	 * {@code hosts} for a token
 	 */
 	public record LocateAnswer(List<LocatedHost> hosts, long lifetimeMillis, String dispatchToken) {
 	}
--- a/adapters/src/test/java/org/plantainspur/adapters/http/LocateResourceTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/LocateResourceTests.java
@@ -20,7 +20,7 @@
 
 /**
  * Guards against an answer that sends callers to hosts of another region first, or to
- * hosts that are about to stop.
+ * hosts that are about to stop, and against tokens that other hosts cannot serve yet.
  */
 class LocateResourceTests {
 
@@ -28,6 +28,8 @@
 
 	private final AtomicBoolean stopping = new AtomicBoolean();
 
+	private final AtomicBoolean tokenReady = new AtomicBoolean(true);
+
 	private final LocateResource resource;
 
 	LocateResourceTests() {
@@ -37,7 +39,7 @@
 			apply(new Change.MemberJoined(member(host)));
 		}
 		this.resource = new LocateResource(this.view, new RendezvousHostAssignment(), new FixedTokenRegistry(),
-				member("pdx-1"), this.stopping::get);
+				this.tokenReady::get, member("pdx-1"), this.stopping::get);
 	}
 
 	private static Member member(String host) {
@@ -81,8 +83,30 @@
 
 	}
 
+	@Nested
+	class Tokens {
+
+		private String token() {
+			return LocateResourceTests.this.resource.answer(KeyHash.of("key"), "pdx").dispatchToken();
+		}
+
+		@Test
+		void ofAHostThatOtherHostsCannotRelayToAreNotIssued() {
+			assertThat(token()).isEqualTo("token");
+			LocateResourceTests.this.tokenReady.set(false);
+			assertThat(token()).isEmpty();
+		}
+
+		@Test
+		void ofAHostThatIsAboutToStopAreNotIssued() {
+			LocateResourceTests.this.stopping.set(true);
+			assertThat(token()).isEmpty();
+		}
+
+	}
+
 	/**
-	 * Always issues the same token, since these tests check only the hosts.
+	 * Always issues the same token, since these tests do not check its content.
 	 */
 	private static final class FixedTokenRegistry implements IdempotencyRegistry {
 
--- a/core/src/main/java/org/plantainspur/core/currency/HeartbeatExchange.java
+++ b/core/src/main/java/org/plantainspur/core/currency/HeartbeatExchange.java
@@ -83,6 +83,9 @@
 
 	private final Map<String, HeartbeatResponse> responses = new ConcurrentHashMap<>();
 
+	// The newest state that each member has sent in a heartbeat of its own, by host name.
+	private final Map<String, SenderState> senderStates = new ConcurrentHashMap<>();
+
 	// The time of the newest response by host name or, before the first response, of the
 	// first heartbeat.
 	private final Map<String, Long> silentSince = new ConcurrentHashMap<>();
@@ -149,6 +152,7 @@
 	public PeerMessage.Heartbeat answer(PeerMessage.Heartbeat request) {
 		Member sender = this.view.current().membership().member(request.hostId());
 		if (sender != null) {
+			this.senderStates.put(request.hostId(), new SenderState(request.processId(), request.sequence()));
 			notifyIfNewer(sender, request.sequence());
 		}
 		return ownHeartbeat();
@@ -190,6 +194,20 @@
 		return fresh ? response : null;
 	}
 
+	/**
+	 * Returns whether a member has shown that its messages reach this process and that it
+	 * has a change in force. An answer to a heartbeat of this process shows only the
+	 * latter, since each direction has a connection of its own.
+	 * @param member the other member
+	 * @param sequence the sequence number of the change
+	 * @return whether a heartbeat that the member sent had this sequence number or a
+	 * later one
+	 */
+	public boolean hasReachedThisProcess(Member member, long sequence) {
+		SenderState state = this.senderStates.get(member.hostId());
+		return state != null && state.processId().equals(member.processId()) && state.sequence() >= sequence;
+	}
+
 	@Override
 	public boolean hasReleased(Member previousHolder, long sequence) {
 		HeartbeatResponse response = this.responses.get(previousHolder.hostId());
@@ -237,6 +255,7 @@
 	private void removeDeparted() {
 		Membership membership = this.view.current().membership();
 		this.responses.keySet().removeIf((host) -> membership.member(host) == null);
+		this.senderStates.keySet().removeIf((host) -> membership.member(host) == null);
 		this.silentSince.keySet().removeIf((host) -> membership.member(host) == null);
 	}
 
@@ -277,4 +296,14 @@
 
 	}
 
+	/**
+	 * The state that a member sent in a heartbeat.
+	 *
+	 * @param processId the process that sent it
+	 * @param sequence the sequence number that the process had in force, -1 if it was not
+	 * established
+	 */
+	private record SenderState(String processId, long sequence) {
+	}
+
 }
--- a/host/src/main/java/org/plantainspur/host/FleetModule.java
+++ b/host/src/main/java/org/plantainspur/host/FleetModule.java
@@ -17,6 +17,8 @@
 import org.plantainspur.core.currency.CurrencyRule;
 import org.plantainspur.core.currency.HeartbeatExchange;
 import org.plantainspur.core.currency.QuorumCurrencyRule;
+import org.plantainspur.core.currency.RelayTokenReadiness;
+import org.plantainspur.core.idempotency.TokenReadiness;
 import org.plantainspur.core.membership.HostAssignment;
 import org.plantainspur.core.membership.Member;
 import org.plantainspur.core.membership.MembershipManager;
@@ -78,6 +80,12 @@
 		return new HeartbeatExchange(clock, view, follower, link, self, rule, configurationPoller::onNewerSequence);
 	}
 
+	@Provides
+	@Singleton
+	TokenReadiness tokenReadiness(Clock clock, ConfigurationView view, HeartbeatExchange heartbeats, Member self) {
+		return new RelayTokenReadiness(clock, view, heartbeats, self);
+	}
+
 	@Provides
 	PeerProgress peerProgress(HeartbeatExchange heartbeats) {
 		return heartbeats;
--- a/standins/src/test/java/org/plantainspur/standins/TestFleet.java
+++ b/standins/src/test/java/org/plantainspur/standins/TestFleet.java
@@ -167,14 +167,15 @@
 	}
 
 	/**
-	 * Waits until every host is current, knows all members and serves a read with a key.
+	 * Waits until every host is current, knows all members, serves a read with a key and
+	 * issues dispatch tokens.
 	 */
 	void awaitReady() throws Exception {
 		await("every host serves", READY_TIMEOUT_MILLIS, () -> {
 			for (String id : this.hosts.keySet()) {
 				JsonNode status = status(id);
 				if (!status.path("current").asBoolean() || status.path("members").size() != HOST_COUNT
-						|| !servesReadWithKey(id)) {
+						|| !servesReadWithKey(id) || !issuesDispatchToken(id)) {
 					return false;
 				}
 			}
@@ -182,6 +183,13 @@
 		});
 	}
 
+	private boolean issuesDispatchToken(String hostId) throws Exception {
+		String answer = new TestHttpClient(host(hostId).caller())
+			.send("GET", "/.plantainspur/locate", "", Map.of("X-Api-Key", KEY), 5000)
+			.body();
+		return !mapper.readTree(answer).path("dispatchToken").asText().isEmpty();
+	}
+
 	// A share of an account's rate that a host has just gained takes effect when its
 	// previous holders have stopped using it. Until then the host may refuse as rate-
 	// limited with Retry-After.
