Join the fleet once the server answers callers

Callers saw keyed requests without an answer for 2 s at a host that had just been started again, while the next host was being replaced; another host answered them.

A starting host joined from its background tasks, which start before the threads that accept connections. From the join on, locate answers of other hosts named it. The listening socket was already open, so requests to it waited in the backlog, and nothing read them until the server had started. That took 1 to 1.5 s in the failing run, and the first requests were slow afterwards.

Evidence: RollingReplacementTests failed in 1 of 3 runs on at load averages of 32 to 42 on 8 processors. In the failing run entry-3 opened its socket at 56:57.969, was a member at 56:59.908 at the latest, and accepted connections from 57:00.868; the lost request was sent to it at about 56:59.5, with a token of entry-4.

The join now starts when the server has started. HostStartTests failed before: the host was a member when its server reported its start.

--- a/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
+++ b/host/src/main/java/org/plantainspur/host/BackgroundTasks.java
@@ -127,12 +127,20 @@
 		scheduleRepeatedly(this.peerExecutor, RELEASE_POLL_INTERVAL_MILLIS, "share-releases",
 				this.limiter::pollReleases);
 		scheduleRepeatedly(this.peerExecutor, HOUSEKEEPING_INTERVAL_MILLIS, "drop-idle-limits", this.limiter::dropIdle);
-		scheduleRepeatedly(this.membershipExecutor, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::updateMembership);
 		scheduleRepeatedly(this.membershipExecutor, HOUSEKEEPING_INTERVAL_MILLIS, "snapshot",
 				this.snapshotWriter::writeIfDue);
 		pollScheduler.repeat(this.targetListExecutor, () -> runAndLogFailure("target-list", this::readTargets));
 	}
 
+	/**
+	 * Starts to join the fleet, once the server answers callers. Other hosts send callers
+	 * to a member as soon as it has joined. The listening socket is open before the
+	 * server reads from it, so requests would wait there without an answer.
+	 */
+	void startMembership() {
+		scheduleRepeatedly(this.membershipExecutor, MEMBERSHIP_INTERVAL_MILLIS, "membership", this::updateMembership);
+	}
+
 	@Override
 	public void stop() {
 		this.configurationPoller.close();
--- a/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
+++ b/host/src/main/java/org/plantainspur/host/EntryHostApplication.java
@@ -56,8 +56,12 @@
 		registerCallerEndpoints(environment, injector);
 		registerAdminEndpoints(environment, injector);
 		environment.lifecycle().manage(injector.getInstance(PeerTransport.class));
-		environment.lifecycle().manage(injector.getInstance(BackgroundTasks.class));
-		environment.lifecycle().addServerLifecycleListener((server) -> onServerStarted(server, injector));
+		BackgroundTasks backgroundTasks = injector.getInstance(BackgroundTasks.class);
+		environment.lifecycle().manage(backgroundTasks);
+		environment.lifecycle().addServerLifecycleListener((server) -> {
+			onServerStarted(server, injector);
+			backgroundTasks.startMembership();
+		});
 	}
 
 	private static void registerCallerEndpoints(Environment environment, Injector injector) {
--- a/host/src/test/java/org/plantainspur/host/RunningHost.java
+++ b/host/src/test/java/org/plantainspur/host/RunningHost.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 import com.google.inject.AbstractModule;
 import com.google.inject.Inject;
@@ -46,9 +47,23 @@
 
 	final int adminPort;
 
-	private final StartedHost started = new StartedHost();
+	private final StartedHost started;
 
 	RunningHost(TargetDispatcher dispatcher, String... flags) throws Exception {
+		this(dispatcher, (host) -> {
+		}, flags);
+	}
+
+	/**
+	 * Starts a host.
+	 * @param dispatcher answers in place of the targets
+	 * @param whenServing called on the starting thread as soon as the server answers
+	 * callers
+	 * @param flags further settings
+	 * @throws Exception if the host does not start
+	 */
+	RunningHost(TargetDispatcher dispatcher, Consumer<RunningHost> whenServing, String... flags) throws Exception {
+		this.started = new StartedHost(() -> whenServing.accept(this));
 		this.callerPort = freePort();
 		this.adminPort = freePort();
 		this.log.add(new Change.PutAccount(new ClientAccount("harbor-clinic", 1000, 1000)));
@@ -149,6 +164,8 @@
 	@Singleton
 	private static final class StartedHost implements ShutdownTrigger {
 
+		private final Runnable whenServing;
+
 		private Server server;
 
 		@Inject
@@ -160,9 +177,14 @@
 		@Inject
 		private HealthView health;
 
+		StartedHost(Runnable whenServing) {
+			this.whenServing = whenServing;
+		}
+
 		@Override
 		public void register(Server startedServer) {
 			this.server = startedServer;
+			this.whenServing.run();
 		}
 
 	}
