Let the demo and the load tool wait for dispatch tokens

A host that has just started answers locate requests without a token. The demo printed refusals of its booking if it asked in that time, and the load tool used the empty token for the rest of the answer's lifetime, as it did with the answer of a host that was about to stop.

/status has a new field, issuesTokens, which the demo waits for. AdminEndpointTests lists every field of /status exactly, so it failed without the new one; it now lists the field and checks its value.

--- a/host/src/main/java/org/plantainspur/host/StatusReport.java
+++ b/host/src/main/java/org/plantainspur/host/StatusReport.java
@@ -9,6 +9,7 @@
 import org.plantainspur.core.configuration.Configuration;
 import org.plantainspur.core.configuration.ConfigurationView;
 import org.plantainspur.core.currency.CurrencyRule;
+import org.plantainspur.core.idempotency.TokenReadiness;
 import org.plantainspur.core.membership.Member;
 
 /**
@@ -25,15 +26,18 @@
 
 	private final ShutdownSignal shutdownSignal;
 
+	private final TokenReadiness tokenReadiness;
+
 	private final StatusSource source;
 
 	@Inject
 	StatusReport(Member self, ConfigurationView view, CurrencyRule currency, ShutdownSignal shutdownSignal,
-			StatusSource source) {
+			TokenReadiness tokenReadiness, StatusSource source) {
 		this.self = self;
 		this.view = view;
 		this.currency = currency;
 		this.shutdownSignal = shutdownSignal;
+		this.tokenReadiness = tokenReadiness;
 		this.source = source;
 	}
 
@@ -49,6 +53,7 @@
 		fields.put("current", staleReason.isEmpty());
 		fields.put("currencyReason", staleReason);
 		fields.put("stopping", this.shutdownSignal.stopping());
+		fields.put("issuesTokens", this.tokenReadiness.mayIssue());
 		fields.put("members", configuration.membership().members());
 		fields.put("targets", this.source.targets());
 		fields.put("accountsInUse", this.source.accountsInUse());
--- a/host/src/test/java/org/plantainspur/host/AdminEndpointTests.java
+++ b/host/src/test/java/org/plantainspur/host/AdminEndpointTests.java
@@ -59,9 +59,10 @@
 			JsonNode status = json("/status");
 			assertThat(status.fieldNames()).toIterable()
 				.containsExactly("hostId", "processId", "region", "failureDomain", "sequence", "current",
-						"currencyReason", "stopping", "members", "targets", "accountsInUse");
+						"currencyReason", "stopping", "issuesTokens", "members", "targets", "accountsInUse");
 			assertThat(status.path("hostId").asText()).isEqualTo("entry-1");
 			assertThat(status.path("current").asBoolean()).isTrue();
+			assertThat(status.path("issuesTokens").asBoolean()).isTrue();
 			assertThat(status.path("members").path(0).path("hostId").asText()).isEqualTo("entry-1");
 			assertThat(status.path("targets").path(0).fieldNames()).toIterable()
 				.containsExactlyInAnyOrder("id", "service", "ejected", "weight", "reason", "leaving");
--- a/standins/src/main/java/org/plantainspur/standins/demo/DemoReady.java
+++ b/standins/src/main/java/org/plantainspur/standins/demo/DemoReady.java
@@ -12,10 +12,10 @@
 import org.plantainspur.standins.program.Programs;
 
 /**
- * Waits until every entry host lists all hosts as members and reports its configuration
- * as current; a host whose configuration is not current refuses requests that need a key.
- * Hosts join one after another, and a host receives its shares of the rate limits only
- * once no earlier holder can use them any more.
+ * Waits until every entry host lists all hosts as members, reports its configuration as
+ * current and issues dispatch tokens; a host whose configuration is not current refuses
+ * requests that need a key. Hosts join one after another, and a host receives its shares
+ * of the rate limits only once no earlier holder can use them any more.
  */
 public final class DemoReady {
 
@@ -57,7 +57,8 @@
 	private static boolean isReady(DemoHttpClient client, String adminAddress, int hostCount) {
 		try {
 			JsonNode status = MAPPER.readTree(client.send("GET", adminAddress, "/status", Map.of(), "").body());
-			return status.path("current").asBoolean() && status.path("members").size() == hostCount;
+			return status.path("current").asBoolean() && status.path("issuesTokens").asBoolean()
+					&& status.path("members").size() == hostCount;
 		}
 		catch (IOException ex) {
 			return false;
--- a/standins/src/main/java/org/plantainspur/standins/load/LocatedHostSelector.java
+++ b/standins/src/main/java/org/plantainspur/standins/load/LocatedHostSelector.java
@@ -130,9 +130,17 @@
 				List<String> addresses = new ArrayList<>();
 				body.path("hosts").forEach((host) -> addresses.add(host.path("address").asText()));
 				long lifetimeMillis = body.path("lifetimeMillis").asLong();
+				String token = body.path("dispatchToken").asText();
 				if (!addresses.isEmpty() && lifetimeMillis > 0) {
-					this.locateResults.put(account, new LocateResult(List.copyOf(addresses),
-							body.path("dispatchToken").asText(), sentNanos + lifetimeMillis * NANOS_PER_MILLI));
+					LocateResult located = new LocateResult(List.copyOf(addresses), token,
+							sentNanos + lifetimeMillis * NANOS_PER_MILLI);
+					if (token.isEmpty()) {
+						// The host is about to stop or has just started; the next request
+						// asks another one.
+						this.locateResults.merge(account, located, LocatedHostSelector::withToken);
+						return RETRY_INTERVAL_MILLIS;
+					}
+					this.locateResults.put(account, located);
 					long elapsedMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
 					return Math.max(0, (long) (lifetimeMillis * REFRESH_FRACTION) - elapsedMillis);
 				}
@@ -145,6 +153,10 @@
 		return RETRY_INTERVAL_MILLIS;
 	}
 
+	private static LocateResult withToken(LocateResult known, LocateResult withoutToken) {
+		return (known.expiresNanos() - System.nanoTime() > 0) ? known : withoutToken;
+	}
+
 	@Override
 	public void close() {
 		this.timer.shutdownNow();
