Reject copies that break off with a response without a length

A response without a length ends with its connection. If a part of a second copy comes behind it, that part has no id yet and was delivered as the end of the body. A head that lasts until the end of such a body now fails the attempt.

ProxyTargetConnectionTests.thatBreaksOffAnywhereAndWithTheConnectionAreNotDelivered fails without the change and passes with it. Copies of less than a status line up to its code cannot be told from the end of a body.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/EmbeddedHeadDetector.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/EmbeddedHeadDetector.java
@@ -38,9 +38,11 @@
 	 * @param body the body as it was framed
 	 * @param behind the bytes that have arrived behind it, in which the head may end
 	 * @param requestIds the ids of all requests of the connection
+	 * @param endsWithConnection whether the body has no length and ended with its
+	 * connection: then a head that lasts until the end was broken off, and needs no id
 	 * @return {@code true} if the body is not the one of the response
 	 */
-	boolean isIn(ByteBuf body, ByteBuf behind, Set<String> requestIds) {
+	boolean isIn(ByteBuf body, ByteBuf behind, Set<String> requestIds, boolean endsWithConnection) {
 		if (!body.isReadable()) {
 			return false;
 		}
@@ -54,11 +56,14 @@
 				// The last one in a line begins the head; text may stand before it.
 				int lineFeed = bytes.indexOf(statusLine, (next >= 0) ? next : bytes.writerIndex(), (byte) '\n');
 				if (lineFeed < 0) {
+					if (next < 0 && endsWithConnection && startsWithStatusLine(bytes.readerIndex(statusLine))) {
+						return true;
+					}
 					statusLine = next;
 					continue;
 				}
 				bytes.readerIndex(statusLine);
-				if (STATUS_LINE.matcher(readLine(bytes)).lookingAt() && headersNameARequest(bytes, requestIds)) {
+				if (startsWithStatusLine(bytes) && headersFollow(bytes, requestIds, endsWithConnection)) {
 					return true;
 				}
 				statusLine = nextStatusLine(bytes);
@@ -74,14 +79,22 @@
 		return ByteBufUtil.indexOf(STATUS_LINE_START.duplicate(), bytes);
 	}
 
-	// Reads headers, and leaves the first line that is none unread, as it may contain a
-	// status line.
-	private boolean headersNameARequest(ByteBuf bytes, Set<String> requestIds) {
+	private static boolean startsWithStatusLine(ByteBuf bytes) {
+		return STATUS_LINE.matcher(readLine(bytes)).lookingAt();
+	}
+
+	// Reads headers until one names a request, and leaves the first line that is none
+	// unread, as it may contain a status line.
+	private boolean headersFollow(ByteBuf bytes, Set<String> requestIds, boolean mayBreakOff) {
 		while (bytes.isReadable()) {
 			int lineStart = bytes.readerIndex();
 			String line = readLine(bytes);
 			int colon = line.indexOf(':');
 			if (colon <= 0 || line.substring(0, colon).contains(" ")) {
+				if (mayBreakOff && !bytes.isReadable() && !line.isBlank() && !line.contains(" ")
+						&& !line.endsWith("\n")) {
+					return true;
+				}
 				bytes.readerIndex(lineStart);
 				return false;
 			}
@@ -90,7 +103,7 @@
 				return true;
 			}
 		}
-		return false;
+		return mayBreakOff;
 	}
 
 	// Returns only the start of a line that is too long to be part of a head.
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -258,7 +258,7 @@
 			fail("the connection failed before the end of the response");
 			return;
 		}
-		if (this.embeddedHeadDetector.isIn(this.body, this.decoder.bytesBehind(), this.carriedIds)) {
+		if (this.embeddedHeadDetector.isIn(this.body, this.decoder.bytesBehind(), this.carriedIds, !delimited)) {
 			fail("the body of the response contains the head of another response");
 			return;
 		}
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -160,6 +160,22 @@
 			assertThat(outcome.failed).as("%s", outcome).isTrue();
 		}
 
+		// Less than the status of the copy cannot be told from the end of a body.
+		@Test
+		void thatBreaksOffAnywhereAndWithTheConnectionAreNotDelivered() {
+			String copy = answer("r1", "done");
+			for (int length = "HTTP/1.1 200".length(); length < copy.length(); length++) {
+				TestConnection connection = open();
+				connection.send("r1");
+				connection.receive(copy);
+				Outcome outcome = connection.send("r2");
+				connection.receive(answer("r2", "more").replace("Content-Length: 4\r\n", ""));
+				connection.receive(copy.substring(0, length));
+				connection.channel.close();
+				assertThat(outcome.failed).as("%d bytes of a copy: %s", length, outcome).isTrue();
+			}
+		}
+
 		@Test
 		void areNotConfusedWithBodiesThatMentionHttp() {
 			for (String body : List.of("HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\nRequest-Id: r7\r\n\r\n",
