--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -28,9 +28,9 @@
 
 	private static final String PROTOCOL_NAME = "HTTP";
 
-	private static final String STATUS_LINE_START = "HTTP/1.";
+	static final String STATUS_LINE_START = "HTTP/1.";
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+	static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
 	private final long maxBytes;
 
