Let the platform's client use the JVM's SOCKS proxy again

Since the change to StrictConnections the client of the platform used sockets of a SocketChannel, which ignore a SOCKS proxy. Only connections to targets need such sockets.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/StrictConnections.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/StrictConnections.java
@@ -26,14 +26,31 @@
 	}
 
 	/**
-	 * Creates the builder of a pool. Its connection configuration must come from
-	 * {@link #configBuilder()}.
+	 * Creates the builder of a pool. Its sockets use the SOCKS proxy of the JVM's
+	 * settings, if there is one, and each check of a pooled connection waits 1 ms for
+	 * input. The connection configuration must come from {@link #configBuilder()}.
 	 * @param name the beginning of the names of the connections in HttpClient's log
 	 * @return the builder
 	 */
 	public static PoolingHttpClientConnectionManagerBuilder managerBuilder(String name) {
+		return withStrictConnections(PoolingHttpClientConnectionManagerBuilder.create(), name);
+	}
+
+	/**
+	 * Creates the builder of a pool whose connections are checked without a wait. Its
+	 * sockets use no SOCKS proxy. The connection configuration must come from
+	 * {@link #configBuilder()}.
+	 * @param name the beginning of the names of the connections in HttpClient's log
+	 * @return the builder
+	 */
+	static PoolingHttpClientConnectionManagerBuilder channelManagerBuilder(String name) {
+		return withStrictConnections(new ChannelSocketManagerBuilder(), name);
+	}
+
+	private static PoolingHttpClientConnectionManagerBuilder withStrictConnections(
+			PoolingHttpClientConnectionManagerBuilder builder, String name) {
 		AtomicLong connectionsCreated = new AtomicLong();
-		return new ChannelSocketManagerBuilder().setConnectionFactory(
+		return builder.setConnectionFactory(
 				(socket) -> new StrictHttpConnection(name + "-" + connectionsCreated.incrementAndGet()));
 	}
 
@@ -49,8 +66,8 @@
 	}
 
 	/**
-	 * Creates sockets that have a {@link SocketChannel}, as {@link StrictSocketHolder}
-	 * requires.
+	 * Creates sockets that have a {@link SocketChannel}, from which
+	 * {@link StrictSocketHolder} reads without blocking.
 	 */
 	private static final class ChannelSocketManagerBuilder extends PoolingHttpClientConnectionManagerBuilder {
 
--- a/adapters/src/main/java/org/plantainspur/adapters/http/StrictHttpConnection.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/StrictHttpConnection.java
@@ -18,8 +18,8 @@
 final class StrictHttpConnection extends DefaultManagedHttpClientConnection {
 
 	/**
-	 * Timeout passed to HttpClient, which takes 0 as no timeout. Only connections with
-	 * TLS, which targets never have, wait for it.
+	 * Timeout passed to HttpClient, which takes 0 as no timeout. Connections to targets
+	 * do not wait for it, as their sockets have channels.
 	 */
 	private static final Timeout STALE_CHECK_TIMEOUT = Timeout.ofMilliseconds(1);
 
--- a/adapters/src/main/java/org/plantainspur/adapters/http/StrictSocketHolder.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/StrictSocketHolder.java
@@ -29,7 +29,9 @@
 
 	/**
 	 * Creates a holder.
-	 * @param socket a connected socket that was opened with a {@link SocketChannel}
+	 * @param socket a connected socket; one that was not opened with a
+	 * {@link SocketChannel} cannot be read without blocking, so a stale check waits for
+	 * the timeout that HttpClient sets
 	 */
 	StrictSocketHolder(Socket socket) {
 		super(socket);
--- a/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnectionPool.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/TargetConnectionPool.java
@@ -32,7 +32,7 @@
 	 */
 	TargetConnectionPool(IntSupplier memberCount) {
 		this.memberCount = memberCount;
-		this.manager = StrictConnections.managerBuilder("target")
+		this.manager = StrictConnections.channelManagerBuilder("target")
 			.setMaxConnPerRoute(1)
 			.setMaxConnTotal(Integer.MAX_VALUE)
 			.setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
