--- a/gateway/src/test/java/org/plantainspur/gateway/http/ConnectionHistoryTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ConnectionHistoryTests.java
@@ -27,7 +27,7 @@
 	/**
 	 * Guards against a caller that gets a response with a status, body or promise that is
 	 * not the one which the target meant for it, and against requests that wait for a
-	 * response that can't come.
+	 * response that cannot come.
 	 */
 	@Group
 	class Histories {
@@ -39,9 +39,10 @@
 		@Property(tries = 4_000, seed = "31")
 		void eachRequestEndsWithItsOwnResponseOrAnError(
 				@ForAll @Size(max = 100) List<@IntRange(min = 0, max = 1_000_000) Integer> numbers) {
-			long firstSalt = Long.getLong("histories.seed", 0);
-			for (long salt = firstSalt; salt < firstSalt + Integer.getInteger("histories.perTry", 1); salt++) {
-				new History(new Choices(numbers, salt)).run();
+			long firstVariant = Long.getLong("histories.seed", 0);
+			for (long variant = firstVariant; variant < firstVariant
+					+ Integer.getInteger("histories.perTry", 1); variant++) {
+				new History(new Choices(numbers, variant)).run();
 			}
 		}
 
@@ -52,13 +53,14 @@
 
 		private final List<Integer> numbers;
 
-		private final long salt;
+		// Makes other choices of the same numbers; 0 leaves them as they are.
+		private final long variant;
 
 		private int used;
 
-		private Choices(List<Integer> numbers, long salt) {
+		private Choices(List<Integer> numbers, long variant) {
 			this.numbers = numbers;
-			this.salt = salt;
+			this.variant = variant;
 		}
 
 		int next(int bound) {
@@ -67,8 +69,8 @@
 			}
 			long number = this.numbers.get(this.used);
 			this.used++;
-			if (this.salt != 0) {
-				number = (this.salt * 31 + this.used) * 0x9E3779B97F4A7C15L ^ number * 0xC2B2AE3D27D4EB4FL;
+			if (this.variant != 0) {
+				number = (this.variant * 31 + this.used) * 0x9E3779B97F4A7C15L ^ number * 0xC2B2AE3D27D4EB4FL;
 				number ^= number >>> 29;
 			}
 			return (int) Math.floorMod(number, (long) bound);
@@ -128,6 +130,10 @@
 			return bytes.append("0\r\n\r\n").toString();
 		}
 
+		int lengthThroughFirstHeaderByte() {
+			return head().indexOf("\r\n") + 3;
+		}
+
 		int lengthThroughId() {
 			String idLine = "Request-Id: " + this.id + "\r\n";
 			return head().indexOf(idLine) + idLine.length();
@@ -181,6 +187,7 @@
 
 		private StringBuilder pending = new StringBuilder();
 
+		// Reads do not end between these two places of the pending bytes.
 		private int uncutFrom;
 
 		private int uncutTo;
@@ -297,7 +304,7 @@
 				case 4 -> {
 					int length = addPart(own, bytes);
 					// A body without a length that breaks off before the end of the
-					// connection can't be told from a whole one.
+					// connection cannot be told from a whole one.
 					this.ending = (untilClose && length >= own.head().length()) ? Ending.RESET : Ending.CLOSE;
 				}
 				case 5 -> {
@@ -311,7 +318,7 @@
 				case 8, 9 -> {
 					add(bytes);
 					if (untilClose) {
-						// Other bytes behind it can't be told from the body.
+						// Other bytes behind it cannot be told from the body.
 						add(bytes);
 						expect(Expected.END);
 						this.ending = Ending.CLOSE;
@@ -334,9 +341,9 @@
 			Response copy = (this.earlier.isEmpty() || this.choices.next(3) > 0) ? own
 					: this.earlier.get(this.choices.next(this.earlier.size()));
 			String copied = copy.bytes();
+			int leastLength = (copy == own) ? copy.lengthThroughFirstHeaderByte() : copy.lengthThroughId();
 			if (this.choices.oneIn(3)) {
-				copied = copied.substring(0,
-						copy.lengthThroughId() + this.choices.next(copied.length() - copy.lengthThroughId() + 1));
+				copied = copied.substring(0, leastLength + this.choices.next(copied.length() - leastLength + 1));
 			}
 			int length = 1 + this.choices.next(bytes.length() - 1);
 			boolean inHead = length < own.head().length();
@@ -347,11 +354,12 @@
 				case UNTIL_CLOSE -> true;
 			};
 			expect(ends ? Expected.END : Expected.ANY);
-			// The frame may end anywhere in the copy. If the id of the copy has not
-			// arrived by then, the response can't be told from a whole one.
+			// The frame may end anywhere in the copy. If the first header of an own copy,
+			// or the id of another one, has not arrived by then, the response cannot be
+			// told from a whole one.
 			if (own.framing() == Framing.LENGTH && !inHead) {
 				this.uncutFrom = this.pending.length() - 1;
-				this.uncutTo = this.pending.length() + copy.lengthThroughId();
+				this.uncutTo = this.pending.length() + leastLength;
 			}
 			add(copied);
 			this.ending = (own.framing() == Framing.UNTIL_CLOSE) ? Ending.CLOSE : Ending.NONE;
--- a/standins/src/test/java/org/plantainspur/standins/gateway/StutteringTarget.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/DuplicatingTarget.java
@@ -17,7 +17,7 @@
  * breaks off others. What it does with a request follows from the seed, its own name and
  * the request's id.
  */
-final class StutteringTarget implements RawServer.ConnectionHandler {
+final class DuplicatingTarget implements RawServer.ConnectionHandler {
 
 	private static final String ID_HEADER = "X-Plantainspur-Attempt-Id";
 
@@ -35,7 +35,7 @@
 
 	private final AtomicInteger connections = new AtomicInteger();
 
-	StutteringTarget(String name, long seed, Rates rates, SoakRecord record, ScheduledExecutorService timer) {
+	DuplicatingTarget(String name, long seed, Rates rates, SoakRecord record, ScheduledExecutorService timer) {
 		this.name = name;
 		this.seed = seed;
 		this.rates = rates;
--- a/standins/src/test/java/org/plantainspur/standins/gateway/StutteringTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/DuplicatingTargetsTests.java
@@ -26,7 +26,7 @@
  * the seed, the duration, the number of host processes and the directory that keeps the
  * hosts' logs.
  */
-class StutteringTargetsTests {
+class DuplicatingTargetsTests {
 
 	private static final int TARGETS = 10;
 
@@ -60,9 +60,9 @@
 			// fail.
 			double copies = (i % 5 < 3) ? 0.05 : 0;
 			double failures = (i % 2 == 0) ? 0.4 * random.nextDouble() : 0.01;
-			StutteringTarget.Rates rates = new StutteringTarget.Rates(failures, 0.05, copies, 0.01);
+			DuplicatingTarget.Rates rates = new DuplicatingTarget.Rates(failures, 0.05, copies, 0.01);
 			this.fixture.startRawTarget("i-" + i, domain(i),
-					new StutteringTarget("i-" + i, this.seed, rates, this.record, this.timer));
+					new DuplicatingTarget("i-" + i, this.seed, rates, this.record, this.timer));
 		}
 		for (int i = 0; i < this.hostCount; i++) {
 			this.hosts.add(this.fixture.startReadyHostProcess("h" + i, domain(i), REGIONS));
@@ -132,7 +132,7 @@
 
 		@Test
 		void noCallerReceivesAnAnswerThatTheTargetDidNotMean() throws Exception {
-			StutteringTargetsTests test = StutteringTargetsTests.this;
+			DuplicatingTargetsTests test = DuplicatingTargetsTests.this;
 			test.runCallers();
 			System.out.println("seed " + test.seed + ", " + test.hostCount + " hosts: " + test.record);
 			test.keepLogs();
--- a/standins/src/test/java/org/plantainspur/standins/gateway/SecondCopy.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/SecondCopy.java
@@ -3,7 +3,7 @@
 import java.util.Random;
 
 /**
- * How a stuttering target sends a part or the whole of a response once more.
+ * How a target sends a part or the whole of a response once more.
  *
  * @param bytes the bytes that are sent, as text
  * @param whole whether the copy is whole
