--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -25,8 +25,9 @@
  * side, all others one after another. Responses are sent in the order of the requests.
  * When a response closes the connection because its caller asked for it, the requests
  * behind it are abandoned, as callers send them again on another connection, whatever
- * their route. During a stop, the response to the last request that was read closes the
- * connection: running requests end, and those that have not been started are refused.
+ * their route. During a stop, running requests are answered, those that have not been
+ * started are refused, and the response to the last request that was read closes the
+ * connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
@@ -51,7 +52,10 @@
 
 	private boolean closing;
 
-	/** Whether a response was sent during a stop, so that no request is started. */
+	/**
+	 * Whether a response was sent during a stop, so that no further request of this
+	 * connection is started.
+	 */
 	private boolean refusing;
 
 	CallerConnection(ProxyComponents components, ProxyTargetConnectionPool connectionPool,
