Find a copy's head behind a header that the body quotes

If a body breaks off within a head that it quotes, the copy's status line stands in one of the quoted header lines, and was read as its value. Such a line is now left to the search for status lines.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/EmbeddedHeadDetector.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/EmbeddedHeadDetector.java
@@ -92,8 +92,8 @@
 		return -1;
 	}
 
-	// Reads headers until one names a request, and leaves the first line that is none
-	// unread, as it may contain a status line. A head that is not complete yet needs no
+	// Reads headers until one names a request, and leaves the first line that is none, or
+	// that contains a status line, unread. A head that is not complete yet needs no
 	// id, if all its headers are those of the response.
 	private boolean headersFollow(ByteBuf bytes, HttpResponse response, Set<String> requestIds) {
 		boolean headersOfResponse = bytes.isReadable();
@@ -102,6 +102,10 @@
 			String line = readLine(bytes);
 			int colon = line.indexOf(':');
 			String name = (colon >= 0) ? line.substring(0, colon) : line;
+			if (line.contains(StrictResponseDecoder.STATUS_LINE_START)) {
+				bytes.readerIndex(lineStart);
+				return false;
+			}
 			boolean incomplete = !bytes.isReadable() && !line.endsWith(LINE_END);
 			headersOfResponse &= isHeaderOf(response, name, colon < 0);
 			if (colon <= 0 || name.contains(" ")) {
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -189,6 +189,17 @@
 			}
 		}
 
+		@Test
+		void withinAHeadThatTheBodyQuotesAreNotDelivered() {
+			String response = answer("r1", "HTTP/1.1 200 OK\r\nServer: example\r\n\r\n" + "done".repeat(10));
+			int brokenOff = response.indexOf("Server:") + "Server:".length();
+			TestConnection connection = open();
+			Outcome outcome = connection.send("r1");
+			connection.receive(response.substring(0, brokenOff) + response.substring(0, 60));
+			connection.receive(response.substring(60));
+			assertThat(outcome.failed).as("%s", outcome).isTrue();
+		}
+
 		@Test
 		void areNotConfusedWithBodiesThatEndWithAStatusLine() {
 			for (String body : List.of("upstream: HTTP/1.1 404 Not Found\n", "log\nHTTP/1.1 200 OK\nServer: x\n",
