Read the limit that a target names, and log it

No behaviour changes. The decision log could not tell whether a host reads the limit that a target names in its responses, and whether it learned it itself. What a target says of itself is kept for its incarnation, from its valid responses only; a change is logged as target-statement with its source, and counted. A value that is no decimal number is counted.

--- a/core/src/main/java/org/plantainspur/core/target/ObservedTarget.java
+++ b/core/src/main/java/org/plantainspur/core/target/ObservedTarget.java
@@ -34,6 +34,8 @@
 	 */
 	private static final long DECLINE_VALID_MS = 300;
 
+	private final TargetIncarnation incarnation;
+
 	private final AtomicReference<Listed> listed;
 
 	private final AtomicInteger inFlight = new AtomicInteger();
@@ -51,9 +53,18 @@
 	private final AtomicReference<Slowness> slowness = new AtomicReference<>(Slowness.NONE);
 
 	ObservedTarget(TargetListing listing, long nowMs) {
+		this.incarnation = listing.incarnation();
 		this.listed = new AtomicReference<>(new Listed(listing, nowMs + listing.warmUpMs()));
 	}
 
+	/**
+	 * Returns the incarnation of the target, which does not change.
+	 * @return the identity of what the target says of itself
+	 */
+	public TargetIncarnation incarnation() {
+		return this.incarnation;
+	}
+
 	// Sets another listing of the same process.
 	void updateListing(TargetListing listing, long nowMs) {
 		if (!this.listed.get().listing().equals(listing)) {
--- a/core/src/main/java/org/plantainspur/core/target/TargetListing.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetListing.java
@@ -28,4 +28,12 @@
 		return new TargetProcess(this.id, this.service, this.host, this.port, this.startedMs);
 	}
 
+	/**
+	 * Returns the incarnation of the target.
+	 * @return equal for two listings between which the target has not started again
+	 */
+	public TargetIncarnation incarnation() {
+		return new TargetIncarnation(this.id, this.startedMs);
+	}
+
 }
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/target/TargetStatements.java
@@ -0,0 +1,168 @@
+package org.plantainspur.core.target;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
+
+import org.plantainspur.core.time.Clock;
+
+/**
+ * The last statement of each target's incarnation, whichever host it was made to. A
+ * statement holds until the target makes another one, as it may be the only protection of
+ * a target that gets no requests for a while. Thread-safe.
+ */
+public final class TargetStatements {
+
+	/**
+	 * How long a statement is kept that nothing holds any more: long enough to reach all
+	 * hosts, so that none of them brings back the one before.
+	 */
+	static final long WITHDRAWN_RETENTION_MS = 30_000;
+
+	/**
+	 * How long a statement of a target that is not listed is kept. An entry that expires
+	 * during an outage of the store comes back sooner.
+	 */
+	static final long UNLISTED_RETENTION_MS = 60_000;
+
+	/** The most reports in a heartbeat, which must fit into a datagram. */
+	static final int MAX_REPORTS = 64;
+
+	private final Clock clock;
+
+	private final ChangeListener listener;
+
+	private final ConcurrentMap<TargetIncarnation, Entry> entries = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a collection without statements.
+	 * @param clock the host's clock
+	 * @param listener told when a statement differs from the one before
+	 */
+	public TargetStatements(Clock clock, ChangeListener listener) {
+		this.clock = clock;
+		this.listener = listener;
+	}
+
+	/**
+	 * Records what a target said in a response to this host.
+	 * @param target the target
+	 * @param statement what it said
+	 */
+	public void record(TargetIncarnation target, TargetStatement statement) {
+		if (update(target, statement, this.clock.millis())) {
+			this.listener.changed(target, statement, Source.RESPONSE);
+		}
+	}
+
+	/**
+	 * Records what another host reports.
+	 * @param report the report
+	 */
+	public void receive(TargetStatementReport report) {
+		if (update(report.target(), report.statement(), this.clock.millis() - report.ageMs())) {
+			this.listener.changed(report.target(), report.statement(), Source.HOST);
+		}
+	}
+
+	private boolean update(TargetIncarnation target, TargetStatement statement, long saidMs) {
+		Entry entry = this.entries.get(target);
+		if (entry == null) {
+			if (statement.equals(TargetStatement.NONE)) {
+				return false;
+			}
+			entry = this.entries.computeIfAbsent(target, (absent) -> new Entry());
+		}
+		return entry.update(statement, saidMs);
+	}
+
+	/**
+	 * Returns what a target says of itself.
+	 * @param target the target
+	 * @return its last statement, {@link TargetStatement#NONE} if it has made none
+	 */
+	public TargetStatement of(TargetIncarnation target) {
+		Entry entry = this.entries.get(target);
+		return (entry != null) ? entry.said.get().statement() : TargetStatement.NONE;
+	}
+
+	/**
+	 * Returns the statements as this host reports them to the others, the newest first.
+	 * @return at most {@link #MAX_REPORTS} reports, withdrawn statements included
+	 */
+	public List<TargetStatementReport> reports() {
+		if (this.entries.isEmpty()) {
+			return List.of();
+		}
+		long nowMs = this.clock.millis();
+		return this.entries.entrySet().stream().map((entry) -> {
+			Said said = entry.getValue().said.get();
+			return new TargetStatementReport(entry.getKey(), said.statement(), Math.max(0, nowMs - said.saidMs()));
+		}).sorted(Comparator.comparingLong(TargetStatementReport::ageMs)).limit(MAX_REPORTS).toList();
+	}
+
+	/**
+	 * Drops statements that nothing depends on any more.
+	 * @param listed tells whether the platform lists a target
+	 */
+	public void removeOld(Predicate<TargetIncarnation> listed) {
+		long nowMs = this.clock.millis();
+		this.entries.entrySet().removeIf((entry) -> {
+			Said said = entry.getValue().said.get();
+			long ageMs = nowMs - said.saidMs();
+			return (said.statement().equals(TargetStatement.NONE) && ageMs > WITHDRAWN_RETENTION_MS)
+					|| (ageMs > UNLISTED_RETENTION_MS && !listed.test(entry.getKey()));
+		});
+	}
+
+	/**
+	 * Where a statement was learned.
+	 */
+	public enum Source {
+
+		/** A response of the target. */
+		RESPONSE,
+
+		/** A report of another host. */
+		HOST
+
+	}
+
+	/**
+	 * Told of statements that differ from the ones before. Called by any thread.
+	 */
+	@FunctionalInterface
+	public interface ChangeListener {
+
+		/**
+		 * Called when a target says something else than before.
+		 * @param target the target
+		 * @param statement what it says now
+		 * @param source where this host learned it
+		 */
+		void changed(TargetIncarnation target, TargetStatement statement, Source source);
+
+	}
+
+	private static final class Entry {
+
+		private final AtomicReference<Said> said = new AtomicReference<>(
+				new Said(TargetStatement.NONE, Long.MIN_VALUE / 2));
+
+		// Returns whether the statement changed.
+		private boolean update(TargetStatement statement, long saidMs) {
+			Said previous = this.said
+				.getAndUpdate((current) -> (saidMs >= current.saidMs()) ? new Said(statement, saidMs) : current);
+			return saidMs >= previous.saidMs() && !Objects.equals(previous.statement(), statement);
+		}
+
+	}
+
+	private record Said(TargetStatement statement, long saidMs) {
+	}
+
+}
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -28,7 +29,10 @@
 import org.plantainspur.core.target.AttemptRecorder;
 import org.plantainspur.core.target.HostLocation;
 import org.plantainspur.core.target.LowestCostSelector;
+import org.plantainspur.core.target.TargetIncarnation;
 import org.plantainspur.core.target.TargetRegistry;
+import org.plantainspur.core.target.TargetStatement;
+import org.plantainspur.core.target.TargetStatements;
 import org.plantainspur.core.target.TargetSubset;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.http.CallerChannels;
@@ -133,6 +137,7 @@
 		Store store = this.platform.store(new EventLoopHttpClient(controlLoop, this.settings.storeAddress()));
 		HostLocation location = new HostLocation(this.settings.failureDomain(), this.settings.regions());
 		AttemptRecorder attemptRecorder = new AttemptRecorder(this.clock);
+		TargetStatements targetStatements = new TargetStatements(this.clock, this::targetStatementChanged);
 		TargetSubset targetSubset = new TargetSubset();
 		Scheduler scheduler = (delay, task) -> controlLoop.schedule(() -> this.failures.run("store", task), delay,
 				TimeUnit.MILLISECONDS);
@@ -152,9 +157,9 @@
 				this.desiredState, new AdmissionControl(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new LowestCostSelector(this.targets, attemptRecorder, targetSubset, location,
 						this.settings.floorShare(), this.clock, () -> ThreadLocalRandom.current().nextDouble()),
-				attemptRecorder, quarantine, new RetryRules(retryBudget), retryBudget, gossip, this.shutdown,
-				new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET), this.failures, this.log,
-				this.metrics);
+				attemptRecorder, targetStatements, quarantine, new RetryRules(retryBudget), retryBudget, gossip,
+				this.shutdown, new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET),
+				this.failures, this.log, this.metrics);
 		CallerServer callerServer = new CallerServer(components, this.requestLoops, this.openRequests,
 				this.callerChannels);
 		gossip.start();
@@ -164,6 +169,14 @@
 		return this.shutdown;
 	}
 
+	private void targetStatementChanged(TargetIncarnation target, TargetStatement statement,
+			TargetStatements.Source source) {
+		this.metrics.count("target_statements_total", source.name().toLowerCase(Locale.ROOT));
+		this.log.event("target-statement", "id", target.id(), "requestsPerSecond",
+				statement.limited() ? statement.requestsPerSecond() : "unlimited", "source",
+				source.name().toLowerCase(Locale.ROOT));
+	}
+
 	private void serveEndpoints(GossipTask gossip, StoreSynchronizer storeSynchronizer) {
 		serve(this.settings.readyAddress(), endpoints().endpoint(this.platform.readyPath(), (query) -> readiness()));
 		serve(this.settings.directoryAddress(), endpoints().endpoint(this.platform.directoryPath(),
--- a/gateway/src/main/java/org/plantainspur/gateway/http/HeaderNames.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/HeaderNames.java
@@ -10,9 +10,11 @@
  * @param expectedTarget the identity of the only target that may run the request
  * @param load a target's running requests, waiting requests and slots, three numbers
  * separated by commas
+ * @param limit the requests a second that a target takes from all hosts together, a
+ * decimal number
  * @param notRun a target's statement that it did not run the request
  * @param keyScheme the authentication scheme before a key in the Authorization header
  */
 public record HeaderNames(String requestId, String deadlineMs, String signature, String account, String expectedTarget,
-		String load, String notRun, String keyScheme) {
+		String load, String limit, String notRun, String keyScheme) {
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -28,6 +28,7 @@
 import org.plantainspur.core.target.AttemptOutcome;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
+import org.plantainspur.core.target.TargetStatement;
 
 /**
  * Carries one request of a caller from its arrival to its response: admission, the
@@ -423,7 +424,27 @@
 					ProxiedRequest.this.components.clock().millis());
 			ProxiedRequest.this.components.attemptRecorder()
 				.recordResponseBytes(this.admittedRoute.name(), body.readableBytes());
-			end(ProxiedRequest.this.targetMapper.toOutcome(response), false, response, body);
+			AttemptOutcome outcome = ProxiedRequest.this.targetMapper.toOutcome(response);
+			recordStatement(response, outcome);
+			end(outcome, false, response, body);
+		}
+
+		// A response that is damaged or comes from another process says nothing of the
+		// target.
+		private void recordStatement(HttpResponse response, AttemptOutcome outcome) {
+			boolean ownResponse = outcome instanceof AttemptOutcome.Answered
+					|| outcome instanceof AttemptOutcome.Declined declined && !declined.otherTarget();
+			if (!ownResponse) {
+				return;
+			}
+			TargetStatement statement = ProxiedRequest.this.targetMapper.toStatement(response);
+			if (statement != null) {
+				ProxiedRequest.this.components.targetStatements().record(this.target.incarnation(), statement);
+			}
+			else {
+				ProxiedRequest.this.components.metrics()
+					.count("target_statements_invalid_total", this.target.listing().service());
+			}
 		}
 
 		@Override
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
@@ -10,6 +10,7 @@
 import org.plantainspur.core.target.AttemptRecorder;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
+import org.plantainspur.core.target.TargetStatements;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.log.FailureReporter;
 import org.plantainspur.gateway.log.GatewayMetrics;
@@ -24,6 +25,7 @@
  * @param admission decides whether a request may run
  * @param targetSelector selects the target of an attempt
  * @param attemptRecorder records the outcomes of attempts
+ * @param targetStatements holds what targets say of themselves
  * @param quarantine tells which requests have crashed targets
  * @param retryRules decides what follows an attempt
  * @param retryBudget limits the attempts beyond the first
@@ -36,9 +38,10 @@
  */
 public record ProxyComponents(Clock clock, HeaderNames headerNames, StartupLatch startupLatch,
 		DesiredStateView desiredState, AdmissionControl admission, TargetSelector targetSelector,
-		AttemptRecorder attemptRecorder, SequentialCrashQuarantine quarantine, RetryRules retryRules,
-		RetryBudget retryBudget, TargetHealthListener targetHealthListener, ShutdownState shutdown,
-		BufferBudget bufferBudget, FailureReporter failures, DecisionLog log, GatewayMetrics metrics) {
+		AttemptRecorder attemptRecorder, TargetStatements targetStatements, SequentialCrashQuarantine quarantine,
+		RetryRules retryRules, RetryBudget retryBudget, TargetHealthListener targetHealthListener,
+		ShutdownState shutdown, BufferBudget bufferBudget, FailureReporter failures, DecisionLog log,
+		GatewayMetrics metrics) {
 
 	/**
 	 * Told of changes in the health of targets that other hosts should know of.
--- a/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
@@ -11,6 +11,7 @@
 import org.plantainspur.core.desired.AccountRule;
 import org.plantainspur.core.target.AttemptOutcome;
 import org.plantainspur.core.target.ObservedTarget;
+import org.plantainspur.core.target.TargetStatement;
 
 /**
  * Translates between the HTTP messages of targets and the types of the core.
@@ -85,6 +86,20 @@
 		return new AttemptOutcome.Answered(status, status < FIRST_SERVER_ERROR_STATUS);
 	}
 
+	/**
+	 * Reads what a target says of itself in a response.
+	 * @param response the target's status line and headers
+	 * @return the statement, or {@code null} if a header of it is malformed
+	 */
+	@Nullable TargetStatement toStatement(HttpResponse response) {
+		String limit = response.headers().get(this.headerNames.limit());
+		if (limit == null) {
+			return TargetStatement.NONE;
+		}
+		return limit.trim().matches("\\d{1,9}(\\.\\d{1,9})?") ? new TargetStatement(Double.parseDouble(limit.trim()))
+				: null;
+	}
+
 	/**
 	 * Records the load that a target reports in a response, if it reports any.
 	 * @param response the target's status line and headers
