Show that targets get more requests than the limit that they name

Real hosts, callers that send to all of them, and targets that name a limit of 2 requests/s. In the worst 4 s such a target gets 129 requests beside an unlimited one and 124 as the only one, where the rule allows 17; requests that find no room are not refused.

--- /dev/null
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
@@ -0,0 +1,175 @@
+package org.plantainspur.standins.gateway;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.standins.http.Response;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against targets that get more requests than the limit that they name in their
+ * responses, summed over all hosts.
+ */
+class TargetLimitTests {
+
+	private static final double LIMIT = 2;
+
+	/** The time after which a target's limit must be kept. */
+	private static final long APPLY_MS = 4_000;
+
+	private static final long WINDOW_MS = 4_000;
+
+	private static final double ALLOWED_IN_WINDOW = 1.5 * LIMIT * WINDOW_MS / 1_000 + 5;
+
+	/** The time between two requests of one caller. */
+	private static final long REQUEST_INTERVAL_MS = 60;
+
+	private GatewayFixture fixture;
+
+	private final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
+
+	private final Queue<Exchange> exchanges = new ConcurrentLinkedQueue<>();
+
+	private volatile boolean limited = true;
+
+	@BeforeEach
+	void open() throws IOException {
+		this.fixture = new GatewayFixture();
+		this.fixture.writeDesiredStateWithoutRateLimit();
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		this.fixture.close();
+	}
+
+	private static long nowMs() {
+		return System.nanoTime() / 1_000_000;
+	}
+
+	private static Response answer(String id) {
+		return GatewayFixture.signedResponse(id, "done");
+	}
+
+	private void startLimitedTarget(String id) throws IOException {
+		this.fixture.startTarget(id, (exchange) -> {
+			this.arrivals.add(nowMs());
+			Response response = answer(String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id")));
+			exchange.respond(this.limited ? response.withHeader("Server-Limit", String.valueOf(LIMIT)) : response);
+		});
+	}
+
+	private void startTarget(String id) throws IOException {
+		this.fixture.startTarget(id, (exchange) -> exchange
+			.respond(answer(String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id")))));
+	}
+
+	// Sends requests to each host, one after another, until the time has passed.
+	private void sendFor(long durationMs, List<GatewayFixture.Host> hosts) throws InterruptedException {
+		ExecutorService callers = Executors.newFixedThreadPool(hosts.size());
+		long endMs = nowMs() + durationMs;
+		for (GatewayFixture.Host host : hosts) {
+			callers.execute(() -> {
+				while (nowMs() < endMs) {
+					long startMs = nowMs();
+					String response = GatewayFixture.sendRequest(host.port(),
+							GatewayFixture.requestText("GET", "/read/1", "r" + System.nanoTime(), ""));
+					this.exchanges.add(new Exchange(startMs, nowMs() - startMs, response));
+					GatewayFixture.sleep(REQUEST_INTERVAL_MS);
+				}
+			});
+		}
+		callers.shutdown();
+		assertThat(callers.awaitTermination(durationMs + 10_000, TimeUnit.MILLISECONDS)).isTrue();
+	}
+
+	private int mostArrivalsInAWindow(long fromMs) {
+		List<Long> times = new ArrayList<>(this.arrivals);
+		return times.stream()
+			.filter((start) -> start >= fromMs)
+			.mapToInt(
+					(start) -> (int) times.stream().filter((time) -> time >= start && time < start + WINDOW_MS).count())
+			.max()
+			.orElse(0);
+	}
+
+	private List<GatewayFixture.Host> startHosts(String... names) throws IOException {
+		List<GatewayFixture.Host> hosts = new ArrayList<>();
+		for (String name : names) {
+			hosts.add(this.fixture.startReadyHost(name));
+		}
+		return hosts;
+	}
+
+	@Nested
+	class OneLimitedTargetOfTwo {
+
+		@Test
+		void getsNoMoreThanItsLimitFromAllHostsAndTheOtherServes() throws Exception {
+			startLimitedTarget("i-1");
+			startTarget("i-2");
+			List<GatewayFixture.Host> hosts = startHosts("a1", "a2", "a3");
+			long startMs = nowMs();
+			sendFor(APPLY_MS + 2 * WINDOW_MS, hosts);
+			assertThat(mostArrivalsInAWindow(startMs + APPLY_MS)).isLessThanOrEqualTo((int) ALLOWED_IN_WINDOW);
+			assertThat(TargetLimitTests.this.exchanges)
+				.allSatisfy((exchange) -> assertThat(exchange.response()).startsWith("HTTP/1.1 200"));
+		}
+
+		@Test
+		void getsRequestsAgainOnceItNamesNoLimit() throws Exception {
+			startLimitedTarget("i-1");
+			startTarget("i-2");
+			List<GatewayFixture.Host> hosts = startHosts("a1", "a2");
+			sendFor(APPLY_MS, hosts);
+			TargetLimitTests.this.limited = false;
+			sendFor(APPLY_MS, hosts);
+			long startMs = nowMs();
+			sendFor(WINDOW_MS, hosts);
+			assertThat(mostArrivalsInAWindow(startMs)).isGreaterThan((int) ALLOWED_IN_WINDOW);
+		}
+
+	}
+
+	@Nested
+	class AllTargetsLimited {
+
+		@Test
+		void requestsThatFindNoRoomAreRefusedAtOnceWithTheTimeToReturn() throws Exception {
+			startLimitedTarget("i-1");
+			List<GatewayFixture.Host> hosts = startHosts("a1", "a2");
+			long startMs = nowMs();
+			sendFor(APPLY_MS + WINDOW_MS, hosts);
+			assertThat(mostArrivalsInAWindow(startMs + APPLY_MS)).isLessThanOrEqualTo((int) ALLOWED_IN_WINDOW);
+			List<Exchange> late = TargetLimitTests.this.exchanges.stream()
+				.filter((exchange) -> exchange.startMs() >= startMs + APPLY_MS)
+				.toList();
+			assertThat(late).filteredOn((exchange) -> exchange.response().startsWith("HTTP/1.1 200"))
+				.as("requests within the limit")
+				.hasSizeGreaterThanOrEqualTo((int) (LIMIT * WINDOW_MS / 1_000 / 2));
+			assertThat(late).filteredOn((exchange) -> !exchange.response().startsWith("HTTP/1.1 200"))
+				.isNotEmpty()
+				.allSatisfy((exchange) -> {
+					assertThat(exchange.response()).startsWith("HTTP/1.1 503").containsIgnoringCase("retry-after: ");
+					assertThat(exchange.tookMs()).isLessThan(500);
+				});
+		}
+
+	}
+
+	private record Exchange(long startMs, long tookMs, String response) {
+	}
+
+}
