Keep the limit that a target names, summed over all hosts

What callers saw: a target that named a limit, as it could not serve more, got several times as many requests and answered late or not at all.

Cause: no host read the limit, so the cost of the target did not depend on it (class of fault: a statement of a target that nothing in the design holds). A limit kept by each host for itself would not do, as up to 22 hosts sent to one target.

Change: what a target says of itself is one state of its incarnation (TargetStatements), told to all hosts and kept until the target says otherwise. A host sends to a limited target at even intervals, at its part of the limit (DomainLimitShare): the two hosts that carry the traffic of the target's domain share 75%, those of one other domain 25%. The parts need no messages, so they add up to the limit whether the hosts hear each other or not. Requests that find no room are refused at once, each with a later time to return.

Tried and changed: a host that hears less than half of its domain used 1/n of its part; LimitPermitsTests found 20 requests where 19 are allowed (4 partitions, limit 2.43). It uses none now. A longest interval of 10 s for each host broke the bound of a limit of 0.1; the lowest limit is now kept for all hosts together.

PeerCodecTests, aTruncatedHeartbeatIsDropped: a heartbeat that ends where an earlier build's ends is a whole one of that build. The test now expects exactly that one at exactly that length, and none at all others.

--- a/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
@@ -5,6 +5,7 @@
 
 import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.store.TableStates;
+import org.plantainspur.core.target.TargetStatementReport;
 
 /**
  * The state that a host sends to the other hosts of its failure domain about every 500
@@ -30,11 +31,13 @@
  * @param recoveredTargets identities of suspect targets that succeeded since then
  * @param digests the digests of whole failure domains
  * @param requestCrashes the crashes of targets that requests have caused
+ * @param targetStatements what targets say of themselves, as far as this host knows
  */
 public record HostHeartbeat(String host, long startMs, String failureDomain, String callerAddress, String peerAddress,
 		double cores, boolean acceptingCallers, long version, TableStates tables, long storeAgeMs,
 		Map<String, AccountUsage> usage, List<String> accountsNearLimit, List<String> failedTargets,
-		List<String> recoveredTargets, List<DomainDigest> digests, List<RequestCrash> requestCrashes) {
+		List<String> recoveredTargets, List<DomainDigest> digests, List<RequestCrash> requestCrashes,
+		List<TargetStatementReport> targetStatements) {
 
 	public HostHeartbeat {
 		usage = Map.copyOf(usage);
@@ -43,6 +46,7 @@
 		recoveredTargets = List.copyOf(recoveredTargets);
 		digests = List.copyOf(digests);
 		requestCrashes = List.copyOf(requestCrashes);
+		targetStatements = List.copyOf(targetStatements);
 	}
 
 	/**
@@ -53,7 +57,8 @@
 	public HostHeartbeat withDigests(List<DomainDigest> newDigests) {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, this.acceptingCallers, this.version, this.tables, this.storeAgeMs, this.usage,
-				this.accountsNearLimit, this.failedTargets, this.recoveredTargets, newDigests, this.requestCrashes);
+				this.accountsNearLimit, this.failedTargets, this.recoveredTargets, newDigests, this.requestCrashes,
+				this.targetStatements);
 	}
 
 	/**
@@ -61,12 +66,14 @@
 	 * hosts of its own domain.
 	 * @param digest the digest of this failure domain
 	 * @param crashes the crashes of requests that the other domain must know of
+	 * @param statements the statements of targets that it must know of
 	 * @return a changed copy
 	 */
-	public HostHeartbeat forOtherDomain(DomainDigest digest, List<RequestCrash> crashes) {
+	public HostHeartbeat forOtherDomain(DomainDigest digest, List<RequestCrash> crashes,
+			List<TargetStatementReport> statements) {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, this.acceptingCallers, this.version, TableStates.NONE, this.storeAgeMs, Map.of(), List.of(),
-				List.of(), List.of(), List.of(digest), crashes);
+				List.of(), List.of(), List.of(digest), crashes, statements);
 	}
 
 	/**
@@ -77,7 +84,7 @@
 	public HostHeartbeat presumedAccepting() {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, true, this.version, this.tables, this.storeAgeMs, this.usage, this.accountsNearLimit,
-				this.failedTargets, this.recoveredTargets, this.digests, this.requestCrashes);
+				this.failedTargets, this.recoveredTargets, this.digests, this.requestCrashes, this.targetStatements);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
@@ -27,6 +27,9 @@
 	/** The service has no target that could run the request. */
 	NO_TARGET(503, true, 400),
 
+	/** The targets that could run the request name limits that are used up. */
+	TARGETS_LIMITED(503, true, 1_000),
+
 	/** All targets that got the request declined it without running it. */
 	ALL_DECLINED(503, true, 200),
 
--- a/core/src/main/java/org/plantainspur/core/target/LowestCostSelector.java
+++ b/core/src/main/java/org/plantainspur/core/target/LowestCostSelector.java
@@ -157,6 +157,8 @@
 
 	private final HostLocation location;
 
+	private final TargetPermits permits;
+
 	private final Clock clock;
 
 	private final DoubleSupplier random;
@@ -168,6 +170,7 @@
 	 * size of a route
 	 * @param subset the targets of the failure domain that this host prefers
 	 * @param location the failure domain of this host and the regions of all domains
+	 * @param permits tells whether a target takes a request now
 	 * @param floorShare the fraction of a service's targets, from 0 to 1, that stays in
 	 * use while the service fails many requests
 	 * @param clock the host's clock
@@ -175,11 +178,12 @@
 	 * almost equal cost
 	 */
 	public LowestCostSelector(TargetRegistry registry, AttemptRecorder recorder, TargetSubset subset,
-			HostLocation location, double floorShare, Clock clock, DoubleSupplier random) {
+			HostLocation location, TargetPermits permits, double floorShare, Clock clock, DoubleSupplier random) {
 		this.registry = registry;
 		this.recorder = recorder;
 		this.subset = subset;
 		this.location = location;
+		this.permits = permits;
 		this.floorShare = floorShare;
 		this.clock = clock;
 		this.random = random;
@@ -187,6 +191,17 @@
 
 	@Override
 	public @Nullable ObservedTarget select(String service, Predicate<ObservedTarget> eligible, AttemptProfile profile) {
+		ObservedTarget best = lowestCost(service, eligible, profile);
+		// Another thread may have taken the permit in the meantime; the target is not
+		// available then.
+		while (best != null && !this.permits.tryTake(best)) {
+			best = lowestCost(service, eligible, profile);
+		}
+		return best;
+	}
+
+	private @Nullable ObservedTarget lowestCost(String service, Predicate<ObservedTarget> eligible,
+			AttemptProfile profile) {
 		List<ObservedTarget> targets = this.registry.targets(service);
 		long now = this.clock.millis();
 		boolean keepFloor = this.recorder.failureRate(service) >= FLOOR_FAILURE_RATE;
@@ -198,7 +213,7 @@
 			boolean sameDomain = this.location
 				.distanceTo(target.listing().failureDomain()) == HostLocation.Distance.SAME_DOMAIN;
 			boolean otherSubset = sameDomain && !this.subset.contains(index++);
-			if (eligible.test(target)) {
+			if (eligible.test(target) && this.permits.available(target)) {
 				double cost = cost(target, avoidanceThreshold, profile, now) + (otherSubset ? OTHER_SUBSET_COST : 0);
 				if (sameDomain && !otherSubset && (isProbeDue(target, profile, now)
 						|| (keepFloor && isFloorRequestDue(target, avoidanceThreshold, now)))) {
--- a/core/src/main/java/org/plantainspur/core/target/TargetRegistry.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetRegistry.java
@@ -46,6 +46,16 @@
 		return this.current.get().byId().get(id);
 	}
 
+	/**
+	 * Returns whether an incarnation of a target may get requests.
+	 * @param incarnation the incarnation
+	 * @return {@code false} if it is not listed or is leaving
+	 */
+	public boolean lists(TargetIncarnation incarnation) {
+		ObservedTarget target = target(incarnation.id());
+		return target != null && target.incarnation().equals(incarnation);
+	}
+
 	/**
 	 * Returns the identities of all targets that may get requests.
 	 * @return an unmodifiable collection
--- a/core/src/main/java/org/plantainspur/core/target/TargetSelector.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetSelector.java
@@ -14,7 +14,8 @@
 	 * @param service the service's name
 	 * @param eligible tells whether the request may be sent to a target
 	 * @param profile the properties of the attempt that affect its cost
-	 * @return the target, or {@code null} if the service has no eligible one
+	 * @return the target, or {@code null} if the service has no eligible one that takes a
+	 * request now
 	 */
 	@Nullable ObservedTarget select(String service, Predicate<ObservedTarget> eligible, AttemptProfile profile);
 
--- a/core/src/main/java/org/plantainspur/core/target/TargetStatements.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetStatements.java
@@ -52,11 +52,14 @@
 	 * Records what a target said in a response to this host.
 	 * @param target the target
 	 * @param statement what it said
+	 * @return whether it differs from the statement before
 	 */
-	public void record(TargetIncarnation target, TargetStatement statement) {
-		if (update(target, statement, this.clock.millis())) {
+	public boolean record(TargetIncarnation target, TargetStatement statement) {
+		boolean changed = update(target, statement, this.clock.millis());
+		if (changed) {
 			this.listener.changed(target, statement, Source.RESPONSE);
 		}
+		return changed;
 	}
 
 	/**
@@ -90,6 +93,16 @@
 		return (entry != null) ? entry.said.get().statement() : TargetStatement.NONE;
 	}
 
+	/**
+	 * Returns what paces this host's requests to a target that names a limit.
+	 * @param target the target
+	 * @return the same pacer for as long as a statement of the target is kept
+	 */
+	RequestPacer pacer(TargetIncarnation target) {
+		Entry entry = this.entries.get(target);
+		return (entry != null) ? entry.pacer : new RequestPacer();
+	}
+
 	/**
 	 * Returns the statements as this host reports them to the others, the newest first.
 	 * @return at most {@link #MAX_REPORTS} reports, withdrawn statements included
@@ -150,6 +163,8 @@
 
 	private static final class Entry {
 
+		private final RequestPacer pacer = new RequestPacer();
+
 		private final AtomicReference<Said> said = new AtomicReference<>(
 				new Said(TargetStatement.NONE, Long.MIN_VALUE / 2));
 
--- a/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/FleetViewTests.java
@@ -21,7 +21,7 @@
 	private static HostHeartbeat heartbeat(String host, long startMs, String domain, boolean acceptingCallers,
 			DomainDigest... digests) {
 		return new HostHeartbeat(host, startMs, domain, host + ":80", host + ":81", 1, acceptingCallers, 1,
-				TableStates.NONE, 0, Map.of(), List.of(), List.of(), List.of(), List.of(digests), List.of());
+				TableStates.NONE, 0, Map.of(), List.of(), List.of(), List.of(), List.of(digests), List.of(), List.of());
 	}
 
 	private static DomainDigest digest(String domain, long createdMs) {
@@ -77,7 +77,7 @@
 
 		private HostHeartbeat hostWithCores(String host, double cores) {
 			return new HostHeartbeat(host, 1, "a", host, host, cores, true, 1, TableStates.NONE, 0, Map.of(), List.of(),
-					List.of(), List.of(), List.of(), List.of());
+					List.of(), List.of(), List.of(), List.of(), List.of());
 		}
 
 		private List<String> select(HostHeartbeat... hosts) {
@@ -203,7 +203,8 @@
 
 		private HostHeartbeat hostWithCount(String host, long count) {
 			return new HostHeartbeat(host, 1, "a", "x:1", "x:2", 1, true, 1, TableStates.NONE, 0,
-					Map.of("mill", new AccountUsage(count, 1)), List.of(), List.of(), List.of(), List.of(), List.of());
+					Map.of("mill", new AccountUsage(count, 1)), List.of(), List.of(), List.of(), List.of(), List.of(),
+					List.of());
 		}
 
 	}
--- a/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
@@ -23,7 +23,8 @@
 
 	private static StoreReaderElection.PeerReadState peerState(String host, TableStates tables, long ageMs) {
 		return new StoreReaderElection.PeerReadState(new HostHeartbeat(host, 1, "pdx-a", "127.0.0.1:1", "127.0.0.1:2",
-				1, true, 1, tables, ageMs, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of()), ageMs);
+				1, true, 1, tables, ageMs, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of()),
+				ageMs);
 	}
 
 	// Tables whose rows change with each version.
--- a/core/src/test/java/org/plantainspur/core/target/LowestCostSelectorTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/LowestCostSelectorTests.java
@@ -29,8 +29,8 @@
 	private final TargetSubset subset = new TargetSubset();
 
 	private final LowestCostSelector selector = new LowestCostSelector(this.registry, this.recorder, this.subset,
-			new HostLocation("pdx-a", Map.of("pdx-a", "pdx", "pdx-b", "pdx", "sea-a", "sea")), 0.7, this.clock,
-			() -> 0.5);
+			new HostLocation("pdx-a", Map.of("pdx-a", "pdx", "pdx-b", "pdx", "sea-a", "sea")), TargetPermits.ALL, 0.7,
+			this.clock, () -> 0.5);
 
 	private static TargetListing listing(String id, String domain, boolean leaving) {
 		return new TargetListing(id, "booking", "127.0.0.1", 80, domain, 4, leaving, 0, 0);
@@ -150,7 +150,7 @@
 				registries.add(registry);
 				recorders.add(recorder);
 				selectors.add(new LowestCostSelector(registry, recorder, subset, new HostLocation("pdx-a", Map.of()),
-						0.7, simulationClock, random::nextDouble));
+						TargetPermits.ALL, 0.7, simulationClock, random::nextDouble));
 			}
 			int queued = 0;
 			PriorityQueue<long[]> completions = new PriorityQueue<>(
--- a/gateway/src/main/java/org/plantainspur/gateway/DomainRepresentative.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/DomainRepresentative.java
@@ -8,14 +8,15 @@
 import java.util.function.ToLongFunction;
 
 import org.plantainspur.core.fleet.AccountUsage;
-import org.plantainspur.core.fleet.CrashReports;
 import org.plantainspur.core.fleet.DigestSchedule;
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.DomainUsageTotals;
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.fleet.RegionTargetUpdates;
+import org.plantainspur.core.fleet.RepeatedReports;
 import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.target.HostLocation;
+import org.plantainspur.core.target.TargetStatementReport;
 
 /**
  * Sends digests of this failure domain to the other ones while this host is the
@@ -46,9 +47,9 @@
 
 	private final Set<String> accountsNearLimit = new HashSet<>();
 
-	private final CrashReports regionCrashReports = new CrashReports();
+	private final Recipients region = new Recipients(HostLocation.Distance.SAME_REGION);
 
-	private final CrashReports otherRegionCrashReports = new CrashReports();
+	private final Recipients otherRegions = new Recipients(HostLocation.Distance.OTHER_REGION);
 
 	/**
 	 * Creates a representative that has sent nothing yet.
@@ -82,8 +83,8 @@
 	 * @param heartbeat the heartbeat of a host of that domain
 	 */
 	void receiveFromOtherDomain(HostHeartbeat heartbeat) {
-		this.regionCrashReports.addReceived(heartbeat.requestCrashes());
-		this.otherRegionCrashReports.addReceived(heartbeat.requestCrashes());
+		this.region.addReceived(heartbeat);
+		this.otherRegions.addReceived(heartbeat);
 	}
 
 	/**
@@ -92,9 +93,11 @@
 	 * @param ownHeartbeat this host's last heartbeat
 	 * @param domainHosts the heartbeats of the failure domain's live hosts, this one
 	 * included, in order of their names
+	 * @param statements what targets say of themselves
 	 * @param now the reading of the host's clock, in milliseconds
 	 */
-	void sendDue(HostHeartbeat ownHeartbeat, List<HostHeartbeat> domainHosts, long now) {
+	void sendDue(HostHeartbeat ownHeartbeat, List<HostHeartbeat> domainHosts, List<TargetStatementReport> statements,
+			long now) {
 		if (!domainHosts.get(0).host().equals(ownHeartbeat.host())) {
 			this.accountsNearLimit.clear();
 			this.targetUpdates.clear();
@@ -107,14 +110,8 @@
 			this.accountsNearLimit.clear();
 		}
 		RegionTargetUpdates.Batch batch = this.targetUpdates.take(now);
-		if (!usage.isEmpty() || !batch.isEmpty()) {
-			send(ownHeartbeat, digest(ownHeartbeat, usage, batch), HostLocation.Distance.SAME_REGION,
-					this.regionCrashReports);
-		}
-		if (!usage.isEmpty()) {
-			send(ownHeartbeat, digest(ownHeartbeat, usage, RegionTargetUpdates.Batch.EMPTY),
-					HostLocation.Distance.OTHER_REGION, this.otherRegionCrashReports);
-		}
+		this.region.send(ownHeartbeat, usage, batch, statements);
+		this.otherRegions.send(ownHeartbeat, usage, RegionTargetUpdates.Batch.EMPTY, statements);
 	}
 
 	private DomainDigest digest(HostHeartbeat ownHeartbeat, Map<String, AccountUsage> usage,
@@ -123,12 +120,43 @@
 				batch.failed(), batch.recovered());
 	}
 
-	private void send(HostHeartbeat ownHeartbeat, DomainDigest digest, HostLocation.Distance distance,
-			CrashReports crashReports) {
-		List<RequestCrash> crashes = crashReports.take(ownHeartbeat.requestCrashes());
-		this.heartbeatSender.accept(ownHeartbeat.forOtherDomain(digest, crashes),
-				this.registry.recipientsInOtherDomains(
-						(failureDomain) -> this.location.distanceTo(failureDomain) == distance, this.silenceMs));
+	/** The failure domains at one distance, and the reports that they have got. */
+	private final class Recipients {
+
+		private final HostLocation.Distance distance;
+
+		private final RepeatedReports<RequestCrash> crashReports = new RepeatedReports<>(RequestCrash::id,
+				RequestCrash::fingerprint);
+
+		private final RepeatedReports<TargetStatementReport> statementReports = new RepeatedReports<>(
+				TargetStatementReport::target, TargetStatementReport::statement);
+
+		private Recipients(HostLocation.Distance distance) {
+			this.distance = distance;
+		}
+
+		private void addReceived(HostHeartbeat heartbeat) {
+			this.crashReports.addReceived(heartbeat.requestCrashes());
+			this.statementReports.addReceived(heartbeat.targetStatements());
+		}
+
+		// Sends nothing if there is no usage, no target update and no new statement.
+		private void send(HostHeartbeat ownHeartbeat, Map<String, AccountUsage> usage, RegionTargetUpdates.Batch batch,
+				List<TargetStatementReport> statements) {
+			List<TargetStatementReport> newStatements = this.statementReports.take(statements);
+			if (usage.isEmpty() && batch.isEmpty() && newStatements.isEmpty()) {
+				return;
+			}
+			List<RequestCrash> crashes = this.crashReports.take(ownHeartbeat.requestCrashes());
+			DomainRepresentative.this.heartbeatSender
+				.accept(ownHeartbeat.forOtherDomain(digest(ownHeartbeat, usage, batch), crashes, newStatements),
+						DomainRepresentative.this.registry
+							.recipientsInOtherDomains(
+									(failureDomain) -> DomainRepresentative.this.location
+										.distanceTo(failureDomain) == this.distance,
+									DomainRepresentative.this.silenceMs));
+		}
+
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -27,9 +27,12 @@
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.target.AttemptRecorder;
+import org.plantainspur.core.target.DomainLimitShare;
 import org.plantainspur.core.target.HostLocation;
+import org.plantainspur.core.target.LimitPermits;
 import org.plantainspur.core.target.LowestCostSelector;
 import org.plantainspur.core.target.TargetIncarnation;
+import org.plantainspur.core.target.TargetPermits;
 import org.plantainspur.core.target.TargetRegistry;
 import org.plantainspur.core.target.TargetStatement;
 import org.plantainspur.core.target.TargetStatements;
@@ -138,6 +141,8 @@
 		HostLocation location = new HostLocation(this.settings.failureDomain(), this.settings.regions());
 		AttemptRecorder attemptRecorder = new AttemptRecorder(this.clock);
 		TargetStatements targetStatements = new TargetStatements(this.clock, this::targetStatementChanged);
+		DomainLimitShare limitShare = new DomainLimitShare(location, GossipTask.TRAFFIC_HOSTS_PER_DOMAIN, this.clock);
+		TargetPermits targetPermits = new LimitPermits(this.targets, targetStatements, limitShare, this.clock);
 		TargetSubset targetSubset = new TargetSubset();
 		Scheduler scheduler = (delay, task) -> controlLoop.schedule(() -> this.failures.run("store", task), delay,
 				TimeUnit.MILLISECONDS);
@@ -151,14 +156,14 @@
 				() -> ThreadLocalRandom.current().nextLong());
 		GossipTask gossip = new GossipTask(this.settings, this.clock,
 				new GossipTask.HostState(this.desiredState, meter, limiter, this.targets, attemptRecorder, targetSubset,
-						retryBudget, quarantine),
+						retryBudget, quarantine, targetStatements, limitShare),
 				store, storeSynchronizer, this.shutdown::stopping, controlLoop, this.log, this.metrics);
 		ProxyComponents components = new ProxyComponents(this.clock, this.platform.headerNames(), this.startupLatch,
 				this.desiredState, new AdmissionControl(limiter, () -> ThreadLocalRandom.current().nextDouble()),
-				new LowestCostSelector(this.targets, attemptRecorder, targetSubset, location,
+				new LowestCostSelector(this.targets, attemptRecorder, targetSubset, location, targetPermits,
 						this.settings.floorShare(), this.clock, () -> ThreadLocalRandom.current().nextDouble()),
-				attemptRecorder, targetStatements, quarantine, new RetryRules(retryBudget), retryBudget, gossip,
-				this.shutdown, new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET),
+				attemptRecorder, targetStatements, targetPermits, quarantine, new RetryRules(retryBudget), retryBudget,
+				gossip, this.shutdown, new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET),
 				this.failures, this.log, this.metrics);
 		CallerServer callerServer = new CallerServer(components, this.requestLoops, this.openRequests,
 				this.callerChannels);
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -37,8 +37,10 @@
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.TableStates;
 import org.plantainspur.core.target.AttemptRecorder;
+import org.plantainspur.core.target.DomainLimitShare;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetRegistry;
+import org.plantainspur.core.target.TargetStatements;
 import org.plantainspur.core.target.TargetSubset;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.http.ProxyComponents;
@@ -91,6 +93,12 @@
 	 */
 	static final int TRAFFIC_HOSTS_PER_DOMAIN = 2;
 
+	/**
+	 * How long a silent host of the failure domain may still be alive and cut off. After
+	 * this time it counts as ended, so that the limits of targets are used again.
+	 */
+	private static final long LOST_HOST_MS = 30_000;
+
 	/**
 	 * Reported as the age of the store's last response while there is none yet. A quarter
 	 * of the largest value, so that sums and differences with it do not overflow.
@@ -175,7 +183,7 @@
 		HostHeartbeat firstHeartbeat = new HostHeartbeat(settings.host(), System.currentTimeMillis(),
 				settings.failureDomain(), hostAndPort(settings.callerAddress()), hostAndPort(settings.peerAddress()),
 				settings.cores(), false, -1, TableStates.NONE, STORE_NEVER_ANSWERED_MS, Map.of(), List.of(), List.of(),
-				List.of(), List.of(), List.of());
+				List.of(), List.of(), List.of(), List.of());
 		this.ownHeartbeat = new AtomicReference<>(firstHeartbeat);
 		this.registry = new HostRegistry(store, this.scheduler, firstHeartbeat,
 				() -> this.scheduler.after(0, this::onRegistryRead));
@@ -213,6 +221,7 @@
 			return;
 		}
 		this.hostState.quarantine().receive(heartbeat.requestCrashes());
+		heartbeat.targetStatements().forEach(this.hostState.targetStatements()::receive);
 		List<DomainDigest> newDigests = this.view.receive(heartbeat);
 		if (this.registry.receive(heartbeat) && heartbeat.failureDomain().equals(this.settings.failureDomain())) {
 			// A process that has just started fetches the tables from a host that has
@@ -260,6 +269,11 @@
 		return digest.failureDomain() + "/" + digest.host();
 	}
 
+	@Override
+	public void targetStatementChanged() {
+		scheduleUrgentHeartbeat();
+	}
+
 	@Override
 	public void targetFailed(ObservedTarget target) {
 		this.failedTargets.add(target.listing().id());
@@ -294,14 +308,19 @@
 		assignTargetSubset();
 		if (this.clock.millis() - this.startedMs >= DISCOVERY_MS) {
 			this.representative.sendDue(this.ownHeartbeat.get(), this.view.domainHosts(this.ownHeartbeat.get()),
-					this.clock.millis());
+					this.hostState.targetStatements().reports(), this.clock.millis());
 		}
 	}
 
 	private void assignTargetSubset() {
 		HostHeartbeat heartbeat = this.ownHeartbeat.get();
-		List<HostHeartbeat> trafficHosts = this.trafficHostSelector.select(this.view.domainHosts(heartbeat));
-		this.hostState.targetSubset().assign(trafficHosts.indexOf(heartbeat), trafficHosts.size());
+		List<HostHeartbeat> domainHosts = this.view.domainHosts(heartbeat);
+		List<HostHeartbeat> trafficHosts = this.trafficHostSelector.select(domainHosts);
+		int position = trafficHosts.indexOf(heartbeat);
+		this.hostState.targetSubset().assign(position, trafficHosts.size());
+		this.hostState.limitShare()
+			.assign(position >= 0, domainHosts.stream().map(HostHeartbeat::host).toList(),
+					knownHosts(this.clock.millis()));
 		if (heartbeat.acceptingCallers()) {
 			// A host that does not accept callers yet keeps its part of the budget, as it
 			// may carry traffic soon.
@@ -309,6 +328,17 @@
 		}
 	}
 
+	// The names of the failure domain's hosts that may be alive, heard or not.
+	private Set<String> knownHosts(long nowMs) {
+		Set<String> known = new HashSet<>();
+		this.registry.othersInDomain()
+			.stream()
+			.filter((host) -> Math.min(this.view.silenceMs(host), nowMs - this.startedMs) < LOST_HOST_MS)
+			.forEach((host) -> known.add(host.host()));
+		known.add(this.settings.host());
+		return known;
+	}
+
 	private void electStoreReader() {
 		HostHeartbeat heartbeat = this.ownHeartbeat.get();
 		List<HostHeartbeat> domainHosts = this.view.domainHosts(heartbeat);
@@ -354,6 +384,7 @@
 		this.channel.send(heartbeat.withDigests(digests), peers);
 		this.representative.receive(heartbeat);
 		removeSilentUsageSources(this.view.domainHosts(heartbeat));
+		this.hostState.targetStatements().removeOld(this.hostState.targets()::lists);
 	}
 
 	private HostHeartbeat createHeartbeat(Map<String, AccountUsage> usage, List<String> newlyFailed,
@@ -364,7 +395,8 @@
 				previous.callerAddress(), previous.peerAddress(), previous.cores(), acceptingCallers,
 				this.hostState.desiredState().current().version(), this.storeSynchronizer.servedTableStates(),
 				this.storeSynchronizer.storeAgeMs(), usage, this.hostState.meter().takeNearLimit(), newlyFailed,
-				newlyRecovered, List.of(), this.hostState.quarantine().reports());
+				newlyRecovered, List.of(), this.hostState.quarantine().reports(),
+				this.hostState.targetStatements().reports());
 	}
 
 	private static <T> List<T> drain(Queue<T> queue) {
@@ -412,10 +444,12 @@
 	 * @param targetSubset the targets that this host prefers
 	 * @param retryBudget this host's part of the fleet's retry budget
 	 * @param quarantine records the crashes that the other hosts report
+	 * @param targetStatements what targets say of themselves
+	 * @param limitShare this host's part of the limits that targets name
 	 */
 	record HostState(DesiredStateView desiredState, UsageMeter meter, EstimatingAccountLimiter limiter,
 			TargetRegistry targets, AttemptRecorder attemptRecorder, TargetSubset targetSubset, RetryBudget retryBudget,
-			SequentialCrashQuarantine quarantine) {
+			SequentialCrashQuarantine quarantine, TargetStatements targetStatements, DomainLimitShare limitShare) {
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
@@ -179,13 +179,14 @@
 					(heartbeat) -> isInDomain(heartbeat) && heartbeat.host().compareTo(this.ownHeartbeat.host()) < 0);
 	}
 
+	// Returns the last known heartbeats of the other hosts of this failure domain.
+	List<HostHeartbeat> othersInDomain() {
+		return this.heartbeatsByHost.values().stream().filter(this::isInDomain).toList();
+	}
+
 	// Returns the peer addresses of the other hosts of this failure domain.
 	List<String> peersInDomain() {
-		return this.heartbeatsByHost.values()
-			.stream()
-			.filter(this::isInDomain)
-			.map(HostHeartbeat::peerAddress)
-			.toList();
+		return othersInDomain().stream().map(HostHeartbeat::peerAddress).toList();
 	}
 
 	private boolean isInDomain(HostHeartbeat heartbeat) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerMessageMapper.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerMessageMapper.java
@@ -89,15 +89,17 @@
 	/**
 	 * Returns the response that this host sends itself when no target's response is
 	 * passed on.
-	 * @param refusal why, with the HTTP status and the delay before a retry
+	 * @param refusal why, with the HTTP status
+	 * @param retryAfterMs the delay before a retry in milliseconds, 0 if a retry does not
+	 * help
 	 * @return a response without a body
 	 */
-	FullHttpResponse toRefusalResponse(Refusal refusal) {
+	FullHttpResponse toRefusalResponse(Refusal refusal, long retryAfterMs) {
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(refusal.status()), Unpooled.EMPTY_BUFFER);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-		if (refusal.retryAfterMs() > 0) {
-			response.headers().set(HttpHeaderNames.RETRY_AFTER, refusal.retryAfterMs() / MS_PER_SECOND);
+		if (retryAfterMs > 0) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterMs / MS_PER_SECOND);
 		}
 		if (!requestId().isEmpty()) {
 			response.headers().set(this.headerNames.requestId(), requestId());
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -210,7 +210,7 @@
 					(candidate) -> this.triedTargets.contains(candidate.listing().id()) == this.retryTriedTargets,
 					new TargetSelector.AttemptProfile(admittedRoute.name(), retryable, this.bodyBytes));
 		if (target == null) {
-			refuse((this.sentAttempts > 0) ? Refusal.ALL_DECLINED : Refusal.NO_TARGET);
+			refuseWithoutTarget();
 			return;
 		}
 		this.triedTargets.add(target.listing().id());
@@ -220,6 +220,16 @@
 		this.connectionPool.acquire(target.listing(), this.requestId, retryable, attempt::connectionReady);
 	}
 
+	private void refuseWithoutTarget() {
+		long retryAfterMs = this.components.targetPermits().retryAfterMs(this.service);
+		if (retryAfterMs > 0) {
+			refuse(Refusal.TARGETS_LIMITED, retryAfterMs);
+		}
+		else {
+			refuse((this.sentAttempts > 0) ? Refusal.ALL_DECLINED : Refusal.NO_TARGET);
+		}
+	}
+
 	private String fingerprint() {
 		if (this.fingerprint.isEmpty()) {
 			AccountRule requestAccount = this.account;
@@ -301,13 +311,18 @@
 	}
 
 	private void refuse(Refusal reason) {
+		refuse(reason, reason.retryAfterMs());
+	}
+
+	private void refuse(Refusal reason, long retryAfterMs) {
 		if (this.finished) {
 			return;
 		}
 		// After an attempt that may have run, no refusal may claim that the request has
 		// not.
 		Refusal refusal = (this.mayHaveRun && reason.notRun()) ? Refusal.BROKEN : reason;
-		this.responseWriter.write(this.callerMapper.toRefusalResponse(refusal));
+		this.responseWriter.write(this.callerMapper.toRefusalResponse(refusal,
+				(refusal == reason) ? retryAfterMs : refusal.retryAfterMs()));
 		finish(refusal.name().toLowerCase(Locale.ROOT).replace('_', '-'), refusal.status());
 	}
 
@@ -438,13 +453,13 @@
 				return;
 			}
 			TargetStatement statement = ProxiedRequest.this.targetMapper.toStatement(response);
-			if (statement != null) {
-				ProxiedRequest.this.components.targetStatements().record(this.target.incarnation(), statement);
-			}
-			else {
+			if (statement == null) {
 				ProxiedRequest.this.components.metrics()
 					.count("target_statements_invalid_total", this.target.listing().service());
 			}
+			else if (ProxiedRequest.this.components.targetStatements().record(this.target.incarnation(), statement)) {
+				ProxiedRequest.this.components.targetHealthListener().targetStatementChanged();
+			}
 		}
 
 		@Override
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
@@ -9,6 +9,7 @@
 import org.plantainspur.core.proxy.RetryRules;
 import org.plantainspur.core.target.AttemptRecorder;
 import org.plantainspur.core.target.ObservedTarget;
+import org.plantainspur.core.target.TargetPermits;
 import org.plantainspur.core.target.TargetSelector;
 import org.plantainspur.core.target.TargetStatements;
 import org.plantainspur.core.time.Clock;
@@ -26,6 +27,7 @@
  * @param targetSelector selects the target of an attempt
  * @param attemptRecorder records the outcomes of attempts
  * @param targetStatements holds what targets say of themselves
+ * @param targetPermits tells when targets that name limits take requests again
  * @param quarantine tells which requests have crashed targets
  * @param retryRules decides what follows an attempt
  * @param retryBudget limits the attempts beyond the first
@@ -38,10 +40,10 @@
  */
 public record ProxyComponents(Clock clock, HeaderNames headerNames, StartupLatch startupLatch,
 		DesiredStateView desiredState, AdmissionControl admission, TargetSelector targetSelector,
-		AttemptRecorder attemptRecorder, TargetStatements targetStatements, SequentialCrashQuarantine quarantine,
-		RetryRules retryRules, RetryBudget retryBudget, TargetHealthListener targetHealthListener,
-		ShutdownState shutdown, BufferBudget bufferBudget, FailureReporter failures, DecisionLog log,
-		GatewayMetrics metrics) {
+		AttemptRecorder attemptRecorder, TargetStatements targetStatements, TargetPermits targetPermits,
+		SequentialCrashQuarantine quarantine, RetryRules retryRules, RetryBudget retryBudget,
+		TargetHealthListener targetHealthListener, ShutdownState shutdown, BufferBudget bufferBudget,
+		FailureReporter failures, DecisionLog log, GatewayMetrics metrics) {
 
 	/**
 	 * Told of changes in the health of targets that other hosts should know of.
@@ -61,6 +63,11 @@
 		 */
 		void targetRecovered(ObservedTarget target);
 
+		/**
+		 * Called when a target has said something else of itself than before.
+		 */
+		void targetStatementChanged();
+
 	}
 
 	/**
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -19,6 +19,9 @@
 import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
+import org.plantainspur.core.target.TargetIncarnation;
+import org.plantainspur.core.target.TargetStatement;
+import org.plantainspur.core.target.TargetStatementReport;
 import org.plantainspur.gateway.IpAddressAndPort;
 
 /**
@@ -35,8 +38,8 @@
 
 	/**
 	 * Stands where earlier builds send the sum of the versions of their tables, and tells
-	 * that the states of the tables and the crashes follow at the end. Larger than any
-	 * such sum, so that an earlier build fetches from this host.
+	 * that the states of the tables, the crashes and the statements of targets follow at
+	 * the end. Larger than any such sum, so that an earlier build fetches from this host.
 	 */
 	private static final long EXTENSION_FOLLOWS = Long.MAX_VALUE / 2;
 
@@ -49,7 +52,8 @@
 	 * @return the payload of a datagram
 	 */
 	public byte[] encode(HostHeartbeat heartbeat) {
-		boolean extended = !heartbeat.tables().equals(TableStates.NONE) || !heartbeat.requestCrashes().isEmpty();
+		boolean extended = !heartbeat.tables().equals(TableStates.NONE) || !heartbeat.requestCrashes().isEmpty()
+				|| !heartbeat.targetStatements().isEmpty();
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			packer.packInt(FORMAT_VERSION)
 				.packString(heartbeat.host())
@@ -77,6 +81,7 @@
 				packTableState(packer, heartbeat.tables().desiredState());
 				packTableState(packer, heartbeat.tables().targets());
 				packCrashes(packer, heartbeat.requestCrashes());
+				packStatements(packer, heartbeat.targetStatements());
 			}
 			return packer.toByteArray();
 		}
@@ -99,6 +104,17 @@
 		}
 	}
 
+	private static void packStatements(MessageBufferPacker packer, List<TargetStatementReport> reports)
+			throws IOException {
+		packer.packArrayHeader(reports.size());
+		for (TargetStatementReport report : reports) {
+			packer.packString(report.target().id())
+				.packLong(report.target().startedMs())
+				.packDouble(report.statement().requestsPerSecond())
+				.packLong(report.ageMs());
+		}
+	}
+
 	private static void packStrings(MessageBufferPacker packer, List<String> strings) throws IOException {
 		packer.packArrayHeader(strings.size());
 		for (String string : strings) {
@@ -144,9 +160,11 @@
 			TableStates tables = extended ? new TableStates(unpackTableState(unpacker), unpackTableState(unpacker))
 					: TableStates.NONE;
 			List<RequestCrash> requestCrashes = extended ? unpackCrashes(unpacker) : List.of();
+			// Missing in the heartbeats of earlier builds.
+			List<TargetStatementReport> targetStatements = unpacker.hasNext() ? unpackStatements(unpacker) : List.of();
 			HostHeartbeat heartbeat = new HostHeartbeat(host, startMs, failureDomain, callerAddress, peerAddress, cores,
 					acceptingCallers, version, tables, storeAgeMs, usage, accountsNearLimit, failedTargets,
-					recoveredTargets, digests, requestCrashes);
+					recoveredTargets, digests, requestCrashes, targetStatements);
 			return isValid(heartbeat) ? heartbeat : null;
 		}
 		catch (IOException | MessagePackException ex) {
@@ -162,10 +180,15 @@
 				&& IpAddressAndPort.isValid(heartbeat.peerAddress()) && isAmount(heartbeat.cores())
 				&& isValid(heartbeat.tables().desiredState()) && isValid(heartbeat.tables().targets())
 				&& isAge(heartbeat.storeAgeMs()) && isValid(heartbeat.usage())
+				&& heartbeat.targetStatements().stream().allMatch(HeartbeatCodec::isValid)
 				&& heartbeat.requestCrashes().stream().allMatch(HeartbeatCodec::isValid)
 				&& heartbeat.digests().stream().allMatch((digest) -> isValid(digest.accounts()));
 	}
 
+	private static boolean isValid(TargetStatementReport report) {
+		return isAge(report.ageMs()) && report.statement().requestsPerSecond() >= 0;
+	}
+
 	private static boolean isValid(RequestCrash crash) {
 		return isAge(crash.crashedAgeMs()) && isAge(crash.sentAgeMs()) && crash.sentAgeMs() >= crash.crashedAgeMs();
 	}
@@ -197,6 +220,16 @@
 		return crashes;
 	}
 
+	private static List<TargetStatementReport> unpackStatements(MessageUnpacker unpacker) throws IOException {
+		int size = unpacker.unpackArrayHeader();
+		List<TargetStatementReport> reports = new ArrayList<>();
+		for (int i = 0; i < size; i++) {
+			reports.add(new TargetStatementReport(new TargetIncarnation(unpacker.unpackString(), unpacker.unpackLong()),
+					new TargetStatement(unpacker.unpackDouble()), unpacker.unpackLong()));
+		}
+		return reports;
+	}
+
 	private static TableState unpackTableState(MessageUnpacker unpacker) throws IOException {
 		return new TableState(unpacker.unpackLong(), unpacker.unpackLong());
 	}
--- a/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
@@ -57,7 +57,7 @@
 
 	private static HostHeartbeat heartbeat(String host, String domain, List<String> failed, List<String> recovered) {
 		return new HostHeartbeat(host, 1, domain, host + ":80", host + ":81", 1, true, 1, TableStates.NONE, 0,
-				Map.of("mill", new AccountUsage(5, 1)), List.of(), failed, recovered, List.of(), List.of());
+				Map.of("mill", new AccountUsage(5, 1)), List.of(), failed, recovered, List.of(), List.of(), List.of());
 	}
 
 	private static String describe(HostHeartbeat heartbeat) {
@@ -68,7 +68,7 @@
 
 	private void sendDueAt(long now) {
 		this.representative.sendDue(this.ownHeartbeat,
-				List.of(this.ownHeartbeat, heartbeat("a2", "pdx-a", List.of(), List.of())), now);
+				List.of(this.ownHeartbeat, heartbeat("a2", "pdx-a", List.of(), List.of())), List.of(), now);
 	}
 
 	/**
@@ -106,7 +106,8 @@
 		void onlyTheFirstHostOfAFailureDomainSendsDigests() {
 			DomainRepresentativeTests.this.representative.receive(heartbeat("a2", "pdx-a", List.of("i-1"), List.of()));
 			DomainRepresentativeTests.this.representative.sendDue(DomainRepresentativeTests.this.ownHeartbeat, List
-				.of(heartbeat("a0", "pdx-a", List.of(), List.of()), DomainRepresentativeTests.this.ownHeartbeat), 0);
+				.of(heartbeat("a0", "pdx-a", List.of(), List.of()), DomainRepresentativeTests.this.ownHeartbeat),
+					List.of(), 0);
 			assertThat(DomainRepresentativeTests.this.sent).isEmpty();
 		}
 
--- a/gateway/src/test/java/org/plantainspur/gateway/HostRegistryTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/HostRegistryTests.java
@@ -32,7 +32,7 @@
 
 	private static HostHeartbeat heartbeat(String host, String domain, long start) {
 		return new HostHeartbeat(host, start, domain, "10.0.0.1:80", peerAddress(host), 1, true, 1, TableStates.NONE, 0,
-				Map.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+				Map.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
 	}
 
 	private static String peerAddress(String host) {
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/HeartbeatChannelTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/HeartbeatChannelTests.java
@@ -53,7 +53,8 @@
 			BlockingQueue<HostHeartbeat> received = new LinkedBlockingQueue<>();
 			InetSocketAddress receiverAddress = freeAddress();
 			HostHeartbeat heartbeat = new HostHeartbeat("a1", 1, "domain-9", "127.0.0.1:80", "127.0.0.1:81", 1, true, 1,
-					TableStates.NONE, 1, usage, List.of("account-1"), List.of(), List.of(), digests, List.of());
+					TableStates.NONE, 1, usage, List.of("account-1"), List.of(), List.of(), digests, List.of(),
+					List.of());
 
 			channel(receiverAddress, received::add);
 			channel(freeAddress(), (ignored) -> {
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -24,17 +24,26 @@
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
+import org.plantainspur.core.target.TargetIncarnation;
+import org.plantainspur.core.target.TargetStatement;
+import org.plantainspur.core.target.TargetStatementReport;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 class PeerCodecTests {
 
-	private static final HostHeartbeat HEARTBEAT = new HostHeartbeat("a1", 1_700_000_000_000L, "pdx-a", "10.0.0.1:80",
-			"10.0.0.1:81", 0.6, true, 12, new TableStates(new TableState(900, -5), new TableState(880, 7)), 40,
-			Map.of("mill", new AccountUsage(7, 2.5)), List.of("mill"), List.of("i-1"), List.of("i-2", "i-3"),
-			List.of(new DomainDigest("sea-a", "b1", 5, Map.of("mill", new AccountUsage(9, 0.5)), List.of("i-4"),
-					List.of("i-5"))),
-			List.of(new RequestCrash("4fe1", -9, 1_300, 1_100)));
+	private static final HostHeartbeat HEARTBEAT = heartbeat(
+			List.of(new TargetStatementReport(new TargetIncarnation("i-6", 1_700), new TargetStatement(2.5), 40),
+					new TargetStatementReport(new TargetIncarnation("i-7", 0), TargetStatement.NONE, 90)));
+
+	private static HostHeartbeat heartbeat(List<TargetStatementReport> statements) {
+		return new HostHeartbeat("a1", 1_700_000_000_000L, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 0.6, true, 12,
+				new TableStates(new TableState(900, -5), new TableState(880, 7)), 40,
+				Map.of("mill", new AccountUsage(7, 2.5)), List.of("mill"), List.of("i-1"), List.of("i-2", "i-3"),
+				List.of(new DomainDigest("sea-a", "b1", 5, Map.of("mill", new AccountUsage(9, 0.5)), List.of("i-4"),
+						List.of("i-5"))),
+				List.of(new RequestCrash("4fe1", -9, 1_300, 1_100)), statements);
+	}
 
 	@Nested
 	class Heartbeats {
@@ -70,22 +79,26 @@
 		void theCopyForAnotherDomainIsSmallWithoutCrashes() {
 			HostHeartbeat heartbeat = heartbeatWithoutTables(List.of());
 			HostHeartbeat withTables = new HostHeartbeat("a1", 1, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 1, true, 1,
-					HEARTBEAT.tables(), 0, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of());
+					HEARTBEAT.tables(), 0, Map.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
 			DomainDigest digest = HEARTBEAT.digests().get(0);
-			assertThat(this.codec.encode(withTables.forOtherDomain(digest, List.of())))
-				.hasSameSizeAs(this.codec.encode(heartbeat.forOtherDomain(digest, List.of())));
+			assertThat(this.codec.encode(withTables.forOtherDomain(digest, List.of(), List.of())))
+				.hasSameSizeAs(this.codec.encode(heartbeat.forOtherDomain(digest, List.of(), List.of())));
 		}
 
 		private HostHeartbeat heartbeatWithoutTables(List<RequestCrash> crashes) {
 			return new HostHeartbeat("a1", 1, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 1, true, 1, TableStates.NONE, 0,
-					Map.of(), List.of(), List.of(), List.of(), List.of(), crashes);
+					Map.of(), List.of(), List.of(), List.of(), List.of(), crashes, List.of());
 		}
 
 		@Test
 		void aTruncatedHeartbeatIsDropped() {
 			byte[] bytes = this.codec.encode(HEARTBEAT);
+			HostHeartbeat ofEarlierBuild = heartbeat(List.of());
+			// An earlier build sends no list of statements, not even an empty one.
+			int lengthOfEarlierBuild = this.codec.encode(ofEarlierBuild).length - 1;
 			for (int length = 0; length < bytes.length; length++) {
-				assertThat(this.codec.decode(Arrays.copyOf(bytes, length))).isNull();
+				assertThat(this.codec.decode(Arrays.copyOf(bytes, length)))
+					.isEqualTo((length == lengthOfEarlierBuild) ? ofEarlierBuild : null);
 			}
 		}
 
@@ -110,7 +123,7 @@
 				float rate) {
 			return new HostHeartbeat("a1", 1, "pdx-a", callerAddress, peerAddress, cores, true, 1, TableStates.NONE,
 					storeAgeMs, Map.of("mill", new AccountUsage(1, rate)), List.of(), List.of(), List.of(), List.of(),
-					List.of());
+					List.of(), List.of());
 		}
 
 		private boolean accepted(HostHeartbeat heartbeat) {
