Log whole reads that are dropped as outdated

No behaviour changes. A host that dropped a whole read of a table left no trace, so the log could not tell a host that reads the table again and again from one whose reads the store refuses. Each dropped read has a line with both versions, and is counted.

--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -231,6 +231,7 @@
 	private void replace(List<StoredRow> all, long version) {
 		if (version < this.replica.version()) {
 			// Rows of another host arrived while this read was on its way.
+			this.listener.outdated(version, this.replica.version());
 			return;
 		}
 		this.replica.replace(all, version);
@@ -338,6 +339,13 @@
 		 */
 		void changed(List<StoredRow> rows, long sinceFailureMs);
 
+		/**
+		 * Called when a whole read was dropped because this host has newer rows.
+		 * @param readVersion the version of the store at which the table was read
+		 * @param ownVersion the version up to which this host has its rows
+		 */
+		void outdated(long readVersion, long ownVersion);
+
 		/**
 		 * Called when a read failed; it is retried.
 		 * @param result the result of the failed read
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -49,6 +49,11 @@
 					failIfPrepared();
 				}
 
+				@Override
+				public void outdated(long readVersion, long ownVersion) {
+					TableFollowerTests.this.events.add("outdated " + readVersion + " " + ownVersion);
+				}
+
 				@Override
 				public void unavailable(StoreResult result) {
 					TableFollowerTests.this.events.add("unavailable");
@@ -274,7 +279,7 @@
 			runFor(10);
 			TableFollowerTests.this.store.pending.remove().complete(rows(100, false, row("a", 70)));
 			runFor(10);
-			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b]");
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b]", "outdated 100 101");
 		}
 
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
@@ -162,6 +162,13 @@
 			}
 		}
 
+		@Override
+		public void outdated(long readVersion, long ownVersion) {
+			StoreSynchronizer.this.metrics.count("whole_reads_outdated_total", tableName());
+			StoreSynchronizer.this.log.event("whole-read-outdated", "table", tableName(), "version", readVersion,
+					"ownVersion", ownVersion);
+		}
+
 		// Called when the rows that were read are in force.
 		void openLatchIfLoaded() {
 			if (complete() && StoreSynchronizer.this.desiredState.current().isLoaded()) {
