Show that hosts ignore the rows of a store that was restored from a copy

The stand-in of the table store can be restored from a copy: versions go back and are given out again, and Store-Era rises.

--- a/standins/src/main/java/org/plantainspur/standins/tablestore/TableStoreStandIn.java
+++ b/standins/src/main/java/org/plantainspur/standins/tablestore/TableStoreStandIn.java
@@ -21,7 +21,8 @@
 /**
  * Serves the users' table store on the loopback network from memory. Tests write the rows
  * of operators and targets with {@link #put} and {@link #remove}, and cause outages with
- * {@link #setUnavailable} and {@link #setFeedSilent}.
+ * {@link #setUnavailable} and {@link #setFeedSilent}, and losses of acknowledged rows
+ * with {@link #restore}.
  */
 public final class TableStoreStandIn implements AutoCloseable {
 
@@ -45,6 +46,8 @@
 
 	private boolean feedSilent;
 
+	private long era = 1;
+
 	/**
 	 * Starts an empty store on a free port of 127.0.0.1.
 	 * @throws IOException if there is no free port to listen on
@@ -102,6 +105,41 @@
 		notifyAll();
 	}
 
+	/**
+	 * Copies all rows.
+	 * @return the copy, for {@link #restore}
+	 */
+	public synchronized Copy copy() {
+		return new Copy(Map.copyOf(this.rows), this.version);
+	}
+
+	/**
+	 * Replaces all rows by those of a copy and begins a new era. Versions that were given
+	 * out since the copy are given out again.
+	 * @param copy the copy
+	 */
+	public synchronized void restore(Copy copy) {
+		this.rows.clear();
+		this.rows.putAll(copy.rows);
+		this.version = copy.version;
+		this.oldestRetainedVersion = Math.min(this.oldestRetainedVersion, this.version);
+		this.era++;
+		notifyAll();
+	}
+
+	/**
+	 * Returns the keys of a table's rows.
+	 * @param table the name of the table
+	 * @return the keys in ascending order, without those of removed rows
+	 */
+	public synchronized List<String> keys(String table) {
+		return this.rows.values()
+			.stream()
+			.filter((row) -> row.table().equals(table) && !row.removed())
+			.map(Row::key)
+			.toList();
+	}
+
 	/**
 	 * Returns how often a path was requested.
 	 * @param path the path without the query
@@ -120,10 +158,15 @@
 	private void handle(ServerExchange exchange) throws IOException {
 		String path = exchange.request().path();
 		this.callCounts.computeIfAbsent(path, (key) -> new AtomicInteger()).incrementAndGet();
-		exchange.respond(response(exchange, path));
+		exchange.respond(responseOfEra(exchange, path));
 	}
 
-	private synchronized Response response(ServerExchange exchange, String path) {
+	private synchronized Response responseOfEra(ServerExchange exchange, String path) {
+		Response response = response(exchange, path);
+		return response.withHeader("Store-Era", String.valueOf(this.era));
+	}
+
+	private Response response(ServerExchange exchange, String path) {
 		if (this.unavailable) {
 			return Response.error(SERVICE_UNAVAILABLE, "the table store stand-in is set unavailable");
 		}
@@ -154,8 +197,9 @@
 			if (this.unavailable) {
 				return Response.error(SERVICE_UNAVAILABLE, "the table store stand-in is set unavailable");
 			}
-			if (after < this.oldestRetainedVersion) {
-				return Response.error(GONE, "the retained history begins at version " + this.oldestRetainedVersion);
+			if (after < this.oldestRetainedVersion || after > this.version) {
+				return Response.error(GONE, "the retained history is of the versions " + this.oldestRetainedVersion
+						+ " to " + this.version);
 			}
 			List<Row> found = this.feedSilent ? List.of()
 					: this.rows.values()
@@ -229,6 +273,22 @@
 		this.server.close();
 	}
 
+	/**
+	 * A copy of all rows at one moment.
+	 */
+	public static final class Copy {
+
+		private final Map<String, Row> rows;
+
+		private final long version;
+
+		private Copy(Map<String, Row> rows, long version) {
+			this.rows = rows;
+			this.version = version;
+		}
+
+	}
+
 	private record Row(String table, String key, String value, long version, boolean removed) {
 	}
 
