--- a/core/src/main/java/org/plantainspur/core/desired/DesiredStateView.java
+++ b/core/src/main/java/org/plantainspur/core/desired/DesiredStateView.java
@@ -4,7 +4,8 @@
 
 /**
  * Holds the newest desired state that this host knows. Each request loads it once;
- * writers replace it atomically and never by an older version.
+ * writers replace it atomically, and by an older version only if the store holds that one
+ * after it has been restored from a copy.
  */
 public final class DesiredStateView {
 
@@ -18,6 +19,15 @@
 		return this.current.get();
 	}
 
+	/**
+	 * Replaces the current state, also by an older one, which an operator has put in
+	 * force again.
+	 * @param state the state that was read
+	 */
+	public void replace(DesiredState state) {
+		this.current.set(state);
+	}
+
 	/**
 	 * Replaces the current state if the given one is newer.
 	 * @param state the state that was read
--- a/core/src/main/java/org/plantainspur/core/store/StoreResult.java
+++ b/core/src/main/java/org/plantainspur/core/store/StoreResult.java
@@ -14,7 +14,7 @@
 	 * @param version the version of the store up to which the rows are complete
 	 * @param more whether the range has further rows
 	 */
-	record Rows(List<StoredRow> rows, long version, boolean more) implements StoreResult {
+	record Rows(List<StoredRow> rows, StoreVersion version, boolean more) implements StoreResult {
 	}
 
 	/** The requested changes are no longer kept; the whole table must be read. */
--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -56,7 +56,7 @@
 	 * The version of the first page of a whole read. The later pages may be of later
 	 * versions, but the changes since the first page are complete only in the feed.
 	 */
-	private long listedVersion;
+	private StoreVersion listedVersion = StoreVersion.NONE;
 
 	private boolean following;
 
@@ -70,6 +70,11 @@
 
 	private long lastFailureMs = Long.MIN_VALUE / 2;
 
+	private long eraBeganMs = Long.MIN_VALUE / 2;
+
+	/** Whether changes have been read since the last whole read that they led to. */
+	private boolean changesRead = true;
+
 	private long backoffMs = INITIAL_RETRY_MS;
 
 	/**
@@ -114,7 +119,7 @@
 		if (this.fetchPending || (this.callPending && this.complete) || !this.replica.state().isBehind(sourceState)) {
 			return;
 		}
-		fetch(source, !this.complete);
+		fetch(source, !this.complete || !this.replica.version().isSameEra(sourceState.version()));
 	}
 
 	/**
@@ -130,13 +135,15 @@
 
 	private void fetch(TableReader source, boolean wholeTable) {
 		this.fetchPending = true;
-		call(() -> wholeTable ? source.list(this.table, "") : source.changes(this.table, this.replica.version(), 0),
-				(result) -> onFetched(source, result, wholeTable));
+		StoreVersion after = this.replica.version();
+		call(() -> wholeTable ? source.list(this.table, "") : source.changes(this.table, after, 0),
+				(result) -> onFetched(source, result, after, wholeTable));
 	}
 
-	private void onFetched(TableReader source, StoreResult result, boolean wholeTable) {
+	private void onFetched(TableReader source, StoreResult result, StoreVersion after, boolean wholeTable) {
 		this.fetchPending = false;
-		if (result instanceof StoreResult.Rows rows && rows.version() >= this.replica.version()) {
+		if (result instanceof StoreResult.Rows rows && !this.replica.version().isAfter(rows.version())
+				&& (wholeTable || appliesTo(after, rows))) {
 			if (wholeTable) {
 				replace(rows.rows(), rows.version());
 			}
@@ -144,7 +151,7 @@
 				apply(rows);
 			}
 		}
-		else if (result instanceof StoreResult.HistoryLost && !wholeTable) {
+		else if (!wholeTable && (result instanceof StoreResult.HistoryLost || isOfLaterEra(result))) {
 			fetch(source, true);
 		}
 		else if (!this.callPending) {
@@ -154,6 +161,16 @@
 		}
 	}
 
+	// Rows of another era than the read began with are not all changes, and neither are
+	// those of the replica's era if it has moved on to that era since.
+	private boolean appliesTo(StoreVersion after, StoreResult.Rows rows) {
+		return rows.version().isSameEra(after) && rows.version().isSameEra(this.replica.version());
+	}
+
+	private boolean isOfLaterEra(StoreResult result) {
+		return result instanceof StoreResult.Rows rows && rows.version().era() > this.replica.version().era();
+	}
+
 	/**
 	 * Returns whether the whole table has been read.
 	 * @return {@code false} before the first whole read, and while the table must be read
@@ -182,7 +199,9 @@
 	private void read() {
 		this.callPending = true;
 		if (this.complete) {
-			call(() -> this.store.changes(this.table, this.replica.version(), this.waitForChangeMs), this::onChanged);
+			StoreVersion after = this.replica.version();
+			call(() -> this.store.changes(this.table, after, this.waitForChangeMs),
+					(result) -> onChanged(result, after));
 		}
 		else {
 			list("");
@@ -216,6 +235,12 @@
 		if (this.listedRows.isEmpty()) {
 			this.listedVersion = rows.version();
 		}
+		if (!rows.version().isSameEra(this.listedVersion)) {
+			// Pages of different eras are not one table.
+			this.listedRows.clear();
+			retryLater();
+			return;
+		}
 		this.listedRows.addAll(rows.rows());
 		if (rows.more() && !rows.rows().isEmpty()) {
 			// The smallest key greater than the last one.
@@ -228,36 +253,57 @@
 		deliver(() -> replace(all, this.listedVersion), 0);
 	}
 
-	private void replace(List<StoredRow> all, long version) {
-		if (version < this.replica.version()) {
+	private void replace(List<StoredRow> all, StoreVersion version) {
+		if (this.replica.version().isAfter(version)) {
 			// Rows of another host arrived while this read was on its way.
 			this.listener.outdated(version, this.replica.version());
 			return;
 		}
+		if (!version.isSameEra(this.replica.version())) {
+			this.eraBeganMs = this.clock.millis();
+		}
 		this.replica.replace(all, version);
 		this.complete = true;
-		notifyListener(
-				() -> this.listener.replaced(all.stream().filter((row) -> !row.removed()).toList(), sinceFailureMs()));
+		notifyListener(() -> this.listener.replaced(all.stream().filter((row) -> !row.removed()).toList(), version,
+				sinceLossMs()));
 	}
 
-	private void onChanged(StoreResult result) {
+	private void onChanged(StoreResult result, StoreVersion after) {
 		if (result instanceof StoreResult.Rows rows) {
 			this.lastResponseMs = this.clock.millis();
-			deliver(() -> apply(rows), rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS);
+			if (appliesTo(after, rows)) {
+				deliver(() -> apply(rows), rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS);
+			}
+			else {
+				readWholeTable(isOfLaterEra(rows));
+			}
 		}
 		else if (result instanceof StoreResult.HistoryLost) {
-			this.complete = false;
-			read();
+			readWholeTable(true);
 		}
 		else {
 			onFailure(result);
 		}
 	}
 
+	// Reads at once for the first time only: the changes after a whole read may be lost,
+	// too, or the read may be dropped as outdated.
+	private void readWholeTable(boolean needed) {
+		this.complete &= !needed;
+		if (needed && this.changesRead) {
+			this.changesRead = false;
+			read();
+		}
+		else {
+			retryLater();
+		}
+	}
+
 	private void apply(StoreResult.Rows rows) {
+		this.changesRead = true;
 		List<StoredRow> newer = this.replica.apply(rows.rows(), rows.version());
 		if (!newer.isEmpty()) {
-			notifyListener(() -> this.listener.changed(newer, sinceFailureMs()));
+			notifyListener(() -> this.listener.changed(newer, rows.version(), sinceLossMs()));
 		}
 	}
 
@@ -282,7 +328,7 @@
 			delivered = true;
 		}
 		finally {
-			if (delivered) {
+			if (delivered && this.complete) {
 				onSuccess(pauseMs);
 			}
 			else {
@@ -316,8 +362,8 @@
 		});
 	}
 
-	private long sinceFailureMs() {
-		return this.clock.millis() - this.lastFailureMs;
+	private long sinceLossMs() {
+		return this.clock.millis() - Math.max(this.lastFailureMs, this.eraBeganMs);
 	}
 
 	/**
@@ -328,23 +374,26 @@
 		/**
 		 * Called when the whole table was read.
 		 * @param rows all its rows, without removed ones
-		 * @param sinceFailureMs the time since a read last failed, in milliseconds
+		 * @param version the version of the store up to which they are complete
+		 * @param sinceLossMs the time since a read last failed or a new era of the store
+		 * was met, in milliseconds; rows that are missing then may be written again
 		 */
-		void replaced(List<StoredRow> rows, long sinceFailureMs);
+		void replaced(List<StoredRow> rows, StoreVersion version, long sinceLossMs);
 
 		/**
 		 * Called when changes were read.
 		 * @param rows the changed rows, removed ones included, oldest first
-		 * @param sinceFailureMs the time since a read last failed, in milliseconds
+		 * @param version the version of the store up to which they are complete
+		 * @param sinceLossMs as for {@link #replaced}
 		 */
-		void changed(List<StoredRow> rows, long sinceFailureMs);
+		void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs);
 
 		/**
 		 * Called when a whole read was dropped because this host has newer rows.
 		 * @param readVersion the version of the store at which the table was read
 		 * @param ownVersion the version up to which this host has its rows
 		 */
-		void outdated(long readVersion, long ownVersion);
+		void outdated(StoreVersion readVersion, StoreVersion ownVersion);
 
 		/**
 		 * Called when a read failed; it is retried.
--- a/core/src/main/java/org/plantainspur/core/store/TableReader.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableReader.java
@@ -22,8 +22,10 @@
 	 * @param table the table's name
 	 * @param after the version of the store up to which changes are known
 	 * @param waitMs how long to wait for a change, in milliseconds
-	 * @return the changed rows, empty if nothing changed in that time
+	 * @return the changed rows, empty if nothing changed in that time. If their version
+	 * is of another era than {@code after}, they are not all changes, and the whole table
+	 * must be read
 	 */
-	CompletionStage<StoreResult> changes(String table, long after, long waitMs);
+	CompletionStage<StoreResult> changes(String table, StoreVersion after, long waitMs);
 
 }
--- a/core/src/main/java/org/plantainspur/core/store/TableReplica.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableReplica.java
@@ -21,18 +21,18 @@
 
 	private final Map<String, StoredRow> rows = new HashMap<>();
 
-	private long version;
+	private StoreVersion version = StoreVersion.NONE;
 
 	private long digest;
 
-	/** The version from which on all changes are kept. */
-	private long historyStartVersion = Long.MAX_VALUE;
+	/** The number of the version from which on all changes of the era are kept. */
+	private long historyStartNumber = Long.MAX_VALUE;
 
 	/**
 	 * Returns the version of the store up to which the replica is complete.
-	 * @return the version, 0 before the first read
+	 * @return the version, {@link StoreVersion#NONE} before the first read
 	 */
-	public long version() {
+	public StoreVersion version() {
 		return this.version;
 	}
 
@@ -49,14 +49,14 @@
 	 * @param all all rows of the table, possibly with removed ones
 	 * @param readVersion the version of the store at which they were read
 	 */
-	public void replace(Collection<StoredRow> all, long readVersion) {
+	public void replace(Collection<StoredRow> all, StoreVersion readVersion) {
 		this.rows.clear();
 		this.digest = 0;
 		all.forEach(this::put);
 		// Rows may have been written and removed since the last read without being seen
 		// here, and another host may have seen them.
-		this.historyStartVersion = readVersion;
-		this.version = Math.max(this.version, readVersion);
+		this.historyStartNumber = readVersion.number();
+		this.version = StoreVersion.latest(this.version, readVersion);
 		prune();
 	}
 
@@ -65,13 +65,18 @@
 	 * of it already: another host may have read this table earlier than this host did,
 	 * and its rows must not bring back what has been removed since.
 	 * @param changed the changed rows, oldest first
-	 * @param readVersion the version of the store up to which the changes are complete
+	 * @param readVersion the version of the store up to which the changes are complete,
+	 * in the era of the replica
 	 * @return the rows that were newer, in the same order
 	 */
-	public List<StoredRow> apply(Collection<StoredRow> changed, long readVersion) {
-		List<StoredRow> newer = changed.stream().filter((row) -> row.version() > this.version).toList();
+	public List<StoredRow> apply(Collection<StoredRow> changed, StoreVersion readVersion) {
+		if (!readVersion.isSameEra(this.version)) {
+			throw new IllegalArgumentException(
+					"changes of version " + readVersion + " do not apply to a replica of version " + this.version);
+		}
+		List<StoredRow> newer = changed.stream().filter((row) -> row.version() > this.version.number()).toList();
 		newer.forEach(this::put);
-		this.version = Math.max(this.version, readVersion);
+		this.version = StoreVersion.latest(this.version, readVersion);
 		prune();
 		return newer;
 	}
@@ -81,8 +86,8 @@
 	 * changed.
 	 * @param confirmedVersion the later version of the store
 	 */
-	public void confirm(long confirmedVersion) {
-		this.version = Math.max(this.version, confirmedVersion);
+	public void confirm(StoreVersion confirmedVersion) {
+		this.version = StoreVersion.latest(this.version, confirmedVersion);
 	}
 
 	private void put(StoredRow row) {
@@ -108,7 +113,7 @@
 	private void prune() {
 		if (this.rows.values().stream().filter(StoredRow::removed).count() > MAX_REMOVED) {
 			this.rows.values().removeIf(StoredRow::removed);
-			this.historyStartVersion = this.version;
+			this.historyStartNumber = this.version.number();
 		}
 	}
 
@@ -117,11 +122,11 @@
 	 * @param after the version up to which the other host knows the changes
 	 * @return the rows, or {@link StoreResult.HistoryLost} if some of them are not kept
 	 */
-	public StoreResult changes(long after) {
-		if (after < this.historyStartVersion) {
+	public StoreResult changes(StoreVersion after) {
+		if (!after.isSameEra(this.version) || after.number() < this.historyStartNumber) {
 			return new StoreResult.HistoryLost();
 		}
-		return rows((row) -> row.version() > after);
+		return rows((row) -> row.version() > after.number());
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/store/TableState.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableState.java
@@ -9,20 +9,22 @@
  * @param digest a digest of the keys and versions of the rows that are not removed; equal
  * for replicas with the same rows, however they were read
  */
-public record TableState(long version, long digest) {
+public record TableState(StoreVersion version, long digest) {
 
 	/** The state of a replica that has not been read yet. */
-	public static final TableState NONE = new TableState(0, 0);
+	public static final TableState NONE = new TableState(StoreVersion.NONE, 0);
 
 	/**
-	 * Returns whether another replica has newer rows. The version alone does not tell, as
-	 * it rises without a change of this table, and neither does the digest, as it has no
-	 * order.
+	 * Returns whether another replica has newer rows. Within an era of the store the
+	 * version alone does not tell, as it rises without a change of this table, and
+	 * neither does the digest, as it has no order. Rows of a later era are newer even if
+	 * the digest is the same, as the store gives out the versions of rows again.
 	 * @param other the state of the other replica
 	 * @return {@code true} if the rows differ and the other ones are newer
 	 */
 	public boolean isBehind(TableState other) {
-		return other.version > this.version && (other.digest != this.digest || this.version == 0);
+		return other.version.isAfter(this.version) && (!other.version.isSameEra(this.version)
+				|| other.digest != this.digest || this.version.number() == 0);
 	}
 
 	/**
@@ -32,7 +34,8 @@
 	 * @return {@code true} if the rows are the same and the other version is newer
 	 */
 	public boolean isConfirmedBy(TableState other) {
-		return other.version > this.version && this.version > 0 && other.digest == this.digest;
+		return other.version.isAfter(this.version) && other.version.isSameEra(this.version) && this.version.number() > 0
+				&& other.digest == this.digest;
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/store/TableStates.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableStates.java
@@ -15,10 +15,11 @@
 
 	/**
 	 * Returns a digest of the rows of all tables.
-	 * @return another number after a change of any row
+	 * @return another number after a change of any row and in another era of the store
 	 */
 	public long digest() {
-		return this.desiredState.digest() * 31 + this.targets.digest();
+		return (this.desiredState.digest() * 31 + this.targets.digest()) * 31 + this.desiredState.version().era()
+				+ this.targets.version().era();
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
 
@@ -29,7 +30,8 @@
 
 	// Tables whose rows change with each version.
 	private static TableStates tables(long version) {
-		return new TableStates(new TableState(version, version), new TableState(version, version));
+		return new TableStates(new TableState(new StoreVersion(1, version), version),
+				new TableState(new StoreVersion(1, version), version));
 	}
 
 	private StoreReaderElection.Decision decide(int rank, boolean complete, long now,
@@ -175,14 +177,16 @@
 		 */
 		@Test
 		void theNewerRowsOfOneTableAreFetchedFromAHostWithOlderRowsOfTheOther() {
-			TableStates other = new TableStates(new TableState(11, 11), new TableState(5, 5));
+			TableStates other = new TableStates(new TableState(new StoreVersion(1, 11), 11),
+					new TableState(new StoreVersion(1, 5), 5));
 			StoreReaderElection.PeerReadState peer = peerState("a", other, 50);
 			assertThat(decide(1, true, 0, peer).fetchFrom()).isEqualTo(peer);
 		}
 
 		@Test
 		void nothingIsFetchedFromHostsWithTheSameRows() {
-			TableStates later = new TableStates(new TableState(90, 10), new TableState(90, 10));
+			TableStates later = new TableStates(new TableState(new StoreVersion(1, 90), 10),
+					new TableState(new StoreVersion(1, 90), 10));
 			StoreReaderElection.PeerReadState peer = peerState("a", later, 50);
 			assertThat(decide(1, true, 0, peer).fetchFrom()).isNull();
 		}
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -19,7 +19,7 @@
 class TableFollowerTests {
 
 	/** The state of a replica that is newer than all rows of these tests. */
-	private static final TableState NEWER = new TableState(1_000, -1);
+	private static final TableState NEWER = new TableState(version(1_000), -1);
 
 	private final ManualClock clock = new ManualClock();
 
@@ -38,20 +38,20 @@
 			new TableFollower.Listener() {
 
 				@Override
-				public void replaced(List<StoredRow> rows, long sinceFailureMs) {
+				public void replaced(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
 					TableFollowerTests.this.events.add("replaced " + keys(rows));
 					failIfPrepared();
 				}
 
 				@Override
-				public void changed(List<StoredRow> rows, long sinceFailureMs) {
+				public void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
 					TableFollowerTests.this.events.add("changed " + keys(rows));
 					failIfPrepared();
 				}
 
 				@Override
-				public void outdated(long readVersion, long ownVersion) {
-					TableFollowerTests.this.events.add("outdated " + readVersion + " " + ownVersion);
+				public void outdated(StoreVersion readVersion, StoreVersion ownVersion) {
+					TableFollowerTests.this.events.add("outdated " + readVersion.number() + " " + ownVersion.number());
 				}
 
 				@Override
@@ -69,8 +69,16 @@
 		return new StoredRow(key, key.getBytes(StandardCharsets.UTF_8), version, false);
 	}
 
+	private static StoreVersion version(long number) {
+		return new StoreVersion(1, number);
+	}
+
 	private static StoreResult rows(long version, boolean more, StoredRow... rows) {
-		return new StoreResult.Rows(List.of(rows), version, more);
+		return new StoreResult.Rows(List.of(rows), version(version), more);
+	}
+
+	private static StoreResult rowsOfEra(long era, long number, StoredRow... rows) {
+		return new StoreResult.Rows(List.of(rows), new StoreVersion(era, number), false);
 	}
 
 	private void failIfPrepared() {
@@ -132,7 +140,7 @@
 			runFor(10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a, b, c]", "changed [a, c]");
 			assertThat(TableFollowerTests.this.store.calls).containsSequence("list b\0", "changes 5");
-			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(7);
+			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(version(7));
 		}
 
 		@Test
@@ -335,12 +343,13 @@
 		@Test
 		void nothingIsFetchedFromAHostWithTheSameRowsAndItsVersionIsTaken() {
 			readTheStoreOnce();
-			TableState later = new TableState(900, TableFollowerTests.this.follower.replica().state().digest());
+			TableState later = new TableState(version(900),
+					TableFollowerTests.this.follower.replica().state().digest());
 			ScriptedStore other = new ScriptedStore();
 			TableFollowerTests.this.follower.fetchFrom(other, later);
 			TableFollowerTests.this.follower.compareWith(later);
 			assertThat(other.calls).isEmpty();
-			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(900);
+			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(version(900));
 		}
 
 	}
@@ -360,7 +369,7 @@
 			runFor(10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]");
 			assertThat(TableFollowerTests.this.follower.complete()).isTrue();
-			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(7);
+			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(version(7));
 			assertThat(TableFollowerTests.this.store.calls).isEmpty();
 		}
 
@@ -376,6 +385,124 @@
 
 	}
 
+	/**
+	 * Guards against rows from before that are kept when the store comes back from a
+	 * copy: it gives out again the versions that hosts already have.
+	 */
+	@Nested
+	class LaterEra {
+
+		private final ScriptedStore other = new ScriptedStore();
+
+		@Test
+		void isReadWholeThoughItsVersionIsLower() {
+			TableFollowerTests.this.store.results.add(rowsOfEra(1, 100, row("a", 90)));
+			TableFollowerTests.this.store.results.add(new StoreResult.HistoryLost());
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 40, row("b", 40)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 41, row("c", 41)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(10);
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [b]", "changed [c]");
+		}
+
+		@Test
+		void isReadWholeThoughItsChangesFollowTheVersionOfTheHost() {
+			TableFollowerTests.this.store.results.add(rowsOfEra(1, 100, row("a", 90)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 105, row("c", 105)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 105, row("b", 60), row("c", 105)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(10);
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [b, c]");
+		}
+
+		@Test
+		void isFetchedFromAnotherHostThoughTheDigestIsTheSame() {
+			readTheStoreOnce();
+			TableState state = TableFollowerTests.this.follower.replica().state();
+			this.other.results.add(rowsOfEra(2, 5, row("a", 1)));
+			TableFollowerTests.this.follower.fetchFrom(this.other,
+					new TableState(new StoreVersion(2, 5), state.digest()));
+			runFor(10);
+			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(new StoreVersion(2, 5));
+			assertThat(this.other.calls).containsExactly("list ");
+			assertThat(TableFollowerTests.this.store.calls).containsExactly("list ");
+		}
+
+		@Test
+		void isNotLeftForRowsOfAnEarlierOne() {
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 40, row("b", 40)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(10);
+			this.other.results.add(rowsOfEra(1, 100, row("a", 90)));
+			TableFollowerTests.this.follower.fetchFrom(this.other, new TableState(new StoreVersion(1, 100), 7));
+			TableFollowerTests.this.store.pending.remove().complete(rowsOfEra(1, 101, row("c", 101)));
+			runFor(10);
+			assertThat(this.other.calls).isEmpty();
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b]");
+		}
+
+		/** A read that began before lacks the rows that the host has not seen. */
+		@Test
+		void isNotTakenFromAReadThatBeganInTheEarlierOne() {
+			readTheStoreOnce();
+			TableFollowerTests.this.follower.follow(true);
+			TableFollowerTests.this.store.results.clear();
+			TableFollowerTests.this.follower.follow(false);
+			this.other.results.add(rowsOfEra(2, 3, row("b", 2)));
+			TableFollowerTests.this.store.pending.remove().complete(rowsOfEra(2, 9, row("d", 9)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 9, row("b", 2), row("c", 8), row("d", 9)));
+			runFor(10);
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [b, c, d]");
+		}
+
+		@Test
+		void pagesOfTwoErasAreNotOneTable() {
+			TableFollowerTests.this.store.results.add(rows(100, true, row("a", 1)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 40, row("c", 40)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 40, row("b", 30), row("c", 40)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(TableFollower.INITIAL_RETRY_MS + 10);
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b, c]");
+		}
+
+	}
+
+	/**
+	 * Guards against whole reads without a pause, when their rows are dropped as outdated
+	 * or the changes after them are lost each time.
+	 */
+	@Nested
+	class RepeatedWholeReads {
+
+		@Test
+		void ofOutdatedRowsPauseInBetween() {
+			ScriptedStore other = new ScriptedStore();
+			other.results.add(rows(101, false, row("b", 101)));
+			TableFollowerTests.this.listenerFailures.add(new StackOverflowError("a row nested too deeply"));
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			runFor(10);
+			for (int i = 0; i < 1_000; i++) {
+				TableFollowerTests.this.store.results.add(rows(90, false, row("a", 70)));
+			}
+			TableFollowerTests.this.follower.follow(true);
+			runFor(5_000);
+			assertThat(TableFollowerTests.this.store.calls).hasSizeLessThan(8);
+		}
+
+		@Test
+		void whoseChangesAreLostPauseInBetween() {
+			for (int i = 0; i < 1_000; i++) {
+				TableFollowerTests.this.store.results.add(rows(90 + i, false, row("a", 70)));
+				TableFollowerTests.this.store.results.add(new StoreResult.HistoryLost());
+			}
+			TableFollowerTests.this.follower.follow(true);
+			runFor(5_000);
+			int cycles = (int) (5_000 / TableFollower.INITIAL_RETRY_MS) + 2;
+			assertThat(TableFollowerTests.this.store.calls).hasSizeLessThanOrEqualTo(2 * cycles);
+		}
+
+	}
+
 	private record Task(long atMs, int number, Runnable work) implements Comparable<Task> {
 
 		@Override
@@ -403,8 +530,8 @@
 		}
 
 		@Override
-		public CompletionStage<StoreResult> changes(String table, long after, long waitMs) {
-			this.calls.add("changes " + after);
+		public CompletionStage<StoreResult> changes(String table, StoreVersion after, long waitMs) {
+			this.calls.add("changes " + after.number());
 			return nextResult();
 		}
 
--- a/core/src/test/java/org/plantainspur/core/store/TableReplicaTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableReplicaTests.java
@@ -27,9 +27,13 @@
 		return new StoredRow(key, new byte[0], version, true);
 	}
 
+	private static StoreVersion at(long number) {
+		return new StoreVersion(1, number);
+	}
+
 	private static TableReplica replica(long version, StoredRow... rows) {
 		TableReplica replica = new TableReplica();
-		replica.replace(List.of(rows), version);
+		replica.replace(List.of(rows), at(version));
 		return replica;
 	}
 
@@ -43,10 +47,10 @@
 		@Test
 		void haveTheSameDigestHoweverTheyWereRead() {
 			TableReplica followed = replica(5, row("a", 1), row("b", 2));
-			followed.apply(List.of(removal("b", 6)), 6);
+			followed.apply(List.of(removal("b", 6)), at(6));
 			TableReplica readAfterTheRemoval = replica(6, row("a", 1));
 			TableReplica readTwice = replica(5, row("a", 1), row("b", 2));
-			readTwice.replace(List.of(row("a", 1)), 20);
+			readTwice.replace(List.of(row("a", 1)), at(20));
 			assertThat(readAfterTheRemoval.state()).isEqualTo(followed.state());
 			assertThat(readTwice.state().digest()).isEqualTo(followed.state().digest());
 			assertThat(followed.state().isBehind(readTwice.state())).isFalse();
@@ -57,18 +61,18 @@
 		void haveTheSameDigestAfterChangesOfOtherTables() {
 			TableReplica replica = replica(5, row("a", 1));
 			TableState before = replica.state();
-			replica.apply(List.of(), 900);
-			assertThat(replica.state()).isEqualTo(new TableState(900, before.digest()));
+			replica.apply(List.of(), at(900));
+			assertThat(replica.state()).isEqualTo(new TableState(at(900), before.digest()));
 		}
 
 		@Test
 		void haveAnotherDigestAfterAChangeOrRemoval() {
 			TableReplica replica = replica(5, row("a", 1), row("b", 2));
 			TableState before = replica.state();
-			replica.apply(List.of(row("a", 6)), 6);
+			replica.apply(List.of(row("a", 6)), at(6));
 			assertThat(before.isBehind(replica.state())).isTrue();
 			TableState changed = replica.state();
-			replica.apply(List.of(removal("b", 7)), 7);
+			replica.apply(List.of(removal("b", 7)), at(7));
 			assertThat(changed.isBehind(replica.state())).isTrue();
 		}
 
@@ -81,8 +85,8 @@
 		@Test
 		void includeRemovals() {
 			TableReplica replica = replica(5, row("a", 1), row("b", 2));
-			replica.apply(List.of(removal("b", 6)), 6);
-			assertThat(replica.changes(5)).isInstanceOfSatisfying(StoreResult.Rows.class,
+			replica.apply(List.of(removal("b", 6)), at(6));
+			assertThat(replica.changes(at(5))).isInstanceOfSatisfying(StoreResult.Rows.class,
 					(rows) -> assertThat(rows.rows()).singleElement()
 						.satisfies((row) -> assertThat(row.removed()).isTrue()));
 		}
@@ -94,16 +98,16 @@
 		@Test
 		void beforeTheLastWholeReadAreReportedAsLost() {
 			TableReplica replica = replica(5, row("a", 1));
-			assertThat(replica.changes(3)).isInstanceOf(StoreResult.HistoryLost.class);
-			replica.replace(List.of(row("a", 1)), 9);
-			assertThat(replica.changes(5)).isInstanceOf(StoreResult.HistoryLost.class);
-			assertThat(replica.changes(9)).isInstanceOf(StoreResult.Rows.class);
+			assertThat(replica.changes(at(3))).isInstanceOf(StoreResult.HistoryLost.class);
+			replica.replace(List.of(row("a", 1)), at(9));
+			assertThat(replica.changes(at(5))).isInstanceOf(StoreResult.HistoryLost.class);
+			assertThat(replica.changes(at(9))).isInstanceOf(StoreResult.Rows.class);
 		}
 
 		@Test
 		void upToTheVersionOfAWholeReadDoNotBringARemovedRowBack() {
 			TableReplica replica = replica(9, row("a", 1));
-			assertThat(replica.apply(List.of(row("b", 7)), 8)).isEmpty();
+			assertThat(replica.apply(List.of(row("b", 7)), at(8))).isEmpty();
 			assertThat(replica.allRows().rows()).extracting(StoredRow::key).containsExactly("a");
 		}
 
@@ -111,8 +115,8 @@
 
 	/**
 	 * Guards against hosts that keep other rows than the store had, after any order of
-	 * changes, lost history, reads of the store, fetches from each other, heartbeats that
-	 * arrive late, and restarts.
+	 * changes, lost history, restorations from a copy, reads of the store, fetches from
+	 * each other, heartbeats that arrive late, and restarts.
 	 */
 	@Group
 	class Histories {
@@ -140,16 +144,22 @@
 
 		private final TreeMap<String, StoredRow> rows = new TreeMap<>();
 
-		private final Map<Long, Map<String, Long>> liveRowsByVersion = new HashMap<>();
+		private final Map<StoreVersion, Map<String, String>> liveRowsByVersion = new HashMap<>();
 
 		private final List<TableReplica> replicas = new ArrayList<>();
 
 		private final List<TableState> lateHeartbeats = new ArrayList<>();
 
-		private long version = 1;
+		private StoreVersion version = new StoreVersion(1, 1);
 
 		private long oldestRetained = 1;
 
+		private TreeMap<String, StoredRow> copy = new TreeMap<>();
+
+		private long copiedNumber = 1;
+
+		private byte writes;
+
 		History() {
 			this.liveRowsByVersion.put(this.version, Map.of());
 			for (int host = 0; host < HOSTS; host++) {
@@ -159,10 +169,10 @@
 		}
 
 		void run(int step) {
-			int argument = step / 9;
+			int argument = step / 11;
 			int host = argument % HOSTS;
 			int other = (host + 1 + argument / HOSTS % (HOSTS - 1)) % HOSTS;
-			switch (step % 9) {
+			switch (step % 11) {
 				case 0, 1 -> write(argument % KEYS, false);
 				case 2 -> write(argument % KEYS, true);
 				case 3 -> nextVersion();
@@ -170,6 +180,11 @@
 				case 5 -> readStore(host);
 				case 6 -> compare(host, other, this.replicas.get(other).state());
 				case 7 -> compare(host, other, this.lateHeartbeats.get(other));
+				case 8 -> {
+					this.copy = new TreeMap<>(this.rows);
+					this.copiedNumber = this.version.number();
+				}
+				case 9 -> restore();
 				default -> {
 					this.lateHeartbeats.set(host, this.replicas.get(host).state());
 					if (argument % 2 == 0) {
@@ -190,38 +205,49 @@
 			String key = "key-" + keyNumber;
 			StoredRow previous = this.rows.get(key);
 			if (!removed || (previous != null && !previous.removed())) {
-				this.rows.put(key, new StoredRow(key, new byte[0], this.version + 1, removed));
+				this.writes++;
+				this.rows.put(key, new StoredRow(key, new byte[] { this.writes }, this.version.number() + 1, removed));
 				nextVersion();
 			}
 		}
 
 		private void nextVersion() {
-			this.version++;
+			this.version = new StoreVersion(this.version.era(), this.version.number() + 1);
 			this.liveRowsByVersion.put(this.version, live(this.rows.values()));
 		}
 
 		private void loseHistory() {
-			this.oldestRetained = this.version;
+			this.oldestRetained = this.version.number();
+		}
+
+		// Versions since the copy are given out again, with other rows.
+		private void restore() {
+			this.rows.clear();
+			this.rows.putAll(this.copy);
+			this.version = new StoreVersion(this.version.era() + 1, this.copiedNumber);
+			this.oldestRetained = Math.min(this.oldestRetained, this.copiedNumber);
+			this.liveRowsByVersion.put(this.version, live(this.rows.values()));
 		}
 
-		private static Map<String, Long> live(Iterable<StoredRow> rows) {
-			Map<String, Long> live = new HashMap<>();
+		private static Map<String, String> live(Iterable<StoredRow> rows) {
+			Map<String, String> live = new HashMap<>();
 			rows.forEach((row) -> {
 				if (!row.removed()) {
-					live.put(row.key(), row.version());
+					live.put(row.key(), row.version() + " with content " + row.value()[0]);
 				}
 			});
 			return live;
 		}
 
+		// Does what TableFollower does with the responses of the store.
 		private void readStore(int host) {
 			TableReplica replica = this.replicas.get(host);
-			long after = replica.version();
-			if (after < this.oldestRetained) {
+			StoreVersion after = replica.version();
+			if (!after.isSameEra(this.version) || after.number() < this.oldestRetained) {
 				replica.replace(this.rows.values().stream().filter((row) -> !row.removed()).toList(), this.version);
 			}
 			else {
-				replica.apply(this.rows.values().stream().filter((row) -> row.version() > after).toList(),
+				replica.apply(this.rows.values().stream().filter((row) -> row.version() > after.number()).toList(),
 						this.version);
 			}
 		}
@@ -233,13 +259,14 @@
 			if (replica.state().isConfirmedBy(heartbeat)) {
 				replica.confirm(heartbeat.version());
 			}
-			if (!replica.state().isBehind(heartbeat) || source.version() < replica.version()) {
+			if (!replica.state().isBehind(heartbeat) || replica.version().isAfter(source.version())) {
 				return;
 			}
-			if (replica.version() > 0 && source.changes(replica.version()) instanceof StoreResult.Rows changes) {
+			if (replica.version().number() > 0
+					&& source.changes(replica.version()) instanceof StoreResult.Rows changes) {
 				replica.apply(changes.rows(), changes.version());
 			}
-			else if (source.version() > 0) {
+			else if (source.version().number() > 0) {
 				StoreResult.Rows all = source.allRows();
 				replica.replace(all.rows(), all.version());
 			}
@@ -247,7 +274,7 @@
 
 		void assertReplicasAreExact() {
 			for (TableReplica replica : this.replicas) {
-				if (replica.version() > 0) {
+				if (replica.version().number() > 0) {
 					assertThat(live(replica.allRows().rows())).isEqualTo(this.liveRowsByVersion.get(replica.version()));
 				}
 			}
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -306,6 +306,7 @@
 			sendToTrafficHosts();
 		}
 		assignTargetSubset();
+		this.registry.writeAgainIn(this.storeSynchronizer.storeEra());
 		if (this.clock.millis() - this.startedMs >= DISCOVERY_MS) {
 			this.representative.sendDue(this.ownHeartbeat.get(), this.view.domainHosts(this.ownHeartbeat.get()),
 					this.hostState.targetStatements().reports(), this.clock.millis());
--- a/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
@@ -41,6 +41,12 @@
 
 	private static final long RETRY_DELAY_MS = 1_000;
 
+	/**
+	 * The time over which the hosts spread their writes when the store has been restored
+	 * from a copy, which they all notice at once.
+	 */
+	private static final long REWRITE_SPREAD_MS = 1_000;
+
 	/**
 	 * The time without a heartbeat after which a host of another failure domain no longer
 	 * counts as its representative. Longer than two of the regular intervals between
@@ -64,6 +70,11 @@
 
 	private boolean registered;
 
+	/** The era of the store in which this host's entry was written last. */
+	private long registeredEra;
+
+	private boolean rewritePending;
+
 	private volatile boolean read;
 
 	/**
@@ -90,15 +101,37 @@
 		// Writing before reading ensures that of two hosts the one that registers later
 		// finds the other. A host that cannot write may still find the others and send
 		// them heartbeats.
+		writeOwnEntry(this::readOwnDomain);
+	}
+
+	private void writeOwnEntry(Runnable onWritten) {
 		this.store
 			.put(table(this.ownHeartbeat.failureDomain()), this.ownHeartbeat.host(),
 					this.codec.encode(this.ownHeartbeat))
 			.thenAccept((result) -> {
-				this.registered = result instanceof StoreResult.Rows;
-				readOwnDomain();
+				if (result instanceof StoreResult.Rows rows) {
+					this.registered = true;
+					this.registeredEra = rows.version().era();
+				}
+				onWritten.run();
 			});
 	}
 
+	/**
+	 * Writes this host's entry again if the store has been restored from a copy since,
+	 * which may lack it. Repeats the write until the store accepts it.
+	 * @param era the era of the store that this host has met
+	 */
+	void writeAgainIn(long era) {
+		if (!this.registered || this.registeredEra >= era || this.rewritePending) {
+			return;
+		}
+		this.rewritePending = true;
+		long delayMs = Math.floorMod(this.ownHeartbeat.host().hashCode(), REWRITE_SPREAD_MS);
+		this.scheduler.after(delayMs, () -> writeOwnEntry(() -> this.scheduler
+			.after(this.registeredEra >= era ? 0 : RETRY_DELAY_MS, () -> this.rewritePending = false)));
+	}
+
 	private static String table(String failureDomain) {
 		return TABLE_PREFIX + failureDomain;
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
@@ -11,10 +11,12 @@
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.store.TableFollower;
 import org.plantainspur.core.store.TableReader;
 import org.plantainspur.core.store.TableStates;
+import org.plantainspur.core.target.RetiredTargets;
 import org.plantainspur.core.target.TargetListing;
 import org.plantainspur.core.target.TargetRegistry;
 import org.plantainspur.core.time.Clock;
@@ -46,6 +48,12 @@
 
 	private static final long MIN_CHANGE_WAIT_MS = 500;
 
+	/**
+	 * How long a desired state with a lower version than the one in force is held back in
+	 * a new era of the store. Operators write again what a restored copy lacks.
+	 */
+	private static final long RESTORED_STATE_HOLD_MS = 1_000;
+
 	private final RowsCodec rowsCodec = new RowsCodec();
 
 	private final PlatformAdapter platform;
@@ -62,7 +70,9 @@
 
 	private final GatewayMetrics metrics;
 
-	private final Map<String, TargetListing> listed = new HashMap<>();
+	private final RetiredTargets retiredTargets;
+
+	private final Map<String, ListedTarget> listed = new HashMap<>();
 
 	private final Map<String, TargetListing> expired = new HashMap<>();
 
@@ -80,6 +90,7 @@
 		this.startupLatch = startupLatch;
 		this.log = log;
 		this.metrics = metrics;
+		this.retiredTargets = new RetiredTargets(clock);
 		long changeWaitMs = Math.max(MIN_CHANGE_WAIT_MS, changeApplyMs - CHANGE_WAIT_RESERVE_MS);
 		this.desiredStateFollower = new TableFollower(platform.desiredStateTable(), store, clock, scheduler,
 				changeWaitMs, new DesiredStateListener());
@@ -118,6 +129,12 @@
 		return new TableStates(this.desiredStateFollower.replica().state(), this.targetFollower.replica().state());
 	}
 
+	// Returns the latest era of the store that this host has met.
+	long storeEra() {
+		return Math.max(this.desiredStateFollower.replica().version().era(),
+				this.targetFollower.replica().version().era());
+	}
+
 	// Returns the states of the tables that other hosts can fetch.
 	TableStates servedTableStates() {
 		return complete() ? tableStates() : TableStates.NONE;
@@ -135,13 +152,14 @@
 	EndpointServer.Response answerPeer(EndpointServer.Query query) {
 		String table = query.values().getOrDefault("table", "");
 		String after = query.values().getOrDefault("after", "");
+		String era = query.values().getOrDefault("era", "0");
 		TableFollower follower = table.equals(this.platform.targetTable()) ? this.targetFollower
 				: this.desiredStateFollower;
-		if (!after.matches("\\d{1,18}") || !follower.complete()) {
+		if (!after.matches("\\d{1,18}") || !era.matches("\\d{1,18}") || !follower.complete()) {
 			return new EndpointServer.Response(503, RowsCodec.MEDIA_TYPE, new byte[0]);
 		}
-		long afterVersion = Long.parseLong(after);
-		StoreResult result = (afterVersion == 0) ? follower.replica().allRows()
+		StoreVersion afterVersion = new StoreVersion(Long.parseLong(era), Long.parseLong(after));
+		StoreResult result = (afterVersion.number() == 0) ? follower.replica().allRows()
 				: follower.replica().changes(afterVersion);
 		return (result instanceof StoreResult.Rows rows)
 				? new EndpointServer.Response(200, RowsCodec.MEDIA_TYPE, this.rowsCodec.encode(rows))
@@ -163,7 +181,7 @@
 		}
 
 		@Override
-		public void outdated(long readVersion, long ownVersion) {
+		public void outdated(StoreVersion readVersion, StoreVersion ownVersion) {
 			StoreSynchronizer.this.metrics.count("whole_reads_outdated_total", tableName());
 			StoreSynchronizer.this.log.event("whole-read-outdated", "table", tableName(), "version", readVersion,
 					"ownVersion", ownVersion);
@@ -187,33 +205,64 @@
 
 	private final class DesiredStateListener extends TableListener {
 
+		/** The version at which the state in force was written. */
+		private StoreVersion inForce = StoreVersion.NONE;
+
+		/** The version at which the state that was read last was written. */
+		private StoreVersion lastRead = StoreVersion.NONE;
+
 		@Override
 		String tableName() {
 			return "desired-state";
 		}
 
 		@Override
-		public void replaced(List<StoredRow> rows, long sinceFailureMs) {
-			changed(rows, sinceFailureMs);
+		public void replaced(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
+			changed(rows, version, sinceLossMs);
 		}
 
 		@Override
-		public void changed(List<StoredRow> rows, long sinceFailureMs) {
+		public void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
 			recordAvailable();
 			for (StoredRow row : rows) {
 				DesiredState state = row.removed() ? null : StoreSynchronizer.this.platform.desiredState(row);
-				if (state != null && StoreSynchronizer.this.desiredState.offer(state)) {
-					StoreSynchronizer.this.log.event("desired-state", "version", state.version(), "storeVersion",
-							row.version());
+				if (state != null) {
+					offer(state, new StoreVersion(version.era(), row.version()));
 				}
 			}
 			openLatchIfLoaded();
 		}
 
+		private void offer(DesiredState state, StoreVersion version) {
+			this.lastRead = version;
+			if (StoreSynchronizer.this.desiredState.offer(state)) {
+				putInForce(state, version);
+			}
+			else if (state.version() == StoreSynchronizer.this.desiredState.current().version()) {
+				this.inForce = version;
+			}
+			else if (version.era() > this.inForce.era()) {
+				StoreSynchronizer.this.scheduler.after(RESTORED_STATE_HOLD_MS, () -> {
+					if (version.equals(this.lastRead)) {
+						StoreSynchronizer.this.desiredState.replace(state);
+						putInForce(state, version);
+					}
+				});
+			}
+		}
+
+		private void putInForce(DesiredState state, StoreVersion version) {
+			this.inForce = version;
+			StoreSynchronizer.this.log.event("desired-state", "version", state.version(), "storeVersion",
+					version.number(), "storeEra", version.era());
+		}
+
 	}
 
 	private final class TargetListener extends TableListener {
 
+		private long era;
+
 		/** Log lines of changes that are not in force yet. */
 		private final List<Runnable> changes = new ArrayList<>();
 
@@ -223,52 +272,62 @@
 		}
 
 		@Override
-		public void replaced(List<StoredRow> rows, long sinceFailureMs) {
+		public void replaced(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
 			recordAvailable();
-			Map<String, TargetListing> previous = new HashMap<>(StoreSynchronizer.this.listed);
+			Map<String, ListedTarget> previous = new HashMap<>(StoreSynchronizer.this.listed);
 			StoreSynchronizer.this.listed.clear();
-			rows.forEach(this::putTarget);
+			rows.forEach((row) -> putTarget(row, version));
 			previous.keySet().removeAll(StoreSynchronizer.this.listed.keySet());
-			previous.forEach((key, entry) -> removeTarget(key, entry, sinceFailureMs));
+			previous.forEach((key, target) -> removeTarget(key, target, sinceLossMs));
+			if (version.era() != this.era) {
+				this.era = version.era();
+				StoreSynchronizer.this.log.event("store-era", "era", version.era(), "version", version.number());
+				StoreSynchronizer.this.scheduler.after(RetiredTargets.RESTORED_ENTRY_HOLD_MS, this::publish);
+			}
 			publish();
 		}
 
 		@Override
-		public void changed(List<StoredRow> rows, long sinceFailureMs) {
+		public void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
 			recordAvailable();
 			for (StoredRow row : rows) {
 				if (row.removed()) {
-					TargetListing entry = StoreSynchronizer.this.listed.remove(row.key());
-					if (entry != null) {
-						removeTarget(row.key(), entry, sinceFailureMs);
+					ListedTarget target = StoreSynchronizer.this.listed.remove(row.key());
+					if (target != null) {
+						removeTarget(row.key(), target, sinceLossMs);
 					}
 				}
 				else {
-					putTarget(row);
+					putTarget(row, version);
 				}
 			}
 			publish();
 		}
 
-		private void putTarget(StoredRow row) {
+		private void putTarget(StoredRow row, StoreVersion version) {
 			TargetListing entry = StoreSynchronizer.this.platform.target(row);
 			StoreSynchronizer.this.expired.remove(row.key());
-			if (entry != null) {
-				TargetListing previous = StoreSynchronizer.this.listed.put(row.key(), entry);
-				if (previous == null || previous.leaving() != entry.leaving()) {
-					this.changes.add(() -> StoreSynchronizer.this.log.event("target", "id", entry.id(), "service",
-							entry.service(), "failureDomain", entry.failureDomain(), "leaving", entry.leaving(),
-							"storeVersion", row.version()));
-				}
-			}
-			else {
+			if (entry == null) {
 				StoreSynchronizer.this.listed.remove(row.key());
 				StoreSynchronizer.this.metrics.count("rows_unreadable_total", tableName());
+				return;
+			}
+			StoreVersion rowVersion = new StoreVersion(version.era(), row.version());
+			if (entry.leaving()) {
+				StoreSynchronizer.this.retiredTargets.retire(entry, rowVersion);
+			}
+			ListedTarget previous = StoreSynchronizer.this.listed.put(row.key(), new ListedTarget(entry, rowVersion));
+			if (previous == null || previous.entry().leaving() != entry.leaving()) {
+				this.changes.add(() -> StoreSynchronizer.this.log.event("target", "id", entry.id(), "service",
+						entry.service(), "failureDomain", entry.failureDomain(), "leaving", entry.leaving(),
+						"storeVersion", row.version()));
 			}
 		}
 
-		private void removeTarget(String key, TargetListing entry, long sinceFailureMs) {
-			boolean mayReturn = sinceFailureMs < EXPIRED_ENTRY_GRACE_MS && !entry.leaving();
+		private void removeTarget(String key, ListedTarget target, long sinceLossMs) {
+			TargetListing entry = target.entry();
+			StoreSynchronizer.this.retiredTargets.retire(entry, target.version());
+			boolean mayReturn = sinceLossMs < EXPIRED_ENTRY_GRACE_MS && !entry.leaving();
 			this.changes.add(() -> StoreSynchronizer.this.log.event("target-gone", "id", entry.id(), "service",
 					entry.service(), "mayReturn", mayReturn));
 			if (mayReturn) {
@@ -283,7 +342,14 @@
 
 		private void publish() {
 			Map<String, TargetListing> published = new HashMap<>(StoreSynchronizer.this.expired);
-			published.putAll(StoreSynchronizer.this.listed);
+			StoreSynchronizer.this.listed.forEach((key, target) -> {
+				if (StoreSynchronizer.this.retiredTargets.contains(target.entry(), target.version())) {
+					StoreSynchronizer.this.metrics.count("restored_targets_unused_total", target.entry().service());
+				}
+				else {
+					published.put(key, target.entry());
+				}
+			});
 			StoreSynchronizer.this.targets.replace(published.values());
 			this.changes.forEach(Runnable::run);
 			this.changes.clear();
@@ -292,4 +358,13 @@
 
 	}
 
+	/**
+	 * An entry of the table of targets.
+	 *
+	 * @param entry the target
+	 * @param version the version at which the entry was written
+	 */
+	private record ListedTarget(TargetListing entry, StoreVersion version) {
+	}
+
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
@@ -21,8 +21,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -120,9 +122,10 @@
 	 * The result of a call.
 	 *
 	 * @param status the HTTP status, 0 if there was no response
+	 * @param headers the headers of the response
 	 * @param body the body of the response, or why there was none, in UTF-8
 	 */
-	public record Reply(int status, byte[] body) {
+	public record Reply(int status, HttpHeaders headers, byte[] body) {
 
 		/**
 		 * Returns the beginning of the body as text, for error messages.
@@ -175,12 +178,12 @@
 		}
 
 		private void responseReceived(FullHttpResponse response) {
-			end(new Reply(response.status().code(), ByteBufUtil.getBytes(response.content())));
+			end(new Reply(response.status().code(), response.headers(), ByteBufUtil.getBytes(response.content())));
 		}
 
 		private void fail(String reason) {
 			Channel usedChannel = this.channel;
-			end(new Reply(0, reason.getBytes(StandardCharsets.UTF_8)));
+			end(new Reply(0, EmptyHttpHeaders.INSTANCE, reason.getBytes(StandardCharsets.UTF_8)));
 			if (usedChannel != null) {
 				usedChannel.close();
 			}
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -17,6 +17,7 @@
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.health.RequestCrash;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
 import org.plantainspur.core.target.TargetIncarnation;
@@ -82,6 +83,8 @@
 				packTableState(packer, heartbeat.tables().targets());
 				packCrashes(packer, heartbeat.requestCrashes());
 				packStatements(packer, heartbeat.targetStatements());
+				packer.packLong(heartbeat.tables().desiredState().version().era())
+					.packLong(heartbeat.tables().targets().version().era());
 			}
 			return packer.toByteArray();
 		}
@@ -91,7 +94,7 @@
 	}
 
 	private static void packTableState(MessageBufferPacker packer, TableState state) throws IOException {
-		packer.packLong(state.version()).packLong(state.digest());
+		packer.packLong(state.version().number()).packLong(state.digest());
 	}
 
 	private static void packCrashes(MessageBufferPacker packer, List<RequestCrash> crashes) throws IOException {
@@ -157,11 +160,15 @@
 			List<String> failedTargets = unpackStrings(unpacker);
 			List<String> recoveredTargets = unpackStrings(unpacker);
 			List<DomainDigest> digests = unpackDigests(unpacker);
-			TableStates tables = extended ? new TableStates(unpackTableState(unpacker), unpackTableState(unpacker))
-					: TableStates.NONE;
+			long[] tableStates = extended ? unpackLongs(unpacker, 4) : new long[4];
 			List<RequestCrash> requestCrashes = extended ? unpackCrashes(unpacker) : List.of();
-			// Missing in the heartbeats of earlier builds.
-			List<TargetStatementReport> targetStatements = unpacker.hasNext() ? unpackStatements(unpacker) : List.of();
+			// Both are missing in the heartbeats of earlier builds.
+			boolean current = unpacker.hasNext();
+			List<TargetStatementReport> targetStatements = current ? unpackStatements(unpacker) : List.of();
+			long[] eras = current ? unpackLongs(unpacker, 2) : new long[2];
+			TableStates tables = new TableStates(
+					new TableState(new StoreVersion(eras[0], tableStates[0]), tableStates[1]),
+					new TableState(new StoreVersion(eras[1], tableStates[2]), tableStates[3]));
 			HostHeartbeat heartbeat = new HostHeartbeat(host, startMs, failureDomain, callerAddress, peerAddress, cores,
 					acceptingCallers, version, tables, storeAgeMs, usage, accountsNearLimit, failedTargets,
 					recoveredTargets, digests, requestCrashes, targetStatements);
@@ -194,7 +201,7 @@
 	}
 
 	private static boolean isValid(TableState state) {
-		return state.version() >= 0;
+		return state.version().number() >= 0 && state.version().era() >= 0;
 	}
 
 	private static boolean isValid(Map<String, AccountUsage> usage) {
@@ -230,8 +237,12 @@
 		return reports;
 	}
 
-	private static TableState unpackTableState(MessageUnpacker unpacker) throws IOException {
-		return new TableState(unpacker.unpackLong(), unpacker.unpackLong());
+	private static long[] unpackLongs(MessageUnpacker unpacker, int count) throws IOException {
+		long[] values = new long[count];
+		for (int i = 0; i < count; i++) {
+			values[i] = unpacker.unpackLong();
+		}
+		return values;
 	}
 
 	private static Map<String, AccountUsage> unpackUsage(MessageUnpacker unpacker) throws IOException {
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/PeerTableReaders.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/PeerTableReaders.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 
 import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableReader;
 import org.plantainspur.gateway.IpAddressAndPort;
 import org.plantainspur.gateway.http.EventLoopHttpClient;
@@ -63,12 +64,13 @@
 
 		@Override
 		public CompletionStage<StoreResult> list(String table, String from) {
-			return changes(table, 0, 0);
+			return changes(table, StoreVersion.NONE, 0);
 		}
 
 		@Override
-		public CompletionStage<StoreResult> changes(String table, long after, long waitMs) {
-			String uri = PATH + "?table=" + URLEncoder.encode(table, StandardCharsets.UTF_8) + "&after=" + after;
+		public CompletionStage<StoreResult> changes(String table, StoreVersion after, long waitMs) {
+			String uri = PATH + "?table=" + URLEncoder.encode(table, StandardCharsets.UTF_8) + "&after="
+					+ after.number() + "&era=" + after.era();
 			return this.httpClient.call("GET", uri, new byte[0], TIMEOUT_MS)
 				.thenApply(this::toResult)
 				.exceptionally((failure) -> new StoreResult.Unavailable("reading the response failed: " + failure));
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/RowsCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/RowsCodec.java
@@ -11,6 +11,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.StoredRow;
 
 /**
@@ -28,11 +29,12 @@
 	 */
 	public byte[] encode(StoreResult.Rows rows) {
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-			packer.packLong(rows.version()).packArrayHeader(rows.rows().size());
+			packer.packLong(rows.version().number()).packArrayHeader(rows.rows().size());
 			for (StoredRow row : rows.rows()) {
 				packer.packString(row.key()).packLong(row.version()).packBoolean(row.removed());
 				packer.packBinaryHeader(row.value().length).writePayload(row.value());
 			}
+			packer.packLong(rows.version().era());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -47,7 +49,7 @@
 	 */
 	public StoreResult decode(byte[] bytes) {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-			long version = unpacker.unpackLong();
+			long versionNumber = unpacker.unpackLong();
 			int size = unpacker.unpackArrayHeader();
 			List<StoredRow> rows = new ArrayList<>();
 			for (int i = 0; i < size; i++) {
@@ -63,7 +65,9 @@
 				byte[] value = unpacker.readPayload(length);
 				rows.add(new StoredRow(key, value, rowVersion, removed));
 			}
-			return new StoreResult.Rows(rows, version, false);
+			// Missing in the rows of earlier builds.
+			long era = unpacker.hasNext() ? unpacker.unpackLong() : 0;
+			return new StoreResult.Rows(rows, new StoreVersion(era, versionNumber), false);
 		}
 		catch (IOException | MessagePackException ex) {
 			return new StoreResult.Unavailable("the rows sent by another host are malformed: " + ex.getMessage());
--- a/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
@@ -15,6 +15,7 @@
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableStates;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -126,7 +127,7 @@
 		}
 
 		@Override
-		public CompletionStage<StoreResult> changes(String table, long after, long waitMs) {
+		public CompletionStage<StoreResult> changes(String table, StoreVersion after, long waitMs) {
 			return new CompletableFuture<>();
 		}
 
--- a/gateway/src/test/java/org/plantainspur/gateway/HostRegistryTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/HostRegistryTests.java
@@ -13,6 +13,7 @@
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.store.TableStates;
 
@@ -88,6 +89,50 @@
 
 	}
 
+	/**
+	 * Guards against a host that later ones do not find, since the store was restored
+	 * from a copy without its entry.
+	 */
+	@Nested
+	class RestoredStore {
+
+		@Test
+		void theEntryIsWrittenAgainInANewEraOnly() {
+			HostRegistry registry = registry("a1", "pdx-a");
+			registry.start();
+			HostRegistryTests.this.scheduled.clear();
+			HostRegistryTests.this.store.tables.clear();
+			registry.writeAgainIn(1);
+			runScheduled();
+			assertThat(HostRegistryTests.this.store.tables).isEmpty();
+			HostRegistryTests.this.store.era = 2;
+			registry.writeAgainIn(2);
+			runScheduled();
+			assertThat(HostRegistryTests.this.store.tables).containsKey("plantainspur-hosts-pdx-a");
+		}
+
+		@Test
+		void theWriteIsRepeatedUntilTheStoreAcceptsIt() {
+			HostRegistry registry = registry("a1", "pdx-a");
+			registry.start();
+			HostRegistryTests.this.scheduled.clear();
+			HostRegistryTests.this.store.tables.clear();
+			HostRegistryTests.this.store.era = 2;
+			HostRegistryTests.this.store.refusesWrites = true;
+			for (int i = 0; i < 5; i++) {
+				registry.writeAgainIn(2);
+				runScheduled();
+			}
+			HostRegistryTests.this.store.refusesWrites = false;
+			for (int i = 0; i < 2; i++) {
+				registry.writeAgainIn(2);
+				runScheduled();
+			}
+			assertThat(HostRegistryTests.this.store.tables).containsKey("plantainspur-hosts-pdx-a");
+		}
+
+	}
+
 	/**
 	 * Guards against a representative that sends no digests to a failure domain whose
 	 * heartbeats do not arrive, or that reads its table from the store at each call.
@@ -128,24 +173,27 @@
 
 		private boolean refusesWrites;
 
+		private long era = 1;
+
 		@Override
 		public CompletionStage<StoreResult> put(String table, String key, byte[] value) {
 			if (this.refusesWrites) {
 				return CompletableFuture.completedFuture(new StoreResult.Unavailable("refused"));
 			}
 			this.tables.computeIfAbsent(table, (name) -> new TreeMap<>()).put(key, new StoredRow(key, value, 1, false));
-			return CompletableFuture.completedFuture(new StoreResult.Rows(List.of(), 1, false));
+			return CompletableFuture
+				.completedFuture(new StoreResult.Rows(List.of(), new StoreVersion(this.era, 1), false));
 		}
 
 		@Override
 		public CompletionStage<StoreResult> list(String table, String from) {
 			this.listedTables.add(table);
 			List<StoredRow> rows = List.copyOf(this.tables.getOrDefault(table, Map.of()).values());
-			return CompletableFuture.completedFuture(new StoreResult.Rows(rows, 1, false));
+			return CompletableFuture.completedFuture(new StoreResult.Rows(rows, new StoreVersion(this.era, 1), false));
 		}
 
 		@Override
-		public CompletionStage<StoreResult> changes(String table, long after, long waitMs) {
+		public CompletionStage<StoreResult> changes(String table, StoreVersion after, long waitMs) {
 			return new CompletableFuture<>();
 		}
 
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -22,6 +22,7 @@
 import org.plantainspur.core.health.RequestCrash;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoredRow;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
 import org.plantainspur.core.target.TargetIncarnation;
@@ -34,12 +35,15 @@
 
 	private static final HostHeartbeat HEARTBEAT = heartbeat(
 			List.of(new TargetStatementReport(new TargetIncarnation("i-6", 1_700), new TargetStatement(2.5), 40),
-					new TargetStatementReport(new TargetIncarnation("i-7", 0), TargetStatement.NONE, 90)));
+					new TargetStatementReport(new TargetIncarnation("i-7", 0), TargetStatement.NONE, 90)),
+			3, 2);
 
-	private static HostHeartbeat heartbeat(List<TargetStatementReport> statements) {
+	private static HostHeartbeat heartbeat(List<TargetStatementReport> statements, long desiredStateEra,
+			long targetsEra) {
 		return new HostHeartbeat("a1", 1_700_000_000_000L, "pdx-a", "10.0.0.1:80", "10.0.0.1:81", 0.6, true, 12,
-				new TableStates(new TableState(900, -5), new TableState(880, 7)), 40,
-				Map.of("mill", new AccountUsage(7, 2.5)), List.of("mill"), List.of("i-1"), List.of("i-2", "i-3"),
+				new TableStates(new TableState(new StoreVersion(desiredStateEra, 900), -5),
+						new TableState(new StoreVersion(targetsEra, 880), 7)),
+				40, Map.of("mill", new AccountUsage(7, 2.5)), List.of("mill"), List.of("i-1"), List.of("i-2", "i-3"),
 				List.of(new DomainDigest("sea-a", "b1", 5, Map.of("mill", new AccountUsage(9, 0.5)), List.of("i-4"),
 						List.of("i-5"))),
 				List.of(new RequestCrash("4fe1", -9, 1_300, 1_100)), statements);
@@ -93,9 +97,11 @@
 		@Test
 		void aTruncatedHeartbeatIsDropped() {
 			byte[] bytes = this.codec.encode(HEARTBEAT);
-			HostHeartbeat ofEarlierBuild = heartbeat(List.of());
-			// An earlier build sends no list of statements, not even an empty one.
-			int lengthOfEarlierBuild = this.codec.encode(ofEarlierBuild).length - 1;
+			// An earlier build sends neither the statements of targets nor the eras of
+			// the
+			// tables.
+			HostHeartbeat ofEarlierBuild = heartbeat(List.of(), 0, 0);
+			int lengthOfEarlierBuild = this.codec.encode(ofEarlierBuild).length - 3;
 			for (int length = 0; length < bytes.length; length++) {
 				assertThat(this.codec.decode(Arrays.copyOf(bytes, length)))
 					.isEqualTo((length == lengthOfEarlierBuild) ? ofEarlierBuild : null);
@@ -181,10 +187,10 @@
 		@Test
 		void decodedRowsEqualTheEncodedOnes() {
 			StoreResult.Rows rows = new StoreResult.Rows(List.of(new StoredRow("a", new byte[] { 1, 2 }, 5, false),
-					new StoredRow("b", new byte[0], 6, true)), 9, false);
+					new StoredRow("b", new byte[0], 6, true)), new StoreVersion(3, 9), false);
 			assertThat(this.codec.decode(this.codec.encode(rows))).isInstanceOfSatisfying(StoreResult.Rows.class,
 					(decoded) -> {
-						assertThat(decoded.version()).isEqualTo(9);
+						assertThat(decoded.version()).isEqualTo(new StoreVersion(3, 9));
 						assertThat(decoded.rows()).hasSize(2);
 						assertThat(decoded.rows().get(0).value()).containsExactly(1, 2);
 						assertThat(decoded.rows().get(1).removed()).isTrue();
--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.plantainspur.core.store.StoreResult;
+import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.gateway.peer.PeerTableReaders;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -426,7 +427,7 @@
 				}
 			})) {
 				StoreResult result = new PeerTableReaders(loops.next()).readerOf("127.0.0.1:" + peer.port())
-					.changes("servers", 0, 0)
+					.changes("servers", StoreVersion.NONE, 0)
 					.toCompletableFuture()
 					.get(2, TimeUnit.SECONDS);
 				assertThat(result).isInstanceOf(StoreResult.Unavailable.class);
