--- a/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
@@ -129,7 +129,7 @@
 		this.rewritePending = true;
 		long delayMs = Math.floorMod(this.ownHeartbeat.host().hashCode(), REWRITE_SPREAD_MS);
 		this.scheduler.after(delayMs, () -> writeOwnEntry(() -> this.scheduler
-			.after(this.registeredEra >= era ? 0 : RETRY_DELAY_MS, () -> this.rewritePending = false)));
+			.after((this.registeredEra < era) ? RETRY_DELAY_MS : 0, () -> this.rewritePending = false)));
 	}
 
 	private static String table(String failureDomain) {
