Let a reader that has lost the store take rows from other hosts

What callers saw: the first host of a failure domain, cut off from the store, kept the desired state and the targets from before, though other hosts of its domain had newer ones.

Cause: a host that reads the store always has a call to it pending, also while it waits to repeat a failed one, and leaves changes to that call. Class of fault: a pending call taken for one that will be answered.

Evidence: RestoredStoreTests, isInForceOnAHostThatMeetsTheCopyThrough- AnotherHost: the cut-off host had not taken a change of another host within 5 s; in TableFollowerTests it never fetches.

Change: it leaves the changes to its pending call only while the store answers; a call that has failed since the last response does not count.

--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -111,12 +111,14 @@
 	/**
 	 * Compares the rows with those of another host: fetches the changes if that host has
 	 * newer ones, or the whole table if this host does not have it. Does not wait for a
-	 * pending call to the store, which may take much longer.
+	 * pending call to the store, which may take much longer, but leaves the changes to it
+	 * while the store answers.
 	 * @param source reads the tables of the other host
 	 * @param sourceState the state of that host's replica
 	 */
 	public void fetchFrom(TableReader source, TableState sourceState) {
-		if (this.fetchPending || (this.callPending && this.complete) || !this.replica.state().isBehind(sourceState)) {
+		boolean readingChanges = this.callPending && this.complete && this.lastResponseMs > this.lastFailureMs;
+		if (this.fetchPending || readingChanges || !this.replica.state().isBehind(sourceState)) {
 			return;
 		}
 		fetch(source, !this.complete || !this.replica.version().isSameEra(sourceState.version()));
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -310,6 +310,31 @@
 			assertThat(TableFollowerTests.this.store.calls).containsExactly("list ");
 		}
 
+		@Test
+		void aReaderLeavesTheChangesToItsPendingReadWhileTheStoreAnswers() {
+			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(10);
+			ScriptedStore other = new ScriptedStore();
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			assertThat(other.calls).isEmpty();
+		}
+
+		/** Guards against a reader that is cut off from the store and keeps old rows. */
+		@Test
+		void aReaderThatHasLostTheStoreFetchesFromAnotherHost() {
+			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
+			TableFollowerTests.this.store.results.add(new StoreResult.Unavailable("cut off"));
+			TableFollowerTests.this.follower.follow(true);
+			TableFollowerTests.this.clock.advance(1);
+			runFor(10);
+			ScriptedStore other = new ScriptedStore();
+			other.results.add(rows(7, false, row("b", 7)));
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			runFor(10);
+			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "unavailable", "changed [b]");
+		}
+
 		@Test
 		void theWholeTableIsFetchedWhenTheOtherHostHasLostTheHistory() {
 			readTheStoreOnce();
