Send nothing to targets that are leaving or ask for a pause

What callers saw: requests went on to a target that had said in a response that it was leaving, and to one that had asked for a pause with a 503; the second kind were turned away again.

Leaving lasts as long as the incarnation and is told to all hosts, also by a report that arrives late. Both hold for retries and for requests that wait for a connection.

--- a/core/src/main/java/org/plantainspur/core/target/TargetPermits.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetPermits.java
@@ -14,6 +14,11 @@
 			return true;
 		}
 
+		@Override
+		public boolean isWithdrawn(ObservedTarget target) {
+			return false;
+		}
+
 		@Override
 		public boolean tryTake(ObservedTarget target) {
 			return true;
@@ -33,6 +38,14 @@
 	 */
 	boolean available(ObservedTarget target);
 
+	/**
+	 * Returns whether a permit that was taken holds no longer, since the target has said
+	 * that it is leaving, or asked for a pause.
+	 * @param target the target
+	 * @return {@code true} if a request that waits for a connection must not be sent
+	 */
+	boolean isWithdrawn(ObservedTarget target);
+
 	/**
 	 * Takes the permit for one request.
 	 * @param target the target
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -114,6 +114,7 @@
 			packer.packString(report.target().id())
 				.packLong(report.target().startedMs())
 				.packDouble(report.statement().requestsPerSecond())
+				.packBoolean(report.statement().leaving())
 				.packLong(report.ageMs());
 		}
 	}
@@ -232,7 +233,7 @@
 		List<TargetStatementReport> reports = new ArrayList<>();
 		for (int i = 0; i < size; i++) {
 			reports.add(new TargetStatementReport(new TargetIncarnation(unpacker.unpackString(), unpacker.unpackLong()),
-					new TargetStatement(unpacker.unpackDouble()), unpacker.unpackLong()));
+					new TargetStatement(unpacker.unpackDouble(), unpacker.unpackBoolean()), unpacker.unpackLong()));
 		}
 		return reports;
 	}
