Count no failure of a target for a request that was withheld

It has an outcome of its own now, Withheld, and goes to another target. StatementPermitsTests holds it (isNoFailureOfTheTarget).

--- a/core/src/main/java/org/plantainspur/core/proxy/RetryRules.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/RetryRules.java
@@ -47,7 +47,7 @@
 					&& tryRetry(route, service, sentAttempts);
 			return retry ? new Retry() : new Deliver();
 		}
-		if (outcome instanceof AttemptOutcome.NotSent) {
+		if (outcome instanceof AttemptOutcome.NotSent || outcome instanceof AttemptOutcome.Withheld) {
 			return (!deadlinePassed && unsentAttempts < MAX_UNSENT_ATTEMPTS) ? new Retry()
 					: new Refuse(Refusal.NO_TARGET);
 		}
--- a/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
+++ b/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
@@ -12,7 +12,7 @@
 	 * never will
 	 */
 	default boolean mayHaveRun() {
-		return !(this instanceof Declined || this instanceof NotSent);
+		return !(this instanceof Declined || this instanceof NotSent || this instanceof Withheld);
 	}
 
 	/**
@@ -43,6 +43,13 @@
 	record NotSent(String reason) implements AttemptOutcome {
 	}
 
+	/**
+	 * The request was not sent, since the target said before that it is leaving or wants
+	 * no requests for a while. This tells nothing of the target's health.
+	 */
+	record Withheld() implements AttemptOutcome {
+	}
+
 	/**
 	 * The request was sent, but no complete response arrived, or none that can be used;
 	 * the target may have run the request.
--- a/core/src/main/java/org/plantainspur/core/target/AttemptRecorder.java
+++ b/core/src/main/java/org/plantainspur/core/target/AttemptRecorder.java
@@ -78,7 +78,7 @@
 	}
 
 	private boolean countsAsFailure(String route, AttemptOutcome outcome, long durationMs) {
-		if (outcome instanceof AttemptOutcome.Cancelled) {
+		if (outcome instanceof AttemptOutcome.Cancelled || outcome instanceof AttemptOutcome.Withheld) {
 			return false;
 		}
 		boolean timedOut = outcome instanceof AttemptOutcome.TimedOut
--- a/core/src/test/java/org/plantainspur/core/proxy/RetryRulesTests.java
+++ b/core/src/test/java/org/plantainspur/core/proxy/RetryRulesTests.java
@@ -49,6 +49,7 @@
 		void goesToAnotherTargetWhenItHasNotRun() {
 			assertThat(nextStep(false, new AttemptOutcome.Declined(503, false))).isEqualTo(new RetryRules.Retry());
 			assertThat(nextStep(false, new AttemptOutcome.NotSent("refused"))).isEqualTo(new RetryRules.Retry());
+			assertThat(nextStep(false, new AttemptOutcome.Withheld())).isEqualTo(new RetryRules.Retry());
 		}
 
 		@Test
--- a/core/src/test/java/org/plantainspur/core/target/StatementPermitsTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/StatementPermitsTests.java
@@ -136,6 +136,18 @@
 			assertThat(this.host.permits.isWithdrawn(target)).isTrue();
 		}
 
+		/** Guards against pauses that make a target look unhealthy. */
+		@Test
+		void isNoFailureOfTheTarget() {
+			AttemptRecorder recorder = new AttemptRecorder(this.clock);
+			ObservedTarget target = this.host.registry.target("i-1");
+			assertThat(target).isNotNull();
+			recorder.recordSent(target);
+			assertThat(recorder.recordOutcome(target, "route", new AttemptOutcome.Withheld(), 5)).isFalse();
+			assertThat(target.healthEstimate()).isEqualTo(HealthEstimate.INITIAL);
+			assertThat(new AttemptOutcome.Withheld().mayHaveRun()).isFalse();
+		}
+
 		@Test
 		void isNotReportedToOtherHosts() {
 			this.host.statements.pause(this.first, 2_000);
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -396,7 +396,7 @@
 			}
 			if (ProxiedRequest.this.components.targetPermits().isWithdrawn(this.target)) {
 				acquired.channel().close();
-				end(new AttemptOutcome.NotSent("the target is leaving or asked for a pause"), false);
+				end(new AttemptOutcome.Withheld(), false);
 				return;
 			}
 			this.connection = acquired;
