Count the first read of a table as no loss of rows

Found in reading the change of the store's era: the first read of a host counted as a new era, so a target whose entry was removed within two seconds of it stayed in use for two more. TableFollowerTests fails before.

--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -261,7 +261,8 @@
 			this.listener.outdated(version, this.replica.version());
 			return;
 		}
-		if (!version.isSameEra(this.replica.version())) {
+		boolean firstRead = this.replica.version().equals(StoreVersion.NONE);
+		if (!firstRead && !version.isSameEra(this.replica.version())) {
 			this.eraBeganMs = this.clock.millis();
 		}
 		this.replica.replace(all, version);
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -31,6 +31,8 @@
 
 	private final Deque<Error> listenerFailures = new ArrayDeque<>();
 
+	private long sinceLossMs;
+
 	private final List<Throwable> reportedFailures = new ArrayList<>();
 
 	private final TableFollower follower = new TableFollower("servers", this.store, this.clock,
@@ -46,6 +48,7 @@
 				@Override
 				public void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
 					TableFollowerTests.this.events.add("changed " + keys(rows));
+					TableFollowerTests.this.sinceLossMs = sinceLossMs;
 					failIfPrepared();
 				}
 
@@ -480,6 +483,21 @@
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [b, c, d]");
 		}
 
+		/** Guards against targets that stay in use after their removal near a start. */
+		@Test
+		void isALossOfRowsButTheFirstReadIsNone() {
+			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
+			TableFollowerTests.this.store.results.add(rows(6, false, row("b", 6)));
+			TableFollowerTests.this.follower.follow(true);
+			runFor(10);
+			assertThat(TableFollowerTests.this.sinceLossMs).isGreaterThan(600_000);
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 3, row("a", 1)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 3, row("a", 1)));
+			TableFollowerTests.this.store.results.add(rowsOfEra(2, 4, row("b", 4)));
+			runFor(TableFollower.PAUSE_BETWEEN_READS_MS + 10);
+			assertThat(TableFollowerTests.this.sinceLossMs).isLessThan(1_000);
+		}
+
 		@Test
 		void pagesOfTwoErasAreNotOneTable() {
 			TableFollowerTests.this.store.results.add(rows(100, true, row("a", 1)));
