Log malformed statements, and see that a target is leaving beside one

Found in reading: a malformed limit hid that the target said it was leaving, and was counted but not logged with its value.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -460,14 +460,14 @@
 			TargetStatements statements = ProxiedRequest.this.components.targetStatements();
 			TargetStatement statement = ProxiedRequest.this.targetMapper.toStatement(response);
 			if (statement == null) {
-				countInvalidStatement();
+				reportInvalidStatement(response);
 			}
 			else if (statements.record(this.target.incarnation(), statement)) {
 				ProxiedRequest.this.components.targetHealthListener().targetStatementChanged();
 			}
 			Long pauseMs = declined ? ProxiedRequest.this.targetMapper.toPauseMs(response) : Long.valueOf(0);
 			if (pauseMs == null) {
-				countInvalidStatement();
+				reportInvalidStatement(response);
 			}
 			else if (pauseMs > 0) {
 				statements.pause(this.target.incarnation(), pauseMs);
@@ -477,9 +477,12 @@
 			}
 		}
 
-		private void countInvalidStatement() {
+		private void reportInvalidStatement(HttpResponse response) {
 			ProxiedRequest.this.components.metrics()
 				.count("target_statements_invalid_total", this.target.listing().service());
+			ProxiedRequest.this.components.log()
+				.event("target-statement-invalid", "id", this.target.listing().id(), "headers",
+						ProxiedRequest.this.targetMapper.describeStatement(response));
 		}
 
 		@Override
--- a/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
@@ -101,19 +101,30 @@
 	/**
 	 * Reads what a target says of itself in a response.
 	 * @param response the target's status line and headers
-	 * @return the statement, or {@code null} if a header of it is malformed
+	 * @return the statement, or {@code null} if a header of it is malformed and the
+	 * target is not leaving
 	 */
 	@Nullable TargetStatement toStatement(HttpResponse response) {
-		String limit = response.headers().get(this.headerNames.limit());
-		String leaving = response.headers().get(this.headerNames.leaving());
-		boolean valid = (limit == null || limit.trim().matches(DECIMAL_NUMBER))
-				&& (leaving == null || leaving.trim().equals("1"));
-		if (!valid) {
-			return null;
+		String limit = response.headers().get(this.headerNames.limit(), "");
+		String leaving = response.headers().get(this.headerNames.leaving(), "");
+		boolean limited = limit.matches(DECIMAL_NUMBER);
+		double requestsPerSecond = limited ? Double.parseDouble(limit) : TargetStatement.UNLIMITED;
+		if (leaving.equals("1")) {
+			return new TargetStatement(requestsPerSecond, true);
 		}
-		double requestsPerSecond = (limit != null) ? Double.parseDouble(limit.trim()) : TargetStatement.UNLIMITED;
-		return (limit == null && leaving == null) ? TargetStatement.NONE
-				: new TargetStatement(requestsPerSecond, leaving != null);
+		boolean valid = leaving.isEmpty() && (limited || limit.isEmpty());
+		return valid ? new TargetStatement(requestsPerSecond, false) : null;
+	}
+
+	/**
+	 * Returns the headers of a statement as the target sent them, for the log.
+	 * @param response the target's status line and headers
+	 * @return the values of the headers for the limit, leaving and the pause
+	 */
+	String describeStatement(HttpResponse response) {
+		return this.headerNames.limit() + ": " + response.headers().get(this.headerNames.limit(), "") + ", "
+				+ this.headerNames.leaving() + ": " + response.headers().get(this.headerNames.leaving(), "") + ", "
+				+ HttpHeaderNames.RETRY_AFTER + ": " + response.headers().get(HttpHeaderNames.RETRY_AFTER, "");
 	}
 
 	/**
@@ -127,8 +138,8 @@
 		if (retryAfter == null || response.status().code() != STATUS_UNAVAILABLE) {
 			return 0L;
 		}
-		return retryAfter.trim().matches(DECIMAL_NUMBER)
-				? Math.min(MAX_PAUSE_MS, Math.round(Double.parseDouble(retryAfter.trim()) * MS_PER_SECOND)) : null;
+		return retryAfter.matches(DECIMAL_NUMBER)
+				? Math.min(MAX_PAUSE_MS, Math.round(Double.parseDouble(retryAfter) * MS_PER_SECOND)) : null;
 	}
 
 	/**
