Look up what a target says of itself once for each candidate

StatementPermits is asked for every candidate of every attempt. It looked up the target three times, in methods of TargetStatements that each handled a missing entry, one of them with a pacer made for nothing. It now gets the entry once, and permits at once what has none. No change of behaviour.

--- a/core/src/main/java/org/plantainspur/core/target/StatementPermits.java
+++ b/core/src/main/java/org/plantainspur/core/target/StatementPermits.java
@@ -1,6 +1,5 @@
 package org.plantainspur.core.target;
 
-import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -61,37 +60,48 @@
 
 	@Override
 	public boolean available(ObservedTarget target) {
-		TargetStatement statement = this.statements.of(target.incarnation());
-		return !isWithdrawn(target)
-				&& (!statement.limited() || this.clock.millis() >= nextLimitedMs(target, statement));
+		TargetStatements.Entry entry = this.statements.entry(target.incarnation());
+		return entry == null || isAvailable(target, entry, this.clock.millis());
+	}
+
+	private boolean isAvailable(ObservedTarget target, TargetStatements.Entry entry, long nowMs) {
+		return !isWithdrawn(entry, nowMs)
+				&& (!entry.statement().limited() || nowMs >= nextLimitedMs(target, entry, nowMs));
 	}
 
 	@Override
 	public boolean isWithdrawn(ObservedTarget target) {
-		return this.statements.of(target.incarnation()).leaving()
-				|| this.clock.millis() < this.statements.pausedUntilMs(target.incarnation());
+		TargetStatements.Entry entry = this.statements.entry(target.incarnation());
+		return entry != null && isWithdrawn(entry, this.clock.millis());
+	}
+
+	private static boolean isWithdrawn(TargetStatements.Entry entry, long nowMs) {
+		return entry.statement().leaving() || nowMs < entry.pausedUntilMs();
 	}
 
 	@Override
 	public boolean tryTake(ObservedTarget target) {
-		if (isWithdrawn(target)) {
+		TargetStatements.Entry entry = this.statements.entry(target.incarnation());
+		if (entry == null) {
+			return true;
+		}
+		long nowMs = this.clock.millis();
+		if (isWithdrawn(entry, nowMs)) {
 			return false;
 		}
-		TargetStatement statement = this.statements.of(target.incarnation());
-		if (!statement.limited()) {
+		if (!entry.statement().limited()) {
 			return true;
 		}
-		long intervalMs = intervalMs(target, statement);
-		return intervalMs != Long.MAX_VALUE && this.statements.pacer(target.incarnation())
-			.tryTake(this.clock.millis(), this.share.heldSinceMs(), intervalMs);
+		long intervalMs = intervalMs(target, entry.statement());
+		return intervalMs != Long.MAX_VALUE && entry.pacer().tryTake(nowMs, this.share.heldSinceMs(), intervalMs);
 	}
 
 	// Returns when the limit permits the next request, Long.MAX_VALUE if this host has no
 	// share.
-	private long nextLimitedMs(ObservedTarget target, TargetStatement statement) {
-		long intervalMs = intervalMs(target, statement);
-		return (intervalMs != Long.MAX_VALUE) ? this.statements.pacer(target.incarnation())
-			.nextMs(this.clock.millis(), this.share.heldSinceMs(), intervalMs) : Long.MAX_VALUE;
+	private long nextLimitedMs(ObservedTarget target, TargetStatements.Entry entry, long nowMs) {
+		long intervalMs = intervalMs(target, entry.statement());
+		return (intervalMs != Long.MAX_VALUE) ? entry.pacer().nextMs(nowMs, this.share.heldSinceMs(), intervalMs)
+				: Long.MAX_VALUE;
 	}
 
 	private long intervalMs(ObservedTarget target, TargetStatement statement) {
@@ -108,26 +118,26 @@
 
 	@Override
 	public long retryAfterMs(String service) {
-		List<ObservedTarget> withholding = this.registry.targets(service)
-			.stream()
-			.filter((target) -> !this.statements.of(target.incarnation()).leaving() && !available(target))
-			.toList();
-		if (withholding.isEmpty()) {
-			return 0;
-		}
 		long nowMs = this.clock.millis();
 		long firstMs = Long.MAX_VALUE;
 		double ownPerMs = 0;
 		double allPerMs = 0;
-		for (ObservedTarget target : withholding) {
-			TargetStatement statement = this.statements.of(target.incarnation());
+		for (ObservedTarget target : this.registry.targets(service)) {
+			TargetStatements.Entry entry = this.statements.entry(target.incarnation());
+			if (entry == null || entry.statement().leaving() || isAvailable(target, entry, nowMs)) {
+				continue;
+			}
+			TargetStatement statement = entry.statement();
 			boolean limited = statement.limited();
 			long intervalMs = limited ? intervalMs(target, statement) : RETURN_SPACING_MS;
-			long limitedMs = limited ? nextLimitedMs(target, statement) : nowMs;
-			firstMs = Math.min(firstMs, Math.max(limitedMs, this.statements.pausedUntilMs(target.incarnation())));
+			long limitedMs = limited ? nextLimitedMs(target, entry, nowMs) : nowMs;
+			firstMs = Math.min(firstMs, Math.max(limitedMs, entry.pausedUntilMs()));
 			ownPerMs += (intervalMs != Long.MAX_VALUE) ? 1.0 / intervalMs : 0;
 			allPerMs += limited ? limit(statement) / MS_PER_SECOND : 0;
 		}
+		if (ownPerMs + allPerMs == 0) {
+			return 0;
+		}
 		// The callers of a host without a share find room at the hosts that have one.
 		long spacingMs = (long) Math.ceil(1 / ((ownPerMs > 0) ? ownPerMs : allPerMs));
 		long earliestMs = (ownPerMs > 0) ? firstMs : nowMs + spacingMs;
--- a/core/src/main/java/org/plantainspur/core/target/TargetStatements.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetStatements.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
 
+import org.jspecify.annotations.Nullable;
+
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -84,17 +86,6 @@
 				Math::max);
 	}
 
-	/**
-	 * Returns until when a target wants nothing from this host.
-	 * @param target the target
-	 * @return the time of the clock in milliseconds, in the past if it has not asked for
-	 * a pause
-	 */
-	long pausedUntilMs(TargetIncarnation target) {
-		Entry entry = this.entries.get(target);
-		return (entry != null) ? entry.pausedUntilMs.get() : Long.MIN_VALUE;
-	}
-
 	private boolean update(TargetIncarnation target, TargetStatement statement, long saidMs) {
 		Entry entry = this.entries.get(target);
 		if (entry == null) {
@@ -113,17 +104,17 @@
 	 */
 	public TargetStatement of(TargetIncarnation target) {
 		Entry entry = this.entries.get(target);
-		return (entry != null) ? entry.said.get().statement() : TargetStatement.NONE;
+		return (entry != null) ? entry.statement() : TargetStatement.NONE;
 	}
 
 	/**
-	 * Returns what paces this host's requests to a target that names a limit.
+	 * Returns all that is kept of a target.
 	 * @param target the target
-	 * @return the same pacer for as long as a statement of the target is kept
+	 * @return its entry, {@code null} if the target has neither made a statement nor
+	 * asked for a pause
 	 */
-	RequestPacer pacer(TargetIncarnation target) {
-		Entry entry = this.entries.get(target);
-		return (entry != null) ? entry.pacer : new RequestPacer();
+	@Nullable Entry entry(TargetIncarnation target) {
+		return this.entries.get(target);
 	}
 
 	/**
@@ -185,9 +176,10 @@
 
 	}
 
-	private static final class Entry {
-
-		private final RequestPacer pacer = new RequestPacer();
+	/**
+	 * What is kept of one incarnation of a target.
+	 */
+	static final class Entry {
 
 		private static final Said NOT_STATED = new Said(TargetStatement.NONE, Long.MIN_VALUE / 2);
 
@@ -195,6 +187,33 @@
 
 		private final AtomicLong pausedUntilMs = new AtomicLong(Long.MIN_VALUE);
 
+		private final RequestPacer pacer = new RequestPacer();
+
+		/**
+		 * Returns what the target says of itself.
+		 * @return its last statement, {@link TargetStatement#NONE} if it has made none
+		 */
+		TargetStatement statement() {
+			return this.said.get().statement();
+		}
+
+		/**
+		 * Returns until when the target wants nothing from this host.
+		 * @return the time of the clock in milliseconds, in the past if it has not asked
+		 * for a pause
+		 */
+		long pausedUntilMs() {
+			return this.pausedUntilMs.get();
+		}
+
+		/**
+		 * Returns what paces this host's requests to the target while it names a limit.
+		 * @return always the same pacer
+		 */
+		RequestPacer pacer() {
+			return this.pacer;
+		}
+
 		// Returns whether the target has made a statement, other than asking for a pause.
 		private boolean stated() {
 			return this.said.get() != NOT_STATED;
