Collect reports for other domains on the representative only

Every host sorted the statements of targets ten times a second and threw them away unless it was the representative of its failure domain. No change of behaviour.

--- a/gateway/src/main/java/org/plantainspur/gateway/DomainRepresentative.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/DomainRepresentative.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 
 import org.plantainspur.core.fleet.AccountUsage;
@@ -93,11 +94,11 @@
 	 * @param ownHeartbeat this host's last heartbeat
 	 * @param domainHosts the heartbeats of the failure domain's live hosts, this one
 	 * included, in order of their names
-	 * @param statements what targets say of themselves
+	 * @param statements supplies what targets say of themselves
 	 * @param now the reading of the host's clock, in milliseconds
 	 */
-	void sendDue(HostHeartbeat ownHeartbeat, List<HostHeartbeat> domainHosts, List<TargetStatementReport> statements,
-			long now) {
+	void sendDue(HostHeartbeat ownHeartbeat, List<HostHeartbeat> domainHosts,
+			Supplier<List<TargetStatementReport>> statements, long now) {
 		if (!domainHosts.get(0).host().equals(ownHeartbeat.host())) {
 			this.accountsNearLimit.clear();
 			this.targetUpdates.clear();
@@ -110,8 +111,9 @@
 			this.accountsNearLimit.clear();
 		}
 		RegionTargetUpdates.Batch batch = this.targetUpdates.take(now);
-		this.region.send(ownHeartbeat, usage, batch, statements);
-		this.otherRegions.send(ownHeartbeat, usage, RegionTargetUpdates.Batch.EMPTY, statements);
+		List<TargetStatementReport> reports = statements.get();
+		this.region.send(ownHeartbeat, usage, batch, reports);
+		this.otherRegions.send(ownHeartbeat, usage, RegionTargetUpdates.Batch.EMPTY, reports);
 	}
 
 	private DomainDigest digest(HostHeartbeat ownHeartbeat, Map<String, AccountUsage> usage,
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -309,7 +309,7 @@
 		this.registry.writeAgainIn(this.storeSynchronizer.storeEra());
 		if (this.clock.millis() - this.startedMs >= DISCOVERY_MS) {
 			this.representative.sendDue(this.ownHeartbeat.get(), this.view.domainHosts(this.ownHeartbeat.get()),
-					this.hostState.targetStatements().reports(), this.clock.millis());
+					this.hostState.targetStatements()::reports, this.clock.millis());
 		}
 	}
 
--- a/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
@@ -69,7 +69,7 @@
 
 	private void sendDueAt(long now) {
 		this.representative.sendDue(this.ownHeartbeat,
-				List.of(this.ownHeartbeat, heartbeat("a2", "pdx-a", List.of(), List.of())), List.of(), now);
+				List.of(this.ownHeartbeat, heartbeat("a2", "pdx-a", List.of(), List.of())), List::of, now);
 	}
 
 	/**
@@ -108,7 +108,7 @@
 			DomainRepresentativeTests.this.representative.receive(heartbeat("a2", "pdx-a", List.of("i-1"), List.of()));
 			DomainRepresentativeTests.this.representative.sendDue(DomainRepresentativeTests.this.ownHeartbeat, List
 				.of(heartbeat("a0", "pdx-a", List.of(), List.of()), DomainRepresentativeTests.this.ownHeartbeat),
-					List.of(), 0);
+					List::of, 0);
 			assertThat(DomainRepresentativeTests.this.sent).isEmpty();
 		}
 
