--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -29,7 +29,6 @@
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
 import org.plantainspur.core.target.TargetStatement;
-import org.plantainspur.core.target.TargetStatements;
 
 /**
  * Carries one request of a caller from its arrival to its response: admission, the
@@ -457,20 +456,25 @@
 			if (!declined && !(outcome instanceof AttemptOutcome.Answered)) {
 				return;
 			}
-			TargetStatements statements = ProxiedRequest.this.components.targetStatements();
 			TargetStatement statement = ProxiedRequest.this.targetMapper.toStatement(response);
 			if (statement == null) {
 				reportInvalidStatement(response);
 			}
-			else if (statements.record(this.target.incarnation(), statement)) {
+			else if (ProxiedRequest.this.components.targetStatements().record(this.target.incarnation(), statement)) {
 				ProxiedRequest.this.components.targetHealthListener().targetStatementChanged();
 			}
-			Long pauseMs = declined ? ProxiedRequest.this.targetMapper.toPauseMs(response) : Long.valueOf(0);
+			if (declined) {
+				recordPause(response);
+			}
+		}
+
+		private void recordPause(HttpResponse response) {
+			Long pauseMs = ProxiedRequest.this.targetMapper.toPauseMs(response);
 			if (pauseMs == null) {
 				reportInvalidStatement(response);
 			}
 			else if (pauseMs > 0) {
-				statements.pause(this.target.incarnation(), pauseMs);
+				ProxiedRequest.this.components.targetStatements().pause(this.target.incarnation(), pauseMs);
 				ProxiedRequest.this.components.metrics().count("target_pauses_total", this.target.listing().service());
 				ProxiedRequest.this.components.log()
 					.event("target-paused", "id", this.target.listing().id(), "pauseMs", pauseMs);
