Open the fixture of the gateway's tests in one base class

They extend AbstractGatewayTests now. No assertion changes.

DuplicatingTargetsTests keeps its own fixture, as its timer ends with it.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/CrashingRequestTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CrashingRequestTests.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -15,27 +14,19 @@
  * Guards against a request that crashes each target which begins to run it, and that its
  * caller sends again at any host: the work of others on these targets is lost each time.
  */
-class CrashingRequestTests {
+class CrashingRequestTests extends AbstractGatewayTests {
 
 	private static final int TARGETS = 8;
 
 	private final AtomicInteger crashes = new AtomicInteger();
 
-	private GatewayFixture fixture;
-
 	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
+	void prepare() throws IOException {
 		for (int i = 0; i < TARGETS; i++) {
 			startCrashableTarget("i-" + i);
 		}
 	}
 
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	// Starts a target that ends for good when a request whose id begins with "crash"
 	// arrives.
 	private void startCrashableTarget(String targetId) throws IOException {
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -336,6 +336,10 @@
 		}
 	}
 
+	static long nowMs() {
+		return System.nanoTime() / 1_000_000;
+	}
+
 	static void sleep(long milliseconds) {
 		try {
 			Thread.sleep(milliseconds);
--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayTests.java
@@ -11,8 +11,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -28,22 +26,10 @@
  * need when targets, callers or the table store fail. Runs entry hosts with a stand-in
  * for the platform's table store.
  */
-class GatewayTests {
-
-	private GatewayFixture fixture;
+class GatewayTests extends AbstractGatewayTests {
 
 	private final List<Request> receivedRequests = new CopyOnWriteArrayList<>();
 
-	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
-	}
-
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	private void respond(ServerExchange exchange) throws IOException {
 		this.receivedRequests.add(exchange.request());
 		exchange.respond(GatewayFixture.signedResponse(attemptId(exchange), "done"));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostileTargetsTests.java
@@ -20,8 +20,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.jspecify.annotations.Nullable;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,19 +36,7 @@
  * Guards against targets in trouble that send bytes which are no answer, or an answer
  * that belongs to another request.
  */
-class HostileTargetsTests {
-
-	private GatewayFixture fixture;
-
-	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
-	}
-
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
+class HostileTargetsTests extends AbstractGatewayTests {
 
 	private static String response(String id, String body) {
 		return "HTTP/1.1 200 OK\r\nX-Plantainspur-Attempt-Id: " + id
--- a/standins/src/test/java/org/plantainspur/standins/gateway/MalformedMessagesTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/MalformedMessagesTests.java
@@ -9,7 +9,6 @@
 import java.util.Arrays;
 import java.util.Random;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -20,29 +19,21 @@
  * Guards against a malformed message, to any port of a host, that ends the host or makes
  * it stop serving others.
  */
-class MalformedMessagesTests {
+class MalformedMessagesTests extends AbstractGatewayTests {
 
 	private static final int MESSAGES = 150;
 
 	private final Random random = new Random(4_711);
 
-	private GatewayFixture fixture;
-
 	private GatewayFixture.Host host;
 
 	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
+	void prepare() throws IOException {
 		this.fixture.startTarget("i-1", (exchange) -> exchange.respond(GatewayFixture
 			.signedResponse(String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id")), "done")));
 		this.host = this.fixture.startReadyHost("a1");
 	}
 
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	// Changes, removes or repeats some bytes.
 	private byte[] changed(byte[] valid) {
 		byte[] bytes = valid.clone();
--- a/standins/src/test/java/org/plantainspur/standins/gateway/OddEntriesTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/OddEntriesTests.java
@@ -5,8 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,22 +18,10 @@
  * Guards against a host that ends or stops following a table of the store because another
  * writer left one odd entry in it.
  */
-class OddEntriesTests {
+class OddEntriesTests extends AbstractGatewayTests {
 
 	private final Set<String> usedTargets = ConcurrentHashMap.newKeySet();
 
-	private GatewayFixture fixture;
-
-	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
-	}
-
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	private void startTarget(String id) throws IOException {
 		this.fixture.startTarget(id, (exchange) -> respond(id, exchange));
 	}
--- a/standins/src/test/java/org/plantainspur/standins/gateway/OutOfTouchTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/OutOfTouchTests.java
@@ -5,8 +5,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -18,22 +16,10 @@
  * Guards against state of a host that is out of touch with the store, and against wrong
  * conclusions about a machine that is only silent.
  */
-class OutOfTouchTests {
+class OutOfTouchTests extends AbstractGatewayTests {
 
 	private static final int TABLES_OUT_OF_DATE_MILLIS = 3_500;
 
-	private GatewayFixture fixture;
-
-	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
-	}
-
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	private static void respond(ServerExchange exchange) throws IOException {
 		String id = String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id"));
 		exchange.respond(GatewayFixture.signedResponse(id, "done"));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/PipelinedRequestsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/PipelinedRequestsTests.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -21,31 +20,23 @@
  * Guards against pipelined requests whose times add up, that run twice, or whose
  * responses are mixed up.
  */
-class PipelinedRequestsTests {
+class PipelinedRequestsTests extends AbstractGatewayTests {
 
 	/** How long a request whose id begins with "slow" runs at a target. */
 	private static final int SLOW_MILLIS = 500;
 
 	private final List<String> events = new CopyOnWriteArrayList<>();
 
-	private GatewayFixture fixture;
-
 	private GatewayFixture.Host host;
 
 	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
+	void prepare() throws IOException {
 		for (String id : List.of("i-1", "i-2", "i-3")) {
 			this.fixture.startTarget(id, this::respond);
 		}
 		this.host = this.fixture.startReadyHost("a1");
 	}
 
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	private void respond(ServerExchange exchange) throws IOException {
 		String id = String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id"));
 		this.events.add("begin " + id);
--- a/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
@@ -16,8 +16,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.jspecify.annotations.Nullable;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,19 +28,7 @@
 /**
  * Guards against requests that are cut off without an answer while their host stops.
  */
-class PlannedStopTests {
-
-	private GatewayFixture fixture;
-
-	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
-	}
-
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
+class PlannedStopTests extends AbstractGatewayTests {
 
 	private static String attemptId(ServerExchange exchange) {
 		return String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id"));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/RestoredStoreTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/RestoredStoreTests.java
@@ -7,8 +7,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -21,7 +19,7 @@
  * Guards against hosts that keep the rows from before when the store comes back from a
  * copy that lacks its latest rows, and gives out their versions again.
  */
-class RestoredStoreTests {
+class RestoredStoreTests extends AbstractGatewayTests {
 
 	/** The time within which a change must be in force. */
 	private static final long APPLY_MS = 2_500;
@@ -33,18 +31,6 @@
 
 	private final Map<String, AtomicInteger> requestsByTarget = new ConcurrentHashMap<>();
 
-	private GatewayFixture fixture;
-
-	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
-	}
-
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	private TableStoreStandIn store() {
 		return this.fixture.store();
 	}
@@ -81,6 +67,15 @@
 		}
 	}
 
+	// Copies the store, then puts the second key in force and writes other rows.
+	private TableStoreStandIn.Copy copyBeforeTheSecondKey(List<GatewayFixture.Host> hosts, int otherRows) {
+		TableStoreStandIn.Copy copy = store().copy();
+		this.fixture.writeDesiredState("second-key");
+		writeOtherRows(otherRows);
+		assertInForceWithin(APPLY_MS, hosts, "second-key", 200);
+		return copy;
+	}
+
 	private int calls() {
 		return Stream.of(CALLS).mapToInt((path) -> store().callCount(path)).sum();
 	}
@@ -97,10 +92,7 @@
 		void isInForceThoughItsVersionWasGivenOutBefore() throws Exception {
 			startTarget("i-1");
 			List<GatewayFixture.Host> hosts = startHosts();
-			TableStoreStandIn.Copy copy = store().copy();
-			RestoredStoreTests.this.fixture.writeDesiredState("second-key");
-			writeOtherRows(50);
-			assertInForceWithin(APPLY_MS, hosts, "second-key", 200);
+			TableStoreStandIn.Copy copy = copyBeforeTheSecondKey(hosts, 50);
 			store().restore(copy);
 			RestoredStoreTests.this.fixture.writeDesiredState("second-key");
 			GatewayFixture.sleep(1_000);
@@ -113,10 +105,7 @@
 		void isInForceWhenTheStoreHasAlreadyPassedTheVersionOfTheHosts() throws Exception {
 			startTarget("i-1");
 			List<GatewayFixture.Host> hosts = startHosts();
-			TableStoreStandIn.Copy copy = store().copy();
-			RestoredStoreTests.this.fixture.writeDesiredState("second-key");
-			writeOtherRows(5);
-			assertInForceWithin(APPLY_MS, hosts, "second-key", 200);
+			TableStoreStandIn.Copy copy = copyBeforeTheSecondKey(hosts, 5);
 			synchronized (store()) {
 				store().restore(copy);
 				RestoredStoreTests.this.fixture.writeDesiredState("third-key");
--- a/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -22,7 +21,7 @@
  * Guards against targets that get more requests than the limit that they name in their
  * responses, summed over all hosts.
  */
-class TargetLimitTests {
+class TargetLimitTests extends AbstractGatewayTests {
 
 	private static final double LIMIT = 2;
 
@@ -36,8 +35,6 @@
 	/** The time between two requests of one caller. */
 	private static final long REQUEST_INTERVAL_MS = 60;
 
-	private GatewayFixture fixture;
-
 	private final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
 
 	private final Queue<Exchange> exchanges = new ConcurrentLinkedQueue<>();
@@ -45,27 +42,17 @@
 	private volatile boolean limited = true;
 
 	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
+	void prepare() throws IOException {
 		this.fixture.writeDesiredStateWithoutRateLimit();
 	}
 
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
-	private static long nowMs() {
-		return System.nanoTime() / 1_000_000;
-	}
-
 	private static Response answer(String id) {
 		return GatewayFixture.signedResponse(id, "done");
 	}
 
 	private void startLimitedTarget(String id) throws IOException {
 		this.fixture.startTarget(id, (exchange) -> {
-			this.arrivals.add(nowMs());
+			this.arrivals.add(GatewayFixture.nowMs());
 			Response response = answer(String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id")));
 			exchange.respond(this.limited ? response.withHeader("Server-Limit", String.valueOf(LIMIT)) : response);
 		});
@@ -79,14 +66,14 @@
 	// Sends requests to each host, one after another, until the time has passed.
 	private void sendFor(long durationMs, List<GatewayFixture.Host> hosts) throws InterruptedException {
 		ExecutorService callers = Executors.newFixedThreadPool(hosts.size());
-		long endMs = nowMs() + durationMs;
+		long endMs = GatewayFixture.nowMs() + durationMs;
 		for (GatewayFixture.Host host : hosts) {
 			callers.execute(() -> {
-				while (nowMs() < endMs) {
-					long startMs = nowMs();
+				while (GatewayFixture.nowMs() < endMs) {
+					long startMs = GatewayFixture.nowMs();
 					String response = GatewayFixture.sendRequest(host.port(),
 							GatewayFixture.requestText("GET", "/read/1", "r" + System.nanoTime(), ""));
-					this.exchanges.add(new Exchange(startMs, nowMs() - startMs, response));
+					this.exchanges.add(new Exchange(startMs, GatewayFixture.nowMs() - startMs, response));
 					GatewayFixture.sleep(REQUEST_INTERVAL_MS);
 				}
 			});
@@ -121,7 +108,7 @@
 			startLimitedTarget("i-1");
 			startTarget("i-2");
 			List<GatewayFixture.Host> hosts = startHosts("a1", "a2", "a3");
-			long startMs = nowMs();
+			long startMs = GatewayFixture.nowMs();
 			sendFor(APPLY_MS + 2 * WINDOW_MS, hosts);
 			assertThat(mostArrivalsInAWindow(startMs + APPLY_MS)).isLessThanOrEqualTo((int) ALLOWED_IN_WINDOW);
 			assertThat(TargetLimitTests.this.exchanges)
@@ -137,7 +124,7 @@
 		void requestsThatFindNoRoomAreRefusedAtOnceWithTheTimeToReturn() throws Exception {
 			startLimitedTarget("i-1");
 			List<GatewayFixture.Host> hosts = startHosts("a1", "a2");
-			long startMs = nowMs();
+			long startMs = GatewayFixture.nowMs();
 			sendFor(APPLY_MS + WINDOW_MS, hosts);
 			assertThat(mostArrivalsInAWindow(startMs + APPLY_MS)).isLessThanOrEqualTo((int) ALLOWED_IN_WINDOW);
 			List<Exchange> late = TargetLimitTests.this.exchanges.stream()
@@ -161,7 +148,7 @@
 			sendFor(APPLY_MS, hosts);
 			TargetLimitTests.this.limited = false;
 			sendFor(APPLY_MS, hosts);
-			long startMs = nowMs();
+			long startMs = GatewayFixture.nowMs();
 			sendFor(WINDOW_MS, hosts);
 			assertThat(TargetLimitTests.this.exchanges).filteredOn((exchange) -> exchange.startMs() >= startMs)
 				.hasSizeGreaterThan((int) ALLOWED_IN_WINDOW)
--- a/standins/src/test/java/org/plantainspur/standins/gateway/TargetRequestsToStopTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/TargetRequestsToStopTests.java
@@ -4,7 +4,6 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -17,36 +16,24 @@
  * Guards against requests to targets that have said in a response that they want none:
  * for a while, or since they are leaving.
  */
-class TargetRequestsToStopTests {
+class TargetRequestsToStopTests extends AbstractGatewayTests {
 
 	/** The time after a response until which requests that were on their way arrive. */
 	private static final long MARGIN_MS = 500;
 
 	private static final long PAUSE_MS = 3_000;
 
-	private GatewayFixture fixture;
-
 	private final Queue<Long> arrivals = new ConcurrentLinkedQueue<>();
 
 	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
+	void prepare() throws IOException {
 		this.fixture.writeDesiredStateWithoutRateLimit();
 	}
 
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
-	private static long nowMs() {
-		return System.nanoTime() / 1_000_000;
-	}
-
 	private void startTarget(String id, boolean counted, Response response) throws IOException {
 		this.fixture.startTarget(id, (exchange) -> {
 			if (counted) {
-				this.arrivals.add(nowMs());
+				this.arrivals.add(GatewayFixture.nowMs());
 			}
 			exchange.respond(response.withHeader("X-Plantainspur-Attempt-Id",
 					String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id"))));
@@ -112,7 +99,7 @@
 			startTarget("i-2", false, success());
 			GatewayFixture.Host host = TargetRequestsToStopTests.this.fixture.startReadyHost("a1");
 			long firstMs = sendUntilArrival(host);
-			while (nowMs() < firstMs + PAUSE_MS) {
+			while (GatewayFixture.nowMs() < firstMs + PAUSE_MS) {
 				assertThat(send(host)).startsWith("HTTP/1.1 200");
 				GatewayFixture.sleep(20);
 			}
@@ -127,9 +114,9 @@
 			startTarget("i-1", true, decline());
 			GatewayFixture.Host host = TargetRequestsToStopTests.this.fixture.startReadyHost("a1");
 			long firstMs = sendUntilArrival(host);
-			long startMs = nowMs();
+			long startMs = GatewayFixture.nowMs();
 			String response = send(host);
-			assertThat(nowMs() - startMs).isLessThan(MARGIN_MS);
+			assertThat(GatewayFixture.nowMs() - startMs).isLessThan(MARGIN_MS);
 			assertThat(response).startsWith("HTTP/1.1 503");
 			double retryAfterMs = 1_000
 					* Double.parseDouble(response.replaceAll("(?is).*retry-after: ([0-9.]+).*", "$1"));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/UploadTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/UploadTests.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -24,23 +23,15 @@
  * Guards against long request bodies that run twice, are passed on with more time than
  * their callers wait, or use up the memory of the host.
  */
-class UploadTests {
+class UploadTests extends AbstractGatewayTests {
 
 	private static final int BODY_BYTES = 1 << 20;
 
-	private GatewayFixture fixture;
-
 	@BeforeEach
-	void open() throws IOException {
-		this.fixture = new GatewayFixture();
+	void prepare() throws IOException {
 		this.fixture.writeDesiredStateWithMaxBody(4 << 20);
 	}
 
-	@AfterEach
-	void close() throws Exception {
-		this.fixture.close();
-	}
-
 	private static String attemptId(ServerExchange exchange) {
 		return String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id"));
 	}
