--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -253,6 +253,9 @@
 			this.digestsForAllHosts.addAll(otherDomainDigests);
 			scheduleUrgentHeartbeat();
 		}
+		if (!heartbeat.failedTargets().isEmpty()) {
+			this.log.event("targets-reported-failed", "host", heartbeat.host(), "targets", heartbeat.failedTargets());
+		}
 		recordRemoteTargetHealth(heartbeat.failedTargets(), heartbeat.recoveredTargets());
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -26,6 +26,7 @@
 import org.plantainspur.core.proxy.RetryRules;
 import org.plantainspur.core.request.RequestFingerprint;
 import org.plantainspur.core.target.AttemptOutcome;
+import org.plantainspur.core.target.ConnectFailure;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
 import org.plantainspur.core.target.TargetStatement;
@@ -217,7 +218,7 @@
 		Attempt attempt = new Attempt(target, admittedRoute);
 		this.currentAttempt = attempt;
 		this.components.attemptRecorder().recordSent(target);
-		this.connectionPool.acquire(target.listing(), this.requestId, retryable, attempt::connectionReady);
+		this.connectionPool.acquire(target.listing(), this.requestId, retryable, attempt);
 	}
 
 	private void refuseWithoutTarget() {
@@ -359,7 +360,8 @@
 
 	}
 
-	private final class Attempt implements ProxyTargetConnection.ResponseListener {
+	private final class Attempt
+			implements ProxyTargetConnection.ResponseListener, ProxyTargetConnectionPool.ConnectionCallback {
 
 		private final ObservedTarget target;
 
@@ -382,15 +384,17 @@
 			this.admittedRoute = admittedRoute;
 		}
 
-		private void connectionReady(@Nullable ProxyTargetConnection acquired) {
-			if (this.ended) {
-				if (acquired != null) {
-					acquired.channel().close();
-				}
-				return;
+		@Override
+		public void failed(ConnectFailure failure) {
+			if (!this.ended) {
+				end(new AttemptOutcome.NotSent(failure.reason()), false);
 			}
-			if (acquired == null) {
-				end(new AttemptOutcome.NotSent("connecting to the target failed"), false);
+		}
+
+		@Override
+		public void connected(ProxyTargetConnection acquired) {
+			if (this.ended) {
+				acquired.channel().close();
 				return;
 			}
 			if (ProxiedRequest.this.components.targetPermits().isWithdrawn(this.target)) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -7,13 +7,13 @@
 import java.util.Iterator;
 import java.util.Locale;
 import java.util.Map;
-import java.util.function.Consumer;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -21,6 +21,7 @@
 
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.BufferBudget;
+import org.plantainspur.core.target.ConnectFailure;
 import org.plantainspur.core.target.TargetListing;
 import org.plantainspur.core.target.TargetProcess;
 import org.plantainspur.core.time.Clock;
@@ -81,13 +82,12 @@
 	 * @param target the target's listing, with its address
 	 * @param requestId the id of the request that the connection is for
 	 * @param retryable whether the request may be retried if the connection fails
-	 * @param callback receives the connection, or {@code null} if connecting failed
+	 * @param callback receives the connection, or why there is none
 	 */
-	void acquire(TargetListing target, String requestId, boolean retryable,
-			Consumer<@Nullable ProxyTargetConnection> callback) {
+	void acquire(TargetListing target, String requestId, boolean retryable, ConnectionCallback callback) {
 		ProxyTargetConnection pooled = takeIdle(target.process(), requestId, retryable);
 		if (pooled != null) {
-			callback.accept(pooled);
+			callback.connected(pooled);
 			return;
 		}
 		ProxyTargetConnection connection = new ProxyTargetConnection(this.requestIdHeader, this.bufferBudget,
@@ -105,8 +105,16 @@
 
 			})
 			.connect(new InetSocketAddress(target.host(), target.port()));
-		connecting
-			.addListener((ChannelFutureListener) (future) -> callback.accept(future.isSuccess() ? connection : null));
+		connecting.addListener((ChannelFutureListener) (future) -> {
+			if (future.isSuccess()) {
+				callback.connected(connection);
+				return;
+			}
+			ConnectFailure failure = (future.cause() instanceof ConnectTimeoutException) ? ConnectFailure.SILENT
+					: ConnectFailure.REFUSED;
+			this.metrics.count("target_connects_failed_total", failure.name().toLowerCase(Locale.ROOT));
+			callback.failed(failure);
+		});
 	}
 
 	private @Nullable ProxyTargetConnection takeIdle(TargetProcess process, String requestId, boolean retryable) {
@@ -157,6 +165,17 @@
 		}
 	}
 
+	/**
+	 * Receives a connection.
+	 */
+	interface ConnectionCallback {
+
+		void connected(ProxyTargetConnection connection);
+
+		void failed(ConnectFailure failure);
+
+	}
+
 	private record IdleConnection(ProxyTargetConnection connection, long sinceMs) {
 	}
 
