--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 
+import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.testing.FreePorts;
 import org.plantainspur.gateway.GatewayHost;
 import org.plantainspur.gateway.GatewayShutdown;
@@ -103,6 +104,14 @@
 		return server;
 	}
 
+	/** Starts a target of any service in any failure domain. */
+	StandInServer startTarget(String service, String id, String failureDomain, Handler handler) throws IOException {
+		StandInServer server = new StandInServer("127.0.0.1", 0, handler);
+		this.resources.add(server);
+		listTarget(service, id, server.port(), "ready", failureDomain);
+		return server;
+	}
+
 	/**
 	 * Starts a target whose connections the given handler serves as raw streams, and
 	 * lists it in the table store as ready.
@@ -240,6 +249,24 @@
 		return host;
 	}
 
+	/**
+	 * Starts a host whose paths to the targets can be cut, and waits until it is ready.
+	 * @param failureDomain the failure domain of the host
+	 * @param regions the lines of the settings that assign failure domains to regions
+	 */
+	CuttableHost startReadyCuttableHost(String name, String failureDomain, String regions) throws IOException {
+		int[] ports = freePorts();
+		DecisionLog log = (event, fields) -> this.logLines.add(name + " " + event + " " + List.of(fields));
+		HostPaths paths = new HostPaths(PlatformHostFactory.adapter(log));
+		GatewayHost gateway = PlatformHostFactory.create("node.conf",
+				settings(name, failureDomain, regions, ports, this.store.port(), GRACE_SECONDS), log, paths);
+		Host host = new Host(gateway, gateway.start(), ports);
+		this.resources.add(paths);
+		this.resources.add(gateway);
+		awaitReady(host);
+		return new CuttableHost(host, paths);
+	}
+
 	private static String settings(String name, String failureDomain, String regions, int[] ports, int storePort,
 			int graceSeconds) {
 		return """
@@ -253,17 +280,20 @@
 				internalPorts=%d,%d
 				platform.address=127.0.0.1:%d
 				bounds=graceS=%d,retryBudgetRatio=0.2,budgetExtra=60
-				""".formatted(name, failureDomain, regions, ports[0], ports[1], ports[2], ports[3], ports[3] + 1,
+				""".formatted(name, failureDomain, regions, ports[0], ports[1], ports[2], ports[3], ports[3] + 2,
 				storePort, graceSeconds);
 	}
 
-	// The peer port serves UDP and TCP; the next higher port serves metrics.
+	// The peer port serves UDP and TCP; the two next higher ports serve metrics and
+	// relayed requests.
 	private static int[] freePorts() throws IOException {
 		int[] ports = { FreePorts.next(), FreePorts.next(), FreePorts.next(), FreePorts.next() };
 		int metricsPort = FreePorts.next();
-		while (metricsPort != ports[3] + 1 || !isUdpPortFree(ports[3])) {
+		int relayPort = FreePorts.next();
+		while (relayPort != ports[3] + 2 || !isUdpPortFree(ports[3])) {
 			ports[3] = metricsPort;
-			metricsPort = FreePorts.next();
+			metricsPort = relayPort;
+			relayPort = FreePorts.next();
 		}
 		return ports;
 	}
@@ -357,6 +387,14 @@
 		this.store.close();
 	}
 
+	record CuttableHost(Host host, HostPaths paths) {
+
+		int port() {
+			return this.host.port();
+		}
+
+	}
+
 	record HostProcess(Process process, int port, Path log) {
 	}
 
