--- a/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/HostHeartbeat.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import org.plantainspur.core.health.RequestCrash;
+import org.plantainspur.core.reach.HostReach;
 import org.plantainspur.core.store.TableStates;
 import org.plantainspur.core.target.TargetStatementReport;
 
@@ -32,12 +33,14 @@
  * @param digests the digests of whole failure domains
  * @param requestCrashes the crashes of targets that requests have caused
  * @param targetStatements what targets say of themselves, as far as this host knows
+ * @param reach which targets the host reaches, {@link HostReach#NONE} while no host is
+ * cut off
  */
 public record HostHeartbeat(String host, long startMs, String failureDomain, String callerAddress, String peerAddress,
 		double cores, boolean acceptingCallers, long version, TableStates tables, long storeAgeMs,
 		Map<String, AccountUsage> usage, List<String> accountsNearLimit, List<String> failedTargets,
 		List<String> recoveredTargets, List<DomainDigest> digests, List<RequestCrash> requestCrashes,
-		List<TargetStatementReport> targetStatements) {
+		List<TargetStatementReport> targetStatements, HostReach reach) {
 
 	public HostHeartbeat {
 		usage = Map.copyOf(usage);
@@ -49,6 +52,42 @@
 		targetStatements = List.copyOf(targetStatements);
 	}
 
+	/**
+	 * Creates a heartbeat that tells nothing of the host's paths to targets.
+	 */
+	public HostHeartbeat(String host, long startMs, String failureDomain, String callerAddress, String peerAddress,
+			double cores, boolean acceptingCallers, long version, TableStates tables, long storeAgeMs,
+			Map<String, AccountUsage> usage, List<String> accountsNearLimit, List<String> failedTargets,
+			List<String> recoveredTargets, List<DomainDigest> digests, List<RequestCrash> requestCrashes,
+			List<TargetStatementReport> targetStatements) {
+		this(host, startMs, failureDomain, callerAddress, peerAddress, cores, acceptingCallers, version, tables,
+				storeAgeMs, usage, accountsNearLimit, failedTargets, recoveredTargets, digests, requestCrashes,
+				targetStatements, HostReach.NONE);
+	}
+
+	/**
+	 * Returns this heartbeat with what the host tells of its paths to targets.
+	 * @param newReach the paths
+	 * @return a changed copy
+	 */
+	public HostHeartbeat withReach(HostReach newReach) {
+		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
+				this.cores, this.acceptingCallers, this.version, this.tables, this.storeAgeMs, this.usage,
+				this.accountsNearLimit, this.failedTargets, this.recoveredTargets, this.digests, this.requestCrashes,
+				this.targetStatements, newReach);
+	}
+
+	/**
+	 * Returns a heartbeat of the same host that tells only of its paths to targets.
+	 * @param newReach the paths
+	 * @return a changed copy
+	 */
+	public HostHeartbeat onlyReach(HostReach newReach) {
+		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
+				this.cores, this.acceptingCallers, this.version, TableStates.NONE, this.storeAgeMs, Map.of(), List.of(),
+				List.of(), List.of(), List.of(), List.of(), List.of(), newReach);
+	}
+
 	/**
 	 * Returns this heartbeat with other digests.
 	 * @param newDigests the digests of the copy
@@ -58,7 +97,7 @@
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, this.acceptingCallers, this.version, this.tables, this.storeAgeMs, this.usage,
 				this.accountsNearLimit, this.failedTargets, this.recoveredTargets, newDigests, this.requestCrashes,
-				this.targetStatements);
+				this.targetStatements, this.reach);
 	}
 
 	/**
@@ -84,7 +123,8 @@
 	public HostHeartbeat presumedAccepting() {
 		return new HostHeartbeat(this.host, this.startMs, this.failureDomain, this.callerAddress, this.peerAddress,
 				this.cores, true, this.version, this.tables, this.storeAgeMs, this.usage, this.accountsNearLimit,
-				this.failedTargets, this.recoveredTargets, this.digests, this.requestCrashes, this.targetStatements);
+				this.failedTargets, this.recoveredTargets, this.digests, this.requestCrashes, this.targetStatements,
+				this.reach);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/health/SequentialCrashQuarantine.java
+++ b/core/src/main/java/org/plantainspur/core/health/SequentialCrashQuarantine.java
@@ -162,6 +162,18 @@
 		}
 	}
 
+	/**
+	 * Discards the crashes that this host has seen since a time, because its connections
+	 * were lost for another reason.
+	 * @param sinceMs the clock's reading from which on crashes are discarded
+	 */
+	public void discardSince(long sinceMs) {
+		replace((next) -> {
+			next.replaceAll((fingerprint, suspicion) -> suspicion.withoutSeenSince(sinceMs));
+			next.values().removeIf((suspicion) -> suspicion.crashes().isEmpty());
+		});
+	}
+
 	/**
 	 * Returns the crashes that other hosts must know of, and forgets expired ones. Must
 	 * be called regularly.
@@ -296,6 +308,13 @@
 					&& this.crashes.stream().anyMatch((crash) -> crash.isRefutedBy(targetId, sentMs));
 		}
 
+		// Crashes that other hosts have seen name no target.
+		Suspicion withoutSeenSince(long sinceMs) {
+			return new Suspicion(this.crashes.stream()
+				.filter((crash) -> crash.targetId().isEmpty() || crash.crashedMs() < sinceMs)
+				.toList(), this.probeUntilMs);
+		}
+
 		Suspicion withoutRefuted(String targetId, long sentMs) {
 			return isRefutedBy(targetId, sentMs) ? new Suspicion(
 					this.crashes.stream().filter((crash) -> !crash.isRefutedBy(targetId, sentMs)).toList(),
--- a/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/Refusal.java
@@ -27,6 +27,9 @@
 	/** The service has no target that could run the request. */
 	NO_TARGET(503, true, 400),
 
+	/** The hosts that reach a target have no room to relay the request. */
+	RELAYS_BUSY(503, true, 200),
+
 	/** The targets that could run the request name limits that are used up. */
 	TARGETS_LIMITED(503, true, 1_000),
 
--- a/core/src/main/java/org/plantainspur/core/proxy/RetryRules.java
+++ b/core/src/main/java/org/plantainspur/core/proxy/RetryRules.java
@@ -12,9 +12,10 @@
 
 	/**
 	 * The limit of attempts that reached no target. They cost a target nothing, so the
-	 * route's limit of attempts does not apply to them.
+	 * route's limit of attempts does not apply to them. Leaves room for a closed path and
+	 * for hosts that cannot relay.
 	 */
-	static final int MAX_UNSENT_ATTEMPTS = 3;
+	static final int MAX_UNSENT_ATTEMPTS = 5;
 
 	/**
 	 * The limit of attempts that reached a target, if the targets decline the request. A
@@ -60,7 +61,20 @@
 		if (route.idempotent() && !deadlinePassed && tryRetry(route, service, sentAttempts)) {
 			return new Retry();
 		}
-		return new Refuse((outcome instanceof AttemptOutcome.TimedOut) ? Refusal.TIMED_OUT : Refusal.BROKEN);
+		boolean timedOut = outcome instanceof AttemptOutcome.TimedOut
+				|| outcome instanceof AttemptOutcome.RelayLost lost && lost.timedOut();
+		return new Refuse(timedOut ? Refusal.TIMED_OUT : Refusal.BROKEN);
+	}
+
+	/**
+	 * Returns whether an attempt whose connection takes long to open may be given up for
+	 * one on another path.
+	 * @param unsentAttempts the number of attempts that reached no target, this one
+	 * included
+	 * @return {@code false} if it should wait for its connection
+	 */
+	public boolean mayLeaveSlowPath(int unsentAttempts) {
+		return unsentAttempts < MAX_UNSENT_ATTEMPTS;
 	}
 
 	/**
--- /dev/null
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -0,0 +1,348 @@
+package org.plantainspur.core.reach;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+
+import org.jspecify.annotations.Nullable;
+
+import org.plantainspur.core.target.HostLocation;
+import org.plantainspur.core.time.Clock;
+
+/**
+ * The hosts that may relay attempts of this host, with what they tell of their own paths
+ * and what relayed attempts have shown. The nearest host that is known to reach targets
+ * is preferred; a target always gets the same one of a few, so that few connections are
+ * opened and the load is spread. Thread-safe.
+ */
+public final class RelayHosts {
+
+	/** The hosts at one distance that share the relayed attempts of this host. */
+	static final int HOSTS_IN_USE = 3;
+
+	/** The relayed attempts that one host runs for this host at a time. */
+	static final int MAX_IN_FLIGHT = 16;
+
+	/** How long a host counts as cut off after it has said so. */
+	static final long CUT_OFF_VALID_MS = 2_000;
+
+	/** How long a host that could not be connected to is avoided. */
+	static final long UNAVAILABLE_MS = 1_000;
+
+	/** How long a host is avoided that did not reach a target and may be cut off. */
+	static final long SUSPECT_MS = 300;
+
+	/** How long a target is not sent over a host that did not reach it. */
+	static final long UNREACHED_MS = 2_000;
+
+	/** Cost of a host that is not known to reach targets, in steps of distance. */
+	private static final double UNKNOWN_RANK = 1.5;
+
+	private final HostLocation location;
+
+	private final String ownName;
+
+	private final Clock clock;
+
+	private final AtomicReference<List<RelayHost>> hosts = new AtomicReference<>(List.of());
+
+	private final ConcurrentMap<String, Belief> beliefs = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a set without hosts.
+	 * @param ownName the name of this host
+	 * @param location the failure domain of this host and the regions of all domains
+	 * @param clock the host's clock
+	 */
+	public RelayHosts(String ownName, HostLocation location, Clock clock) {
+		this.ownName = ownName;
+		this.location = location;
+		this.clock = clock;
+	}
+
+	/**
+	 * Replaces the hosts.
+	 * @param candidates the hosts that may relay, without this one
+	 */
+	public void replace(Collection<RelayHost> candidates) {
+		// Each host has another order, so that hosts which are cut off together use
+		// different ones.
+		List<RelayHost> sorted = candidates.stream()
+			.sorted(Comparator.comparingInt(this::distance)
+				.thenComparingInt((host) -> mixedHash(this.ownName, host.name())))
+			.toList();
+		this.hosts.set(sorted);
+	}
+
+	/**
+	 * Forgets hosts that are gone, and what was known of targets long ago.
+	 * @param names the names of the hosts that are known to the fleet
+	 */
+	public void removeOld(Set<String> names) {
+		long nowMs = this.clock.millis();
+		this.beliefs.keySet().retainAll(names);
+		this.beliefs.values().forEach((belief) -> {
+			belief.unreached.values().removeIf((untilMs) -> nowMs >= untilMs);
+			belief.reached.values().removeIf((reachedMs) -> nowMs - reachedMs >= DirectPaths.PROOF_VALID_MS);
+		});
+	}
+
+	private int distance(RelayHost host) {
+		return this.location.distanceTo(host.failureDomain()).ordinal();
+	}
+
+	private static int mixedHash(String first, String second) {
+		int hash = 31 * first.hashCode() + second.hashCode();
+		hash = (hash ^ (hash >>> 16)) * 0x85ebca6b;
+		return hash ^ (hash >>> 13);
+	}
+
+	/**
+	 * Records what a host tells of its paths.
+	 * @param host the host's name
+	 * @param reach its paths
+	 */
+	public void receive(String host, HostReach reach) {
+		if (reach.equals(HostReach.NONE) && !this.beliefs.containsKey(host)) {
+			return;
+		}
+		long nowMs = this.clock.millis();
+		Belief belief = belief(host);
+		belief.cutOffUntilMs = (reach.state() == HostReach.State.CUT_OFF) ? nowMs + CUT_OFF_VALID_MS : PathState.NEVER;
+		if (reach.state() == HostReach.State.CONNECTED) {
+			belief.provenMs = nowMs;
+		}
+		reach.closedTargets().forEach((target) -> belief.unreached.put(target, nowMs + UNREACHED_MS));
+	}
+
+	/**
+	 * Returns whether another host is known to be cut off.
+	 * @return {@code true} if one has said so recently
+	 */
+	public boolean isAnyCutOff() {
+		long nowMs = this.clock.millis();
+		return this.beliefs.values().stream().anyMatch((belief) -> nowMs < belief.cutOffUntilMs);
+	}
+
+	/**
+	 * Returns whether a host is known to reach targets.
+	 * @param distance the distance of the host
+	 * @return {@code true} if attempts can be relayed at this distance
+	 */
+	public boolean isAnyConnected(HostLocation.Distance distance) {
+		long nowMs = this.clock.millis();
+		return this.hosts.get()
+			.stream()
+			.filter((host) -> distance(host) == distance.ordinal())
+			.map((host) -> belief(host.name()))
+			.anyMatch((belief) -> belief.isUsable(nowMs) && belief.isProven(nowMs));
+	}
+
+	/**
+	 * Returns the hosts that are needed while no near one is known to reach targets: the
+	 * first few at each distance that are not known to be cut off.
+	 * @param distance the distance of the hosts
+	 * @return hosts in order of preference
+	 */
+	public List<RelayHost> candidates(HostLocation.Distance distance) {
+		long nowMs = this.clock.millis();
+		return this.hosts.get()
+			.stream()
+			.filter((host) -> distance(host) == distance.ordinal() && belief(host.name()).isUsable(nowMs))
+			.limit(HOSTS_IN_USE)
+			.toList();
+	}
+
+	/**
+	 * Returns the host that relays an attempt.
+	 * @param targetId the identity of the attempt's target
+	 * @return the host, or {@code null} if none is known that may reach the target and
+	 * has room
+	 */
+	@Nullable RelayHost choose(String targetId) {
+		long nowMs = this.clock.millis();
+		Map<Double, List<RelayHost>> byRank = this.hosts.get()
+			.stream()
+			.filter((host) -> belief(host.name()).mayReach(targetId, nowMs))
+			.collect(Collectors.groupingBy((host) -> rank(host, nowMs)));
+		return byRank.entrySet()
+			.stream()
+			.min(Map.Entry.comparingByKey())
+			.flatMap((nearest) -> nearest.getValue()
+				.stream()
+				.limit(HOSTS_IN_USE)
+				.min(Comparator.comparingInt((host) -> mixedHash(host.name(), targetId))))
+			.orElse(null);
+	}
+
+	private double rank(RelayHost host, long nowMs) {
+		return distance(host) + (belief(host.name()).isProven(nowMs) ? 0 : UNKNOWN_RANK);
+	}
+
+	/**
+	 * Returns whether the last host that connected to a target reached it.
+	 * @param targetId the target's identity
+	 * @return {@code true} if a relayed attempt at the target was answered recently
+	 */
+	boolean isReached(String targetId) {
+		long nowMs = this.clock.millis();
+		return this.beliefs.values()
+			.stream()
+			.anyMatch((belief) -> nowMs
+					- belief.reached.getOrDefault(targetId, PathState.NEVER) < DirectPaths.PROOF_VALID_MS);
+	}
+
+	/**
+	 * Returns how many hosts that reach other targets do not reach this one.
+	 * @param targetId the target's identity
+	 * @return a number of hosts
+	 */
+	int unreachedCount(String targetId) {
+		long nowMs = this.clock.millis();
+		return (int) this.beliefs.values()
+			.stream()
+			.filter((belief) -> belief.isProven(nowMs)
+					&& nowMs < belief.unreached.getOrDefault(targetId, PathState.NEVER))
+			.count();
+	}
+
+	/**
+	 * Records that an attempt is being sent over a host. Each call is followed by
+	 * {@link #recordEnd}.
+	 * @param host the host
+	 */
+	public void recordSent(RelayHost host) {
+		belief(host.name()).inFlight.incrementAndGet();
+	}
+
+	/**
+	 * Records that a relayed attempt has ended.
+	 * @param host the host
+	 */
+	public void recordEnd(RelayHost host) {
+		belief(host.name()).inFlight.decrementAndGet();
+	}
+
+	/**
+	 * Records that a target has answered over a host.
+	 * @param host the host
+	 * @param targetId the target's identity
+	 */
+	public void recordReached(RelayHost host, String targetId) {
+		long nowMs = this.clock.millis();
+		Belief belief = belief(host.name());
+		belief.provenMs = nowMs;
+		belief.reached.put(targetId, nowMs);
+		belief.unreached.remove(targetId);
+	}
+
+	/**
+	 * Records that a host did not reach a target.
+	 * @param host the host
+	 * @param targetId the target's identity
+	 * @param reachesOthers whether the host reaches other targets
+	 */
+	public void recordUnreached(RelayHost host, String targetId, boolean reachesOthers) {
+		long nowMs = this.clock.millis();
+		Belief belief = belief(host.name());
+		belief.reached.remove(targetId);
+		belief.unreached.put(targetId, nowMs + UNREACHED_MS);
+		if (reachesOthers) {
+			belief.provenMs = nowMs;
+		}
+		else {
+			belief.provenMs = PathState.NEVER;
+			belief.avoidUntilMs = nowMs + SUSPECT_MS;
+		}
+	}
+
+	/**
+	 * Records that a host is cut off itself.
+	 * @param host the host
+	 */
+	public void recordCutOff(RelayHost host) {
+		belief(host.name()).cutOffUntilMs = this.clock.millis() + CUT_OFF_VALID_MS;
+	}
+
+	/**
+	 * Records that a host could not be connected to, or takes no attempts now.
+	 * @param host the host
+	 */
+	public void recordUnavailable(RelayHost host) {
+		belief(host.name()).avoidUntilMs = this.clock.millis() + UNAVAILABLE_MS;
+	}
+
+	/**
+	 * Records that a host has no room.
+	 * @param host the host
+	 * @param retryAfterMs when it expects to have room, in milliseconds from now
+	 */
+	public void recordBusy(RelayHost host, long retryAfterMs) {
+		belief(host.name()).busyUntilMs = this.clock.millis() + retryAfterMs;
+	}
+
+	/**
+	 * Returns when the caller of a request should come back that found no host with room.
+	 * @return the delay in milliseconds, 0 if no host lacks only room
+	 */
+	public long retryAfterMs() {
+		long nowMs = this.clock.millis();
+		return this.hosts.get()
+			.stream()
+			.map((host) -> belief(host.name()))
+			.filter((belief) -> belief.isUsable(nowMs) && !belief.hasRoom(nowMs))
+			.mapToLong((belief) -> Math.max(belief.busyUntilMs - nowMs, RelayAdmission.RETRY_AFTER_MS))
+			.min()
+			.orElse(0);
+	}
+
+	private Belief belief(String host) {
+		return this.beliefs.computeIfAbsent(host, (name) -> new Belief());
+	}
+
+	/**
+	 * What is known of one host. Each field is written on its own; a reader that sees an
+	 * older one only chooses another host.
+	 */
+	private static final class Belief {
+
+		private final AtomicInteger inFlight = new AtomicInteger();
+
+		private final ConcurrentMap<String, Long> unreached = new ConcurrentHashMap<>();
+
+		private final ConcurrentMap<String, Long> reached = new ConcurrentHashMap<>();
+
+		private volatile long cutOffUntilMs = PathState.NEVER;
+
+		private volatile long avoidUntilMs = PathState.NEVER;
+
+		private volatile long busyUntilMs = PathState.NEVER;
+
+		private volatile long provenMs = PathState.NEVER;
+
+		private boolean isUsable(long nowMs) {
+			return nowMs >= this.cutOffUntilMs && nowMs >= this.avoidUntilMs;
+		}
+
+		private boolean isProven(long nowMs) {
+			return nowMs - this.provenMs < DirectPaths.PROOF_VALID_MS;
+		}
+
+		private boolean hasRoom(long nowMs) {
+			return nowMs >= this.busyUntilMs && this.inFlight.get() < MAX_IN_FLIGHT;
+		}
+
+		private boolean mayReach(String targetId, long nowMs) {
+			return isUsable(nowMs) && hasRoom(nowMs) && nowMs >= this.unreached.getOrDefault(targetId, PathState.NEVER);
+		}
+
+	}
+
+}
--- a/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
+++ b/core/src/main/java/org/plantainspur/core/target/AttemptOutcome.java
@@ -12,7 +12,24 @@
 	 * never will
 	 */
 	default boolean mayHaveRun() {
-		return !(this instanceof Declined || this instanceof NotSent || this instanceof Withheld);
+		return reachedTarget() && !(this instanceof Declined);
+	}
+
+	/**
+	 * Returns whether the request may have reached the target.
+	 * @return {@code false} if nothing of it was sent to the target
+	 */
+	default boolean reachedTarget() {
+		return !(this instanceof NotSent || this instanceof Withheld);
+	}
+
+	/**
+	 * Returns whether the outcome tells something of the target, and not only of the path
+	 * to it.
+	 * @return {@code false} if it says nothing of the target's health
+	 */
+	default boolean concernsTarget() {
+		return reachedTarget() && !(this instanceof Cancelled || this instanceof RelayLost);
 	}
 
 	/**
@@ -74,6 +91,16 @@
 	record TimedOut() implements AttemptOutcome {
 	}
 
+	/**
+	 * The request was sent to another host to be relayed, and the connection to that host
+	 * ended or gave no response in time; the target may have run the request.
+	 *
+	 * @param reason the observed error, as text for the log
+	 * @param timedOut whether no response arrived in time
+	 */
+	record RelayLost(String reason, boolean timedOut) implements AttemptOutcome {
+	}
+
 	/** The request was cancelled because its caller disconnected; it may have run. */
 	record Cancelled() implements AttemptOutcome {
 	}
--- a/core/src/main/java/org/plantainspur/core/target/AttemptRecorder.java
+++ b/core/src/main/java/org/plantainspur/core/target/AttemptRecorder.java
@@ -78,7 +78,7 @@
 	}
 
 	private boolean countsAsFailure(String route, AttemptOutcome outcome, long durationMs) {
-		if (outcome instanceof AttemptOutcome.Cancelled || outcome instanceof AttemptOutcome.Withheld) {
+		if (!outcome.concernsTarget()) {
 			return false;
 		}
 		boolean timedOut = outcome instanceof AttemptOutcome.TimedOut
--- a/core/src/main/java/org/plantainspur/core/target/LowestCostSelector.java
+++ b/core/src/main/java/org/plantainspur/core/target/LowestCostSelector.java
@@ -7,6 +7,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.core.reach.PathChooser;
 import org.plantainspur.core.time.Clock;
 
 /**
@@ -159,6 +160,8 @@
 
 	private final TargetPermits permits;
 
+	private final PathChooser paths;
+
 	private final Clock clock;
 
 	private final DoubleSupplier random;
@@ -171,6 +174,7 @@
 	 * @param subset the targets of the failure domain that this host prefers
 	 * @param location the failure domain of this host and the regions of all domains
 	 * @param permits tells whether a target takes a request now
+	 * @param paths chooses the path to a target
 	 * @param floorShare the fraction of a service's targets, from 0 to 1, that stays in
 	 * use while the service fails many requests
 	 * @param clock the host's clock
@@ -178,49 +182,53 @@
 	 * almost equal cost
 	 */
 	public LowestCostSelector(TargetRegistry registry, AttemptRecorder recorder, TargetSubset subset,
-			HostLocation location, TargetPermits permits, double floorShare, Clock clock, DoubleSupplier random) {
+			HostLocation location, TargetPermits permits, PathChooser paths, double floorShare, Clock clock,
+			DoubleSupplier random) {
 		this.registry = registry;
 		this.recorder = recorder;
 		this.subset = subset;
 		this.location = location;
 		this.permits = permits;
+		this.paths = paths;
 		this.floorShare = floorShare;
 		this.clock = clock;
 		this.random = random;
 	}
 
 	@Override
-	public @Nullable ObservedTarget select(String service, Predicate<ObservedTarget> eligible, AttemptProfile profile) {
-		ObservedTarget best = lowestCost(service, eligible, profile);
+	public @Nullable Selection select(String service, Predicate<ObservedTarget> eligible, AttemptProfile profile) {
+		Selection best = lowestCost(service, eligible, profile);
 		// Another thread may have taken the permit in the meantime; the target is not
 		// available then.
-		while (best != null && !this.permits.tryTake(best)) {
+		while (best != null && !this.permits.tryTake(best.target())) {
 			best = lowestCost(service, eligible, profile);
 		}
 		return best;
 	}
 
-	private @Nullable ObservedTarget lowestCost(String service, Predicate<ObservedTarget> eligible,
-			AttemptProfile profile) {
+	private @Nullable Selection lowestCost(String service, Predicate<ObservedTarget> eligible, AttemptProfile profile) {
 		List<ObservedTarget> targets = this.registry.targets(service);
 		long now = this.clock.millis();
 		boolean keepFloor = this.recorder.failureRate(service) >= FLOOR_FAILURE_RATE;
 		double avoidanceThreshold = keepFloor ? avoidanceThreshold(targets, now) : HealthEstimate.PRIOR;
-		ObservedTarget best = null;
+		Selection best = null;
 		double bestCost = Double.MAX_VALUE;
 		int index = 0;
 		for (ObservedTarget target : targets) {
 			boolean sameDomain = this.location
 				.distanceTo(target.listing().failureDomain()) == HostLocation.Distance.SAME_DOMAIN;
 			boolean otherSubset = sameDomain && !this.subset.contains(index++);
-			if (eligible.test(target) && this.permits.available(target)) {
-				double cost = cost(target, avoidanceThreshold, profile, now) + (otherSubset ? OTHER_SUBSET_COST : 0);
-				if (sameDomain && !otherSubset && (isProbeDue(target, profile, now)
+			PathChooser.Choice path = (eligible.test(target) && this.permits.available(target))
+					? this.paths.choose(target, profile.openConnections()) : null;
+			if (path != null) {
+				double cost = cost(target, avoidanceThreshold, profile, now) + path.cost()
+						+ (otherSubset ? OTHER_SUBSET_COST : 0);
+				if (sameDomain && !otherSubset && !path.doubtful() && (isProbeDue(target, profile, now)
 						|| (keepFloor && isFloorRequestDue(target, avoidanceThreshold, now)))) {
 					cost -= FLOOR_GAIN;
 				}
 				if (cost < bestCost) {
-					best = target;
+					best = new Selection(target, path.path());
 					bestCost = cost;
 				}
 			}
--- a/core/src/main/java/org/plantainspur/core/target/TargetRegistry.java
+++ b/core/src/main/java/org/plantainspur/core/target/TargetRegistry.java
@@ -64,6 +64,14 @@
 		return this.current.get().byId().keySet();
 	}
 
+	/**
+	 * Returns the services that have targets which may get requests.
+	 * @return the names of the services, an unmodifiable collection
+	 */
+	public Collection<String> services() {
+		return this.current.get().byService().keySet();
+	}
+
 	/**
 	 * Replaces the targets. A target keeps its observed state while its process is the
 	 * same, also if other fields of its listing change.
--- /dev/null
+++ b/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
@@ -0,0 +1,180 @@
+package org.plantainspur.core.reach;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.plantainspur.core.target.ConnectFailure;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against wrong conclusions from connects that fail: whose fault it is, and when a
+ * path may be used again.
+ */
+class DirectPathsTests {
+
+	private final ReachFixture fleet = new ReachFixture(4, "s", "t", "u");
+
+	private final DirectPaths paths = this.fleet.paths;
+
+	private void fail(String... ids) {
+		for (String id : ids) {
+			this.paths.recordFailed(this.fleet.process(id), ConnectFailure.REFUSED);
+		}
+	}
+
+	private void connect(String id) {
+		this.paths.recordConnected(this.fleet.process(id));
+	}
+
+	@Nested
+	class CutOff {
+
+		@Test
+		void afterTargetsOfSeveralServicesHaveFailed() {
+			fail("s1", "s2", "t1");
+			assertThat(DirectPathsTests.this.paths.isCutOff()).isTrue();
+			assertThat(DirectPathsTests.this.paths.reach().state()).isEqualTo(HostReach.State.CUT_OFF);
+		}
+
+		@Test
+		void notWhenOneServiceFailsAsAWhole() {
+			fail("s1", "s2", "s3", "s4");
+			assertThat(DirectPathsTests.this.paths.isCutOff()).isFalse();
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("t1"))).isTrue();
+		}
+
+		@Test
+		void notWhileOtherTargetsAnswer() {
+			fail("s1", "s2");
+			DirectPathsTests.this.fleet.clock.advance(1);
+			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
+			DirectPathsTests.this.fleet.clock.advance(1);
+			fail("t1");
+			assertThat(DirectPathsTests.this.paths.isCutOff()).isFalse();
+		}
+
+		@Test
+		void notByFailuresThatAreFarApart() {
+			fail("s1", "s2");
+			DirectPathsTests.this.fleet.clock.advance(DirectPaths.FAILURE_VALID_MS);
+			fail("t1");
+			assertThat(DirectPathsTests.this.paths.isCutOff()).isFalse();
+		}
+
+		@Test
+		void endsWithTheFirstConnectSoThatOtherTargetsAreTriedAgain() {
+			fail("s1", "s2", "t1");
+			DirectPathsTests.this.fleet.clock.advance(5_000);
+			connect("s2");
+			assertThat(DirectPathsTests.this.paths.isCutOff()).isFalse();
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("s1"))).isTrue();
+			fail("s1");
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("s1"))).isFalse();
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("t1"))).isTrue();
+		}
+
+		@Test
+		void withASingleTargetOfASingleService() {
+			ReachFixture single = new ReachFixture(1, "s");
+			single.paths.recordFailed(single.process("s1"), ConnectFailure.SILENT);
+			assertThat(single.paths.isCutOff()).isTrue();
+		}
+
+	}
+
+	@Nested
+	class PathThatComesAndGoes {
+
+		@Test
+		void isNotUsedAgainBeforeItHasBeenStable() {
+			for (int i = 0; i < 4; i++) {
+				fail("s1");
+				DirectPathsTests.this.fleet.clock.advance(1_000);
+				connect("s1");
+				if (i > 0) {
+					assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("s1"))).isFalse();
+				}
+				DirectPathsTests.this.fleet.clock.advance(500);
+				connect("s1");
+				DirectPathsTests.this.fleet.clock.advance(500);
+			}
+			DirectPathsTests.this.fleet.clock.advance(4 * PathState.FIRST_HOLD_MS);
+			connect("s1");
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("s1"))).isTrue();
+		}
+
+		@Test
+		void keepsAllTargetsRelayedIfTheHostIsCutOffByTurns() {
+			int changes = 0;
+			boolean cutOff = false;
+			for (int i = 0; i < 20; i++) {
+				fail("s1", "t1", "u1", "s2", "t2");
+				DirectPathsTests.this.fleet.clock.advance(1_000);
+				connect("s1");
+				connect("t1");
+				changes += (DirectPathsTests.this.paths.isCutOff() != cutOff) ? 1 : 0;
+				cutOff = DirectPathsTests.this.paths.isCutOff();
+				DirectPathsTests.this.fleet.clock.advance(1_000);
+			}
+			assertThat(changes).isLessThanOrEqualTo(2);
+		}
+
+	}
+
+	@Nested
+	class OpenConnections {
+
+		@Test
+		void liveOnWhereConnectsAreRefused() {
+			fail("s1");
+			assertThat(DirectPathsTests.this.paths.connectionsProvenSinceMs(DirectPathsTests.this.fleet.process("s1")))
+				.isEqualTo(PathState.NEVER);
+		}
+
+		@Test
+		void mustHaveAnsweredSinceConnectsGetNoAnswer() {
+			DirectPathsTests.this.paths.recordFailed(DirectPathsTests.this.fleet.process("s1"), ConnectFailure.SILENT);
+			assertThat(DirectPathsTests.this.paths.connectionsProvenSinceMs(DirectPathsTests.this.fleet.process("s1")))
+				.isEqualTo(DirectPathsTests.this.fleet.clock.millis());
+		}
+
+	}
+
+	@Nested
+	class PathsThatClosedTogether {
+
+		@Test
+		void areTriedTogetherWhenOneOpens() {
+			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
+			fail("s1", "s2");
+			DirectPathsTests.this.fleet.clock.advance(PathState.RELAPSE_MS);
+			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
+			fail("t1");
+			connect("s1");
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("s2"))).isTrue();
+			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("t1"))).isFalse();
+		}
+
+	}
+
+	@Nested
+	class Report {
+
+		@Test
+		void isEmptyOnAHostWithoutClosedPathsAndSigns() {
+			assertThat(DirectPathsTests.this.paths.reach()).isEqualTo(HostReach.NONE);
+		}
+
+		@Test
+		void namesTheClosedTargets() {
+			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
+			fail("s1");
+			HostReach reach = DirectPathsTests.this.paths.reach();
+			assertThat(reach.state()).isEqualTo(HostReach.State.CONNECTED);
+			assertThat(reach.closedTargets()).containsExactly("s1");
+		}
+
+	}
+
+}
--- a/core/src/test/java/org/plantainspur/core/target/LowestCostSelectorTests.java
+++ b/core/src/test/java/org/plantainspur/core/target/LowestCostSelectorTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.plantainspur.core.reach.PathChooser;
 import org.plantainspur.core.time.ManualClock;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -29,8 +30,8 @@
 	private final TargetSubset subset = new TargetSubset();
 
 	private final LowestCostSelector selector = new LowestCostSelector(this.registry, this.recorder, this.subset,
-			new HostLocation("pdx-a", Map.of("pdx-a", "pdx", "pdx-b", "pdx", "sea-a", "sea")), TargetPermits.ALL, 0.7,
-			this.clock, () -> 0.5);
+			new HostLocation("pdx-a", Map.of("pdx-a", "pdx", "pdx-b", "pdx", "sea-a", "sea")), TargetPermits.ALL,
+			PathChooser.DIRECT, 0.7, this.clock, () -> 0.5);
 
 	private static TargetListing listing(String id, String domain, boolean leaving) {
 		return new TargetListing(id, "booking", "127.0.0.1", 80, domain, 4, leaving, 0, 0);
@@ -41,10 +42,10 @@
 	}
 
 	private String select(String... ineligibleIds) {
-		ObservedTarget target = this.selector.select("booking",
+		TargetSelector.Selection selection = this.selector.select("booking",
 				(candidate) -> !Set.of(ineligibleIds).contains(candidate.listing().id()),
-				new TargetSelector.AttemptProfile("route", false, 1_200));
-		return (target != null) ? target.listing().id() : "none";
+				new TargetSelector.AttemptProfile("route", false, 1_200, PathChooser.OpenConnections.NONE));
+		return (selection != null) ? selection.target().listing().id() : "none";
 	}
 
 	private void addInFlight(String id, int requests) {
@@ -150,7 +151,7 @@
 				registries.add(registry);
 				recorders.add(recorder);
 				selectors.add(new LowestCostSelector(registry, recorder, subset, new HostLocation("pdx-a", Map.of()),
-						TargetPermits.ALL, 0.7, simulationClock, random::nextDouble));
+						TargetPermits.ALL, PathChooser.DIRECT, 0.7, simulationClock, random::nextDouble));
 			}
 			int queued = 0;
 			PriorityQueue<long[]> completions = new PriorityQueue<>(
@@ -167,7 +168,9 @@
 				}
 				int host = random.nextInt(3);
 				ObservedTarget selected = selectors.get(host)
-					.select("s", (target) -> true, new TargetSelector.AttemptProfile("route", false, 0));
+					.select("s", (target) -> true,
+							new TargetSelector.AttemptProfile("route", false, 0, PathChooser.OpenConnections.NONE))
+					.target();
 				int targetNumber = Integer.parseInt(selected.listing().id().substring(1));
 				queued += (running[targetNumber] >= 2) ? 1 : 0;
 				running[targetNumber]++;
@@ -387,8 +390,10 @@
 				if (request % 20 == 0) {
 					windows.add(new HashSet<>());
 				}
-				ObservedTarget selected = LowestCostSelectorTests.this.selector.select("booking", (target) -> true,
-						new TargetSelector.AttemptProfile("route", true, 0));
+				ObservedTarget selected = LowestCostSelectorTests.this.selector
+					.select("booking", (target) -> true,
+							new TargetSelector.AttemptProfile("route", true, 0, PathChooser.OpenConnections.NONE))
+					.target();
 				assertThat(selected).isNotNull();
 				windows.getLast().add(selected.listing().id());
 				if (selected.listing().id().equals("t0")) {
@@ -410,8 +415,10 @@
 			recordSuccess("healthy", 100);
 			recordSuccess("healthy", 100);
 			assertThat(select()).as("not retryable").isEqualTo("healthy");
-			ObservedTarget probed = LowestCostSelectorTests.this.selector.select("booking", (target) -> true,
-					new TargetSelector.AttemptProfile("route", true, 0));
+			ObservedTarget probed = LowestCostSelectorTests.this.selector
+				.select("booking", (target) -> true,
+						new TargetSelector.AttemptProfile("route", true, 0, PathChooser.OpenConnections.NONE))
+				.target();
 			assertThat(probed).isNotNull();
 			assertThat(probed.listing().id()).isEqualTo("failed");
 		}
@@ -423,8 +430,10 @@
 			LowestCostSelectorTests.this.clock.advance(8_000);
 			recordSuccess("healthy", 100);
 			addInFlight("failed", 1);
-			ObservedTarget probed = LowestCostSelectorTests.this.selector.select("booking", (target) -> true,
-					new TargetSelector.AttemptProfile("route", true, 0));
+			ObservedTarget probed = LowestCostSelectorTests.this.selector
+				.select("booking", (target) -> true,
+						new TargetSelector.AttemptProfile("route", true, 0, PathChooser.OpenConnections.NONE))
+				.target();
 			assertThat(probed).isNotNull();
 			assertThat(probed.listing().id()).isEqualTo("healthy");
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -7,12 +7,14 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.desired.DesiredStateView;
 import org.plantainspur.core.fleet.EstimatingAccountLimiter;
@@ -24,12 +26,19 @@
 import org.plantainspur.core.proxy.RetryBudget;
 import org.plantainspur.core.proxy.RetryRules;
 import org.plantainspur.core.proxy.ShutdownSchedule;
+import org.plantainspur.core.reach.DirectPaths;
+import org.plantainspur.core.reach.ProbeSchedule;
+import org.plantainspur.core.reach.Reachability;
+import org.plantainspur.core.reach.RelayAdmission;
+import org.plantainspur.core.reach.RelayHosts;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.target.AttemptRecorder;
 import org.plantainspur.core.target.DomainLimitShare;
 import org.plantainspur.core.target.HostLocation;
 import org.plantainspur.core.target.LowestCostSelector;
+import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.StatementPermits;
 import org.plantainspur.core.target.TargetIncarnation;
 import org.plantainspur.core.target.TargetPermits;
@@ -42,7 +51,11 @@
 import org.plantainspur.gateway.http.CallerServer;
 import org.plantainspur.gateway.http.EndpointServer;
 import org.plantainspur.gateway.http.EventLoopHttpClient;
+import org.plantainspur.gateway.http.EventLoopPaths;
+import org.plantainspur.gateway.http.PathComponents;
 import org.plantainspur.gateway.http.ProxyComponents;
+import org.plantainspur.gateway.http.RelayProof;
+import org.plantainspur.gateway.http.RelayServer;
 import org.plantainspur.gateway.http.StartupLatch;
 import org.plantainspur.gateway.log.FailureReporter;
 import org.plantainspur.gateway.log.GatewayMetrics;
@@ -112,6 +125,11 @@
 
 	private final TargetRegistry targets = new TargetRegistry(this.clock);
 
+	private final RelayKey relayKey = RelayKey.random();
+
+	/** Set when the host starts, before anything uses it. */
+	private final AtomicReference<@Nullable EventLoopPaths> eventLoopPaths = new AtomicReference<>();
+
 	/**
 	 * Creates a host that is not started yet.
 	 * @param settings the host's settings
@@ -154,26 +172,47 @@
 				this.settings.retryWindowMs());
 		SequentialCrashQuarantine quarantine = new SequentialCrashQuarantine(this.clock,
 				() -> ThreadLocalRandom.current().nextLong());
+		DirectPaths directPaths = new DirectPaths(this.targets, this.clock);
+		RelayHosts relayHosts = new RelayHosts(this.settings.host(), location, this.clock);
+		ProbeSchedule probes = new ProbeSchedule(directPaths, this.targets,
+				() -> ThreadLocalRandom.current().nextDouble());
 		GossipTask gossip = new GossipTask(this.settings, this.clock,
 				new GossipTask.HostState(this.desiredState, meter, limiter, this.targets, attemptRecorder, targetSubset,
-						retryBudget, quarantine, targetStatements, limitShare),
-				store, storeSynchronizer, this.shutdown::stopping, controlLoop, this.log, this.metrics);
+						retryBudget, quarantine, targetStatements, limitShare,
+						new PathMonitor.Paths(directPaths, relayHosts, probes, this.targets), this.relayKey),
+				store, storeSynchronizer, this.shutdown::stopping, this::probe, controlLoop, this.log, this.metrics);
+		PathComponents paths = new PathComponents(directPaths, relayHosts,
+				new RelayAdmission(this.targets, targetPermits, directPaths, this.shutdown::stopping), this.relayKey,
+				new RelayProof(this.platform.headerNames()));
 		ProxyComponents components = new ProxyComponents(this.clock, this.platform.headerNames(), this.startupLatch,
 				this.desiredState, new AdmissionControl(limiter, () -> ThreadLocalRandom.current().nextDouble()),
 				new LowestCostSelector(this.targets, attemptRecorder, targetSubset, location, targetPermits,
-						this.settings.floorShare(), this.clock, () -> ThreadLocalRandom.current().nextDouble()),
-				attemptRecorder, targetStatements, targetPermits, quarantine, new RetryRules(retryBudget), retryBudget,
-				gossip, this.shutdown, new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET),
-				this.failures, this.log, this.metrics);
-		CallerServer callerServer = new CallerServer(components, this.requestLoops, this.openRequests,
+						new Reachability(directPaths, relayHosts, location), this.settings.floorShare(), this.clock,
+						() -> ThreadLocalRandom.current().nextDouble()),
+				attemptRecorder, targetStatements, targetPermits, paths, quarantine, new RetryRules(retryBudget),
+				retryBudget, gossip, this.shutdown,
+				new BufferBudget(Runtime.getRuntime().maxMemory() / HEAP_PER_BUFFER_BUDGET), this.failures, this.log,
+				this.metrics);
+		EventLoopPaths loopPaths = new EventLoopPaths(components);
+		this.eventLoopPaths.set(loopPaths);
+		CallerServer callerServer = new CallerServer(components, loopPaths, this.requestLoops, this.openRequests,
 				this.callerChannels);
 		gossip.start();
 		this.channels.add(callerServer.listen(this.settings.callerAddress()));
 		serveEndpoints(gossip, storeSynchronizer);
+		this.channels.add(new RelayServer(components, loopPaths, this.openRequests).listen(this.settings.relayAddress(),
+				this.requestLoops));
 		this.log.event("started", "host", this.settings.host(), "failureDomain", this.settings.failureDomain());
 		return this.shutdown;
 	}
 
+	private void probe(List<ObservedTarget> probed) {
+		EventLoopPaths loopPaths = this.eventLoopPaths.get();
+		if (loopPaths != null && !probed.isEmpty()) {
+			loopPaths.probe(this.requestLoops.next(), probed);
+		}
+	}
+
 	private void targetStatementChanged(TargetIncarnation target, TargetStatement statement,
 			TargetStatements.Source source) {
 		this.metrics.count("target_statements_total", source.name().toLowerCase(Locale.ROOT));
@@ -202,7 +241,7 @@
 	/**
 	 * Returns the addresses on which the host listens for TCP connections.
 	 * @return the address of the callers' port, then those of the endpoints for
-	 * readiness, the directory, metrics and peers
+	 * readiness, the directory, metrics, peers and relayed requests
 	 */
 	public List<InetSocketAddress> addresses() {
 		return this.channels.stream().map((channel) -> (InetSocketAddress) channel.localAddress()).toList();
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
@@ -30,6 +30,8 @@
 
 	private final InetSocketAddress metricsAddress;
 
+	private final InetSocketAddress relayAddress;
+
 	private final InetSocketAddress storeAddress;
 
 	private final double retryRatio;
@@ -55,6 +57,7 @@
 		this.directoryAddress = Required.of(builder.directoryAddress, "directoryAddress");
 		this.peerAddress = Required.of(builder.peerAddress, "peerAddress");
 		this.metricsAddress = Required.of(builder.metricsAddress, "metricsAddress");
+		this.relayAddress = Required.of(builder.relayAddress, "relayAddress");
 		this.storeAddress = Required.of(builder.storeAddress, "storeAddress");
 		this.retryRatio = builder.retryRatio;
 		this.retryConstant = builder.retryConstant;
@@ -138,6 +141,15 @@
 		return this.metricsAddress;
 	}
 
+	/**
+	 * Returns the address at which other hosts have requests relayed. Its distance from
+	 * the port of the peer address is the same on all hosts.
+	 * @return the address to listen on, TCP
+	 */
+	public InetSocketAddress relayAddress() {
+		return this.relayAddress;
+	}
+
 	/**
 	 * Returns the address of the platform's store.
 	 * @return the address to connect to, TCP
@@ -227,6 +239,8 @@
 
 		private @Nullable InetSocketAddress metricsAddress;
 
+		private @Nullable InetSocketAddress relayAddress;
+
 		private @Nullable InetSocketAddress storeAddress;
 
 		private double retryRatio = 0.1;
@@ -328,6 +342,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the address at which other hosts have requests relayed.
+		 * @param address the address to listen on, TCP
+		 * @return this builder
+		 */
+		public Builder relayAddress(InetSocketAddress address) {
+			this.relayAddress = address;
+			return this;
+		}
+
 		/**
 		 * Sets the address of the platform's store.
 		 * @param address the address to connect to, TCP
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 
@@ -33,6 +34,7 @@
 import org.plantainspur.core.health.SequentialCrashQuarantine;
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.RetryBudget;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.TableStates;
@@ -139,6 +141,8 @@
 
 	private final DomainRepresentative representative;
 
+	private final PathMonitor pathMonitor;
+
 	private final HeartbeatSchedule heartbeatSchedule = new HeartbeatSchedule();
 
 	private final TrafficHostSelector trafficHostSelector = new LargestHostsSelector(TRAFFIC_HOSTS_PER_DOMAIN);
@@ -163,8 +167,8 @@
 	private long lastHeartbeatMs;
 
 	GossipTask(GatewaySettings settings, Clock clock, HostState hostState, Store store,
-			StoreSynchronizer storeSynchronizer, BooleanSupplier stopping, EventLoop eventLoop, DecisionLog log,
-			GatewayMetrics metrics) {
+			StoreSynchronizer storeSynchronizer, BooleanSupplier stopping, Consumer<List<ObservedTarget>> prober,
+			EventLoop eventLoop, DecisionLog log, GatewayMetrics metrics) {
 		this.settings = settings;
 		this.clock = clock;
 		this.hostState = hostState;
@@ -185,12 +189,14 @@
 				settings.cores(), false, -1, TableStates.NONE, STORE_NEVER_ANSWERED_MS, Map.of(), List.of(), List.of(),
 				List.of(), List.of(), List.of(), List.of());
 		this.ownHeartbeat = new AtomicReference<>(firstHeartbeat);
-		this.registry = new HostRegistry(store, this.scheduler, firstHeartbeat,
+		this.registry = new HostRegistry(store, this.scheduler, firstHeartbeat, hostState.relayKey(),
 				() -> this.scheduler.after(0, this::onRegistryRead));
 		this.channel = new HeartbeatChannel(settings.peerAddress(), eventLoop, this::receive, this.failures,
 				() -> metrics.count("heartbeats_dropped_total", "malformed"));
 		this.representative = new DomainRepresentative(settings, this.registry, this.view::silenceMs,
 				this.channel::send);
+		this.pathMonitor = new PathMonitor(settings, hostState.paths(), this.registry, prober, this.channel::send,
+				hostState.quarantine(), log);
 	}
 
 	private static String hostAndPort(InetSocketAddress address) {
@@ -222,6 +228,7 @@
 		}
 		this.hostState.quarantine().receive(heartbeat.requestCrashes());
 		heartbeat.targetStatements().forEach(this.hostState.targetStatements()::receive);
+		this.pathMonitor.receive(heartbeat, this.ownHeartbeat.get());
 		List<DomainDigest> newDigests = this.view.receive(heartbeat);
 		if (this.registry.receive(heartbeat) && heartbeat.failureDomain().equals(this.settings.failureDomain())) {
 			// A process that has just started fetches the tables from a host that has
@@ -301,7 +308,9 @@
 		if (this.clock.millis() >= this.storeReadAllowedMs) {
 			electStoreReader();
 		}
-		if (this.heartbeatSchedule.due(this.storeSynchronizer.tableStates().digest(),
+		boolean pathsChanged = this.pathMonitor.run(this.ownHeartbeat.get(),
+				this.view.domainHosts(this.ownHeartbeat.get()), this.clock.millis());
+		if (pathsChanged || this.heartbeatSchedule.due(this.storeSynchronizer.tableStates().digest(),
 				this.storeSynchronizer.storeAgeMs(), this.clock.millis())) {
 			sendToAllHosts();
 		}
@@ -400,7 +409,8 @@
 				this.hostState.desiredState().current().version(), this.storeSynchronizer.servedTableStates(),
 				this.storeSynchronizer.storeAgeMs(), usage, this.hostState.meter().takeNearLimit(), newlyFailed,
 				newlyRecovered, List.of(), this.hostState.quarantine().reports(),
-				this.hostState.targetStatements().reports());
+				this.hostState.targetStatements().reports())
+			.withReach(this.pathMonitor.reach());
 	}
 
 	private static <T> List<T> drain(Queue<T> queue) {
@@ -450,10 +460,13 @@
 	 * @param quarantine records the crashes that the other hosts report
 	 * @param targetStatements what targets say of themselves
 	 * @param limitShare this host's part of the limits that targets name
+	 * @param paths what is known of the paths to targets
+	 * @param relayKey the key with which other hosts have requests relayed here
 	 */
 	record HostState(DesiredStateView desiredState, UsageMeter meter, EstimatingAccountLimiter limiter,
 			TargetRegistry targets, AttemptRecorder attemptRecorder, TargetSubset targetSubset, RetryBudget retryBudget,
-			SequentialCrashQuarantine quarantine, TargetStatements targetStatements, DomainLimitShare limitShare) {
+			SequentialCrashQuarantine quarantine, TargetStatements targetStatements, DomainLimitShare limitShare,
+			PathMonitor.Paths paths, RelayKey relayKey) {
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
@@ -11,8 +11,11 @@
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
+import org.jspecify.annotations.Nullable;
+
 import org.plantainspur.core.fleet.FleetView;
 import org.plantainspur.core.fleet.HostHeartbeat;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
@@ -41,6 +44,11 @@
 
 	private static final long RETRY_DELAY_MS = 1_000;
 
+	/**
+	 * How often a failure domain's table is read for relay keys while they are needed.
+	 */
+	private static final long RELAY_KEYS_INTERVAL_MS = 2_000;
+
 	/**
 	 * The time over which the hosts spread their writes when the store has been restored
 	 * from a copy, which they all notice at once.
@@ -60,6 +68,8 @@
 
 	private final HostHeartbeat ownHeartbeat;
 
+	private final RelayKey ownRelayKey;
+
 	private final Runnable onRead;
 
 	private final HeartbeatCodec codec = new HeartbeatCodec();
@@ -68,6 +78,10 @@
 
 	private final Map<String, Long> domainReadMs = new HashMap<>();
 
+	private final Map<String, HostKey> relayKeys = new ConcurrentHashMap<>();
+
+	private final Map<String, Long> relayKeysReadMs = new HashMap<>();
+
 	private boolean registered;
 
 	/** The era of the store in which this host's entry was written last. */
@@ -82,12 +96,14 @@
 	 * @param store holds the tables of hosts
 	 * @param scheduler repeats reads and writes
 	 * @param ownHeartbeat the entry that the other hosts find in the store
+	 * @param ownRelayKey the key with which the other hosts have requests relayed here
 	 * @param onRead runs each time the hosts of this failure domain have been read
 	 */
-	HostRegistry(Store store, Scheduler scheduler, HostHeartbeat ownHeartbeat, Runnable onRead) {
+	HostRegistry(Store store, Scheduler scheduler, HostHeartbeat ownHeartbeat, RelayKey ownRelayKey, Runnable onRead) {
 		this.store = store;
 		this.scheduler = scheduler;
 		this.ownHeartbeat = ownHeartbeat;
+		this.ownRelayKey = ownRelayKey;
 		this.onRead = onRead;
 	}
 
@@ -107,7 +123,7 @@
 	private void writeOwnEntry(Runnable onWritten) {
 		this.store
 			.put(table(this.ownHeartbeat.failureDomain()), this.ownHeartbeat.host(),
-					this.codec.encode(this.ownHeartbeat))
+					this.codec.encodeEntry(this.ownHeartbeat, this.ownRelayKey))
 			.thenAccept((result) -> {
 				if (result instanceof StoreResult.Rows rows) {
 					this.registered = true;
@@ -183,9 +199,52 @@
 
 	private void addIfUnknown(StoredRow row) {
 		HostHeartbeat heartbeat = this.codec.decode(row.value());
-		if (heartbeat != null && !heartbeat.host().equals(this.ownHeartbeat.host())) {
-			this.heartbeatsByHost.putIfAbsent(heartbeat.host(), heartbeat);
+		if (heartbeat == null || heartbeat.host().equals(this.ownHeartbeat.host())) {
+			return;
+		}
+		this.heartbeatsByHost.merge(heartbeat.host(), heartbeat,
+				(known, read) -> (known.startMs() < read.startMs()) ? read : known);
+		RelayKey relayKey = this.codec.decodeRelayKey(row.value());
+		if (relayKey != null) {
+			this.relayKeys.put(heartbeat.host(), new HostKey(heartbeat.startMs(), relayKey));
+		}
+	}
+
+	/**
+	 * Returns the key with which requests are relayed by a host.
+	 * @param heartbeat a heartbeat of the host's current process
+	 * @return the key, or {@code null} if the entry of that process has not been read
+	 */
+	@Nullable RelayKey relayKey(HostHeartbeat heartbeat) {
+		HostKey known = this.relayKeys.get(heartbeat.host());
+		return (known != null && known.startMs() == heartbeat.startMs()) ? known.relayKey() : null;
+	}
+
+	/**
+	 * Reads the entries of a failure domain's hosts for their relay keys, unless it has
+	 * just been done.
+	 * @param failureDomain the name of the failure domain
+	 * @param now the reading of the host's clock, in milliseconds
+	 */
+	void readRelayKeys(String failureDomain, long now) {
+		Long previous = this.relayKeysReadMs.get(failureDomain);
+		if (previous != null && now - previous < RELAY_KEYS_INTERVAL_MS) {
+			return;
 		}
+		this.relayKeysReadMs.put(failureDomain, now);
+		this.store.list(table(failureDomain), "").thenAccept((result) -> {
+			if (result instanceof StoreResult.Rows rows) {
+				rows.rows().forEach(this::addIfUnknown);
+			}
+		});
+	}
+
+	/**
+	 * Returns the last known heartbeats of all other hosts.
+	 * @return heartbeats of hosts that need not be alive
+	 */
+	Collection<HostHeartbeat> others() {
+		return this.heartbeatsByHost.values();
 	}
 
 	/**
@@ -274,4 +333,13 @@
 		return List.copyOf(hosts.values());
 	}
 
+	/**
+	 * The relay key of one process of a host.
+	 *
+	 * @param startMs when the process started, in Unix milliseconds
+	 * @param relayKey its key
+	 */
+	private record HostKey(long startMs, RelayKey relayKey) {
+	}
+
 }
--- /dev/null
+++ b/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
@@ -0,0 +1,235 @@
+package org.plantainspur.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+import org.plantainspur.core.fleet.HostHeartbeat;
+import org.plantainspur.core.health.SequentialCrashQuarantine;
+import org.plantainspur.core.log.DecisionLog;
+import org.plantainspur.core.reach.DirectPaths;
+import org.plantainspur.core.reach.HostReach;
+import org.plantainspur.core.reach.ProbeSchedule;
+import org.plantainspur.core.reach.RelayHost;
+import org.plantainspur.core.reach.RelayHosts;
+import org.plantainspur.core.reach.RelayKey;
+import org.plantainspur.core.target.HostLocation;
+import org.plantainspur.core.target.ObservedTarget;
+import org.plantainspur.core.target.TargetRegistry;
+
+/**
+ * Keeps what is known of the paths to targets up to date: has closed paths probed, names
+ * the hosts that may relay, asks hosts of other failure domains while the near ones are
+ * cut off too, and logs when this host loses and regains its targets. Used by the control
+ * thread.
+ */
+final class PathMonitor {
+
+	/**
+	 * How often a host that is cut off asks hosts of other failure domains whether they
+	 * reach targets.
+	 */
+	private static final long ASK_INTERVAL_MS = 500;
+
+	/**
+	 * Crashes that were seen this long before the host was cut off are put down to the
+	 * cut, which resets connections before connects show it.
+	 */
+	private static final long CUT_NOTICED_MS = 2_000;
+
+	private final GatewaySettings settings;
+
+	private final Paths paths;
+
+	private final HostRegistry registry;
+
+	private final Consumer<List<ObservedTarget>> prober;
+
+	private final BiConsumer<HostHeartbeat, Iterable<String>> heartbeatSender;
+
+	private final SequentialCrashQuarantine quarantine;
+
+	private final DecisionLog log;
+
+	private final HostLocation location;
+
+	private List<RelayHost> candidates = List.of();
+
+	private boolean wasCutOff;
+
+	private int loggedClosed;
+
+	private long askedMs = Long.MIN_VALUE / 2;
+
+	PathMonitor(GatewaySettings settings, Paths paths, HostRegistry registry, Consumer<List<ObservedTarget>> prober,
+			BiConsumer<HostHeartbeat, Iterable<String>> heartbeatSender, SequentialCrashQuarantine quarantine,
+			DecisionLog log) {
+		this.settings = settings;
+		this.paths = paths;
+		this.registry = registry;
+		this.prober = prober;
+		this.heartbeatSender = heartbeatSender;
+		this.quarantine = quarantine;
+		this.log = log;
+		this.location = new HostLocation(settings.failureDomain(), settings.regions());
+	}
+
+	/**
+	 * Runs all that is due.
+	 * @param ownHeartbeat this host's last heartbeat
+	 * @param domainHosts the heartbeats of the failure domain's live hosts
+	 * @param now the reading of the host's clock, in milliseconds
+	 * @return whether the other hosts should hear of this host's paths at once
+	 */
+	boolean run(HostHeartbeat ownHeartbeat, List<HostHeartbeat> domainHosts, long now) {
+		this.paths.direct().removeUnlisted();
+		this.prober.accept(this.paths.probes().due(this.paths.relayHosts().isAnyCutOff(), now));
+		boolean cutOff = this.paths.direct().isCutOff();
+		nameCandidates(domainHosts, now);
+		if (cutOff) {
+			askOtherDomains(ownHeartbeat, now);
+		}
+		logChanges(cutOff, now);
+		boolean changed = cutOff != this.wasCutOff;
+		this.wasCutOff = cutOff;
+		return changed;
+	}
+
+	/**
+	 * Returns what heartbeats tell of this host's paths.
+	 * @return {@link HostReach#NONE} while no path is closed and no host is cut off
+	 */
+	HostReach reach() {
+		HostReach reach = this.paths.direct().reach();
+		boolean worthTelling = reach.state() == HostReach.State.CUT_OFF || !reach.closedTargets().isEmpty()
+				|| this.paths.relayHosts().isAnyCutOff();
+		return worthTelling ? reach : HostReach.NONE;
+	}
+
+	/**
+	 * Records what another host tells of its paths, and answers a host of another failure
+	 * domain that is cut off.
+	 * @param heartbeat the other host's heartbeat
+	 * @param ownHeartbeat this host's last heartbeat
+	 */
+	void receive(HostHeartbeat heartbeat, HostHeartbeat ownHeartbeat) {
+		this.paths.relayHosts().receive(heartbeat.host(), heartbeat.reach());
+		if (heartbeat.reach().state() == HostReach.State.CUT_OFF
+				&& !heartbeat.failureDomain().equals(this.settings.failureDomain())) {
+			this.heartbeatSender.accept(ownHeartbeat.onlyReach(this.paths.direct().reach()),
+					List.of(heartbeat.peerAddress()));
+		}
+	}
+
+	private void nameCandidates(List<HostHeartbeat> domainHosts, long now) {
+		boolean needed = this.paths.direct().closedCount() > 0 || this.paths.direct().isCutOff();
+		List<RelayHost> found = new ArrayList<>();
+		for (HostHeartbeat heartbeat : domainHosts) {
+			if (heartbeat.host().equals(this.settings.host()) || !heartbeat.acceptingCallers()) {
+				continue;
+			}
+			if (!addCandidate(found, heartbeat) && needed) {
+				this.registry.readRelayKeys(this.settings.failureDomain(), now);
+			}
+		}
+		if (needed) {
+			this.registry.others()
+				.stream()
+				.filter((heartbeat) -> !heartbeat.failureDomain().equals(this.settings.failureDomain()))
+				.forEach((heartbeat) -> addCandidate(found, heartbeat));
+		}
+		if (!found.equals(this.candidates)) {
+			this.candidates = List.copyOf(found);
+			this.paths.relayHosts().replace(found);
+			Set<String> known = new HashSet<>();
+			this.registry.others().forEach((heartbeat) -> known.add(heartbeat.host()));
+			this.paths.relayHosts().removeOld(known);
+		}
+	}
+
+	private boolean addCandidate(Collection<RelayHost> found, HostHeartbeat heartbeat) {
+		RelayKey key = this.registry.relayKey(heartbeat);
+		RelayHost host = (key != null) ? toRelayHost(heartbeat, key) : null;
+		if (host != null) {
+			found.add(host);
+		}
+		return host != null;
+	}
+
+	// The relay port has the same distance from the peer port on all hosts.
+	private @Nullable RelayHost toRelayHost(HostHeartbeat heartbeat, RelayKey key) {
+		var peerAddress = IpAddressAndPort.parse(heartbeat.peerAddress());
+		if (peerAddress == null) {
+			return null;
+		}
+		int port = peerAddress.getPort() + this.settings.relayAddress().getPort()
+				- this.settings.peerAddress().getPort();
+		return new RelayHost(heartbeat.host(), heartbeat.failureDomain(), heartbeat.startMs(),
+				peerAddress.getHostString(), port, key);
+	}
+
+	// Hosts of the same region are asked first, those of other regions while none of them
+	// reaches targets.
+	private void askOtherDomains(HostHeartbeat ownHeartbeat, long now) {
+		RelayHosts relayHosts = this.paths.relayHosts();
+		if (now - this.askedMs < ASK_INTERVAL_MS || relayHosts.isAnyConnected(HostLocation.Distance.SAME_DOMAIN)) {
+			return;
+		}
+		this.askedMs = now;
+		boolean regionConnected = relayHosts.isAnyConnected(HostLocation.Distance.SAME_REGION);
+		for (String failureDomain : this.settings.regions().keySet()) {
+			HostLocation.Distance distance = this.location.distanceTo(failureDomain);
+			if (distance == HostLocation.Distance.SAME_REGION
+					|| (distance == HostLocation.Distance.OTHER_REGION && !regionConnected)) {
+				this.registry.readRelayKeys(failureDomain, now);
+			}
+		}
+		Set<String> asked = new HashSet<>();
+		relayHosts.candidates(HostLocation.Distance.SAME_REGION).forEach((host) -> asked.add(host.name()));
+		if (!regionConnected) {
+			relayHosts.candidates(HostLocation.Distance.OTHER_REGION).forEach((host) -> asked.add(host.name()));
+		}
+		List<String> addresses = this.registry.others()
+			.stream()
+			.filter((heartbeat) -> asked.contains(heartbeat.host()))
+			.map(HostHeartbeat::peerAddress)
+			.toList();
+		this.heartbeatSender.accept(ownHeartbeat.onlyReach(this.paths.direct().reach()), addresses);
+	}
+
+	private void logChanges(boolean cutOff, long now) {
+		int closed = this.paths.direct().closedCount();
+		int listed = this.paths.targets().ids().size();
+		long changedMs = this.paths.direct().accessChangedMs();
+		if (cutOff && !this.wasCutOff) {
+			this.quarantine.discardSince(changedMs - CUT_NOTICED_MS);
+			this.log.event("targets-lost", "closed", closed, "listed", listed, "sinceMs", now - changedMs, "relayHosts",
+					this.candidates.size());
+		}
+		else if (!cutOff && this.wasCutOff) {
+			this.log.event("targets-regained", "closed", closed, "listed", listed, "sinceMs", now - changedMs);
+		}
+		else if (!cutOff && closed != this.loggedClosed) {
+			this.log.event("target-paths", "closed", closed, "listed", listed);
+		}
+		this.loggedClosed = closed;
+	}
+
+	/**
+	 * What is known of the paths.
+	 *
+	 * @param direct this host's own paths
+	 * @param relayHosts the hosts that may relay
+	 * @param probes decides when closed paths are tried
+	 * @param targets the listed targets
+	 */
+	record Paths(DirectPaths direct, RelayHosts relayHosts, ProbeSchedule probes, TargetRegistry targets) {
+	}
+
+}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerConnection.java
@@ -36,7 +36,7 @@
 
 	private final ProxyComponents components;
 
-	private final ProxyTargetConnectionPool connectionPool;
+	private final AttemptPaths paths;
 
 	private final RequestBodyLimiter bodyLimiter;
 
@@ -58,10 +58,10 @@
 	 */
 	private boolean refusing;
 
-	CallerConnection(ProxyComponents components, ProxyTargetConnectionPool connectionPool,
-			RequestBodyLimiter bodyLimiter, OpenRequestCounter openRequests) {
+	CallerConnection(ProxyComponents components, AttemptPaths paths, RequestBodyLimiter bodyLimiter,
+			OpenRequestCounter openRequests) {
 		this.components = components;
-		this.connectionPool = connectionPool;
+		this.paths = paths;
 		this.bodyLimiter = bodyLimiter;
 		this.openRequests = openRequests;
 	}
@@ -122,8 +122,8 @@
 	private void start(ChannelHandlerContext context, Arrival arrival) {
 		FullHttpRequest request = arrival.request();
 		Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess());
-		ProxiedRequest proxiedRequest = new ProxiedRequest(this.components, context.channel().eventLoop(),
-				this.connectionPool, request, arrival.ms(), (response) -> responseReady(context, exchange, response));
+		ProxiedRequest proxiedRequest = new ProxiedRequest(this.components, context.channel().eventLoop(), this.paths,
+				request, arrival.ms(), (response) -> responseReady(context, exchange, response));
 		exchange.request = proxiedRequest;
 		this.openRequests.increment();
 		this.running.addLast(exchange);
--- a/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/CallerServer.java
@@ -1,8 +1,6 @@
 package org.plantainspur.gateway.http;
 
 import java.net.InetSocketAddress;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -10,7 +8,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -27,17 +24,11 @@
 
 	private static final int LISTEN_BACKLOG = 1_024;
 
-	/**
-	 * How often idle connections to targets are checked, and closed if their keep-alive
-	 * timeout is about to end.
-	 */
-	private static final long IDLE_SWEEP_INTERVAL_MS = 500;
-
 	private final ProxyComponents components;
 
 	private final EventLoopGroup eventLoops;
 
-	private final Map<EventLoop, ProxyTargetConnectionPool> connectionPools = new ConcurrentHashMap<>();
+	private final EventLoopPaths paths;
 
 	private final AtomicInteger openRequests;
 
@@ -46,13 +37,15 @@
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param components the objects that all requests of the host use
+	 * @param paths the paths to the targets
 	 * @param eventLoops the event loops that carry requests
 	 * @param openRequests set to the number of requests that have no response yet
 	 * @param callerChannels receives the port and the connections
 	 */
-	public CallerServer(ProxyComponents components, EventLoopGroup eventLoops, AtomicInteger openRequests,
-			CallerChannels callerChannels) {
+	public CallerServer(ProxyComponents components, EventLoopPaths paths, EventLoopGroup eventLoops,
+			AtomicInteger openRequests, CallerChannels callerChannels) {
 		this.components = components;
+		this.paths = paths;
 		this.eventLoops = eventLoops;
 		this.openRequests = openRequests;
 		this.callerChannels = callerChannels;
@@ -89,15 +82,13 @@
 		this.callerChannels.add(channel);
 		CallerLimits limits = this.components.desiredState().current().limits();
 		int maxBodyBytes = (int) Math.min(Integer.MAX_VALUE, limits.maxBodyBytes());
-		ProxyTargetConnectionPool connectionPool = this.connectionPools.computeIfAbsent(channel.eventLoop(),
-				this::createConnectionPool);
 		RequestBodyLimiter bodyLimiter = new RequestBodyLimiter(this.components.bufferBudget(), maxBodyBytes,
 				this.components.clock());
 		channel.pipeline()
 			.addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs(), TimeUnit.MILLISECONDS),
 					new StrictRequestDecoder(limits.maxHeaderBytes()), new HttpResponseEncoder(), bodyLimiter,
-					new HttpObjectAggregator(maxBodyBytes), new CallerConnection(this.components, connectionPool,
-							bodyLimiter, new CallerConnection.OpenRequestCounter() {
+					new HttpObjectAggregator(maxBodyBytes), new CallerConnection(this.components,
+							this.paths.of(channel.eventLoop()), bodyLimiter, new CallerConnection.OpenRequestCounter() {
 
 								@Override
 								public void increment() {
@@ -112,11 +103,4 @@
 							}));
 	}
 
-	private ProxyTargetConnectionPool createConnectionPool(EventLoop loop) {
-		ProxyTargetConnectionPool pool = new ProxyTargetConnectionPool(loop, this.components);
-		loop.scheduleWithFixedDelay(pool::closeExpired, IDLE_SWEEP_INTERVAL_MS, IDLE_SWEEP_INTERVAL_MS,
-				TimeUnit.MILLISECONDS);
-		return pool;
-	}
-
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -26,10 +26,8 @@
 import org.plantainspur.core.proxy.RetryRules;
 import org.plantainspur.core.request.RequestFingerprint;
 import org.plantainspur.core.target.AttemptOutcome;
-import org.plantainspur.core.target.ConnectFailure;
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
-import org.plantainspur.core.target.TargetStatement;
 
 /**
  * Carries one request of a caller from its arrival to its response: admission, the
@@ -74,7 +72,7 @@
 
 	private final EventLoop eventLoop;
 
-	private final ProxyTargetConnectionPool connectionPool;
+	private final AttemptPaths paths;
 
 	private final FullHttpRequest request;
 
@@ -82,6 +80,8 @@
 
 	private final TargetMessageMapper targetMapper;
 
+	private final TargetResponseRecorder responseRecorder;
+
 	private final ResponseWriter responseWriter;
 
 	private final int bodyBytes;
@@ -127,15 +127,16 @@
 
 	private boolean finished;
 
-	ProxiedRequest(ProxyComponents components, EventLoop eventLoop, ProxyTargetConnectionPool connectionPool,
-			FullHttpRequest request, long arrivedMs, ResponseWriter responseWriter) {
+	ProxiedRequest(ProxyComponents components, EventLoop eventLoop, AttemptPaths paths, FullHttpRequest request,
+			long arrivedMs, ResponseWriter responseWriter) {
 		this.components = components;
 		this.eventLoop = eventLoop;
-		this.connectionPool = connectionPool;
+		this.paths = paths;
 		this.request = request;
 		this.bodyBytes = request.content().readableBytes();
 		this.callerMapper = new CallerMessageMapper(components.headerNames(), request);
 		this.targetMapper = new TargetMessageMapper(components.headerNames());
+		this.responseRecorder = new TargetResponseRecorder(components, this.targetMapper);
 		this.responseWriter = responseWriter;
 		this.arrivedMs = arrivedMs;
 		this.requestId = this.callerMapper.requestId();
@@ -205,26 +206,45 @@
 			refuse(Refusal.QUARANTINED);
 			return;
 		}
-		boolean retryable = this.components.retryRules().mayRetryAgain(admittedRoute, this.service, this.sentAttempts);
-		ObservedTarget target = this.components.targetSelector()
-			.select(this.service,
-					(candidate) -> this.triedTargets.contains(candidate.listing().id()) == this.retryTriedTargets,
-					new TargetSelector.AttemptProfile(admittedRoute.name(), retryable, this.bodyBytes));
-		if (target == null) {
+		boolean retryable = mayRetryAgain(admittedRoute);
+		TargetSelector.Selection selection = select(admittedRoute, retryable);
+		if (selection == null) {
 			refuseWithoutTarget();
-			return;
 		}
-		this.triedTargets.add(target.listing().id());
-		Attempt attempt = new Attempt(target, admittedRoute);
+		else {
+			startAttempt(admittedRoute, selection, retryable);
+		}
+	}
+
+	private boolean mayRetryAgain(RouteRule admittedRoute) {
+		return this.components.retryRules().mayRetryAgain(admittedRoute, this.service, this.sentAttempts);
+	}
+
+	private TargetSelector.@Nullable Selection select(RouteRule admittedRoute, boolean retryable) {
+		return this.components.targetSelector()
+			.select(this.service,
+					(candidate) -> this.triedTargets.contains(candidate.listing().id()) == this.retryTriedTargets,
+					new TargetSelector.AttemptProfile(admittedRoute.name(), retryable, this.bodyBytes,
+							this.paths.openConnections(this.requestId, retryable)));
+	}
+
+	private void startAttempt(RouteRule admittedRoute, TargetSelector.Selection selection, boolean retryable) {
+		Attempt attempt = new Attempt(selection.target(), this.paths.create(selection, this.requestId, retryable),
+				admittedRoute);
 		this.currentAttempt = attempt;
-		this.components.attemptRecorder().recordSent(target);
-		this.connectionPool.acquire(target.listing(), this.requestId, retryable, attempt);
+		this.components.attemptRecorder().recordSent(selection.target());
+		attempt.path.open(attempt);
 	}
 
 	private void refuseWithoutTarget() {
-		long retryAfterMs = this.components.targetPermits().retryAfterMs(this.service);
-		if (retryAfterMs > 0) {
-			refuse(Refusal.TARGETS_LIMITED, retryAfterMs);
+		long limitedMs = this.components.targetPermits().retryAfterMs(this.service);
+		long relaysBusyMs = this.components.paths().directPaths().isCutOff()
+				? this.components.paths().relayHosts().retryAfterMs() : 0;
+		if (limitedMs > 0) {
+			refuse(Refusal.TARGETS_LIMITED, limitedMs);
+		}
+		else if (relaysBusyMs > 0) {
+			refuse(Refusal.RELAYS_BUSY, relaysBusyMs);
 		}
 		else {
 			refuse((this.sentAttempts > 0) ? Refusal.ALL_DECLINED : Refusal.NO_TARGET);
@@ -243,7 +263,7 @@
 	private void deadlineReached() {
 		Attempt runningAttempt = this.currentAttempt;
 		if (runningAttempt != null) {
-			runningAttempt.end(runningAttempt.sent ? new AttemptOutcome.TimedOut()
+			runningAttempt.end(runningAttempt.sent ? runningAttempt.path.timedOut()
 					: new AttemptOutcome.NotSent("no connection before the deadline"), true);
 		}
 		else {
@@ -360,17 +380,16 @@
 
 	}
 
-	private final class Attempt
-			implements ProxyTargetConnection.ResponseListener, ProxyTargetConnectionPool.ConnectionCallback {
+	private final class Attempt implements AttemptPath.Listener {
 
 		private final ObservedTarget target;
 
+		private final AttemptPath path;
+
 		private final RouteRule admittedRoute;
 
 		private final long startedMs = ProxiedRequest.this.components.clock().millis();
 
-		private @Nullable ProxyTargetConnection connection;
-
 		private @Nullable ScheduledFuture<?> slowTimer;
 
 		private boolean sent;
@@ -379,36 +398,45 @@
 
 		private boolean ended;
 
-		private Attempt(ObservedTarget target, RouteRule admittedRoute) {
+		private Attempt(ObservedTarget target, AttemptPath path, RouteRule admittedRoute) {
 			this.target = target;
+			this.path = path;
 			this.admittedRoute = admittedRoute;
 		}
 
 		@Override
-		public void failed(ConnectFailure failure) {
-			if (!this.ended) {
-				end(new AttemptOutcome.NotSent(failure.reason()), false);
-			}
+		public void notOpened(String reason) {
+			end(new AttemptOutcome.NotSent(reason), false);
 		}
 
+		// The request goes another way if there is one; nothing was sent on this one.
 		@Override
-		public void connected(ProxyTargetConnection acquired) {
-			if (this.ended) {
-				acquired.channel().close();
+		public void overdue() {
+			if (!ProxiedRequest.this.components.retryRules().mayLeaveSlowPath(ProxiedRequest.this.unsentAttempts + 1)) {
 				return;
 			}
+			boolean retryable = mayRetryAgain(this.admittedRoute);
+			TargetSelector.Selection other = select(this.admittedRoute, retryable);
+			if (other != null) {
+				ProxiedRequest.this.unsentAttempts++;
+				recordOutcome(new AttemptOutcome.NotSent("no answer to the connect in the usual time"));
+				this.path.cancel();
+				startAttempt(this.admittedRoute, other, retryable);
+			}
+		}
+
+		@Override
+		public void opened() {
 			if (ProxiedRequest.this.components.targetPermits().isWithdrawn(this.target)) {
-				acquired.channel().close();
 				end(new AttemptOutcome.Withheld(), false);
 				return;
 			}
-			this.connection = acquired;
 			this.sent = true;
 			this.sentMs = ProxiedRequest.this.components.clock().millis();
 			ProxiedRequest.this.sentAttempts++;
-			acquired.send(ProxiedRequest.this.targetMapper.toTargetRequest(ProxiedRequest.this.request,
-					ProxiedRequest.this.account, this.target.listing().id(), remainingMs() - DEADLINE_MARGIN_MS),
-					ProxiedRequest.this.requestId, this);
+			ProxiedRequest.this.triedTargets.add(this.target.listing().id());
+			this.path.send(ProxiedRequest.this.targetMapper.toTargetRequest(ProxiedRequest.this.request,
+					ProxiedRequest.this.account, this.target.listing().id(), remainingMs() - DEADLINE_MARGIN_MS));
 			scheduleSlowCheck();
 		}
 
@@ -430,11 +458,11 @@
 				.tryReplaceSlowAttempt(this.admittedRoute, ProxiedRequest.this.service,
 						ProxiedRequest.this.sentAttempts);
 			if (replace) {
-				recordOutcome(new AttemptOutcome.TimedOut());
-				cancelConnection();
+				recordOutcome(this.path.timedOut());
+				this.path.cancel();
 				startAttempt(this.admittedRoute);
 			}
-			else {
+			else if (this.path.timedOut().concernsTarget()) {
 				// The attempt goes on, but other requests should avoid the target
 				// meanwhile.
 				ProxiedRequest.this.components.attemptRecorder().recordOverdue(this.target);
@@ -444,68 +472,21 @@
 
 		@Override
 		public void responseReceived(HttpResponse response, ByteBuf body) {
-			ProxiedRequest.this.targetMapper.recordLoad(response, this.target,
-					ProxiedRequest.this.components.clock().millis());
 			ProxiedRequest.this.components.attemptRecorder()
 				.recordResponseBytes(this.admittedRoute.name(), body.readableBytes());
 			AttemptOutcome outcome = ProxiedRequest.this.targetMapper.toOutcome(response);
-			recordStatement(response, outcome);
+			ProxiedRequest.this.responseRecorder.record(this.target, response, outcome);
 			end(outcome, false, response, body);
 		}
 
-		// A response that is damaged or comes from another process says nothing of the
-		// target.
-		private void recordStatement(HttpResponse response, AttemptOutcome outcome) {
-			boolean declined = outcome instanceof AttemptOutcome.Declined decline && !decline.otherTarget();
-			if (!declined && !(outcome instanceof AttemptOutcome.Answered)) {
-				return;
-			}
-			TargetStatement statement = ProxiedRequest.this.targetMapper.toStatement(response);
-			if (statement == null) {
-				reportInvalidStatement(response);
-			}
-			else if (ProxiedRequest.this.components.targetStatements().record(this.target.incarnation(), statement)) {
-				ProxiedRequest.this.components.targetHealthListener().targetStatementChanged();
-			}
-			if (declined) {
-				recordPause(response);
-			}
-		}
-
-		private void recordPause(HttpResponse response) {
-			Long pauseMs = ProxiedRequest.this.targetMapper.toPauseMs(response);
-			if (pauseMs == null) {
-				reportInvalidStatement(response);
-			}
-			else if (pauseMs > 0) {
-				ProxiedRequest.this.components.targetStatements().pause(this.target.incarnation(), pauseMs);
-				ProxiedRequest.this.components.metrics().count("target_pauses_total", this.target.listing().service());
-				ProxiedRequest.this.components.log()
-					.event("target-paused", "id", this.target.listing().id(), "pauseMs", pauseMs);
-			}
-		}
-
-		private void reportInvalidStatement(HttpResponse response) {
-			ProxiedRequest.this.components.metrics()
-				.count("target_statements_invalid_total", this.target.listing().service());
-			ProxiedRequest.this.components.log()
-				.event("target-statement-invalid", "id", this.target.listing().id(), "headers",
-						ProxiedRequest.this.targetMapper.describeStatement(response));
-		}
-
 		@Override
-		public void failed(String reason) {
-			end(new AttemptOutcome.Broken(reason), false);
-		}
-
-		@Override
-		public void connectionLost(String reason) {
-			end(new AttemptOutcome.ConnectionLost(reason), false);
+		public void ended(AttemptOutcome outcome) {
+			end(outcome, false);
 		}
 
 		private void cancel() {
 			recordOutcome(this.sent ? new AttemptOutcome.Cancelled() : new AttemptOutcome.NotSent("cancelled"));
-			cancelConnection();
+			this.path.cancel();
 		}
 
 		private void end(AttemptOutcome outcome, boolean deadlineReached) {
@@ -520,11 +501,9 @@
 			}
 			recordOutcome(outcome);
 			if (response == null) {
-				cancelConnection();
-			}
-			if (!this.sent) {
-				ProxiedRequest.this.unsentAttempts++;
+				this.path.cancel();
 			}
+			countAttempt(outcome);
 			if (ProxiedRequest.this.finished) {
 				body.release();
 				return;
@@ -539,10 +518,15 @@
 			proceed(next, response, body);
 		}
 
-		private void cancelConnection() {
-			ProxyTargetConnection usedConnection = this.connection;
-			if (usedConnection != null) {
-				usedConnection.cancel();
+		// An attempt that another host did not pass on has reached no target.
+		private void countAttempt(AttemptOutcome outcome) {
+			if (outcome.reachedTarget()) {
+				return;
+			}
+			ProxiedRequest.this.unsentAttempts++;
+			if (this.sent) {
+				ProxiedRequest.this.sentAttempts--;
+				ProxiedRequest.this.triedTargets.remove(this.target.listing().id());
 			}
 		}
 
@@ -587,6 +571,7 @@
 			ProxiedRequest.this.attemptLog.append(ProxiedRequest.this.attemptLog.isEmpty() ? "" : "; ")
 				.append(this.target.listing().id())
 				.append(' ')
+				.append(this.path.description().isEmpty() ? "" : this.path.description() + ' ')
 				.append(outcome)
 				.append(' ')
 				.append(tookMs)
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyComponents.java
@@ -28,6 +28,7 @@
  * @param attemptRecorder records the outcomes of attempts
  * @param targetStatements holds what targets say of themselves
  * @param targetPermits tells when targets that name limits take requests again
+ * @param paths what is known of the paths to targets
  * @param quarantine tells which requests have crashed targets
  * @param retryRules decides what follows an attempt
  * @param retryBudget limits the attempts beyond the first
@@ -41,7 +42,7 @@
 public record ProxyComponents(Clock clock, HeaderNames headerNames, StartupLatch startupLatch,
 		DesiredStateView desiredState, AdmissionControl admission, TargetSelector targetSelector,
 		AttemptRecorder attemptRecorder, TargetStatements targetStatements, TargetPermits targetPermits,
-		SequentialCrashQuarantine quarantine, RetryRules retryRules, RetryBudget retryBudget,
+		PathComponents paths, SequentialCrashQuarantine quarantine, RetryRules retryRules, RetryBudget retryBudget,
 		TargetHealthListener targetHealthListener, ShutdownState shutdown, BufferBudget bufferBudget,
 		FailureReporter failures, DecisionLog log, GatewayMetrics metrics) {
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -22,14 +22,13 @@
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.BufferBudget;
 import org.plantainspur.core.target.ConnectFailure;
-import org.plantainspur.core.target.TargetListing;
 import org.plantainspur.core.target.TargetProcess;
 import org.plantainspur.core.time.Clock;
 import org.plantainspur.gateway.log.GatewayMetrics;
 
 /**
- * Connection pool of one event loop for all targets. Not thread-safe: all calls must come
- * from that event loop.
+ * Connection pool of one event loop for all targets, or for all hosts that relay. Not
+ * thread-safe: all calls must come from that event loop.
  */
 final class ProxyTargetConnectionPool {
 
@@ -66,10 +65,13 @@
 
 	private final GatewayMetrics metrics;
 
+	private final ConnectObserver observer;
+
 	private final Map<TargetProcess, Deque<IdleConnection>> idle = new HashMap<>();
 
-	ProxyTargetConnectionPool(EventLoop loop, ProxyComponents components) {
+	ProxyTargetConnectionPool(EventLoop loop, ProxyComponents components, ConnectObserver observer) {
 		this.loop = loop;
+		this.observer = observer;
 		this.requestIdHeader = components.headerNames().requestId();
 		this.bufferBudget = components.bufferBudget();
 		this.clock = components.clock();
@@ -78,20 +80,44 @@
 	}
 
 	/**
-	 * Takes an idle connection to a target from the pool, or opens a new one.
-	 * @param target the target's listing, with its address
-	 * @param requestId the id of the request that the connection is for
-	 * @param retryable whether the request may be retried if the connection fails
+	 * Takes an idle connection from the pool, or opens a new one.
+	 * @param process the process to connect to
+	 * @param use what the connection is for
 	 * @param callback receives the connection, or why there is none
 	 */
-	void acquire(TargetListing target, String requestId, boolean retryable, ConnectionCallback callback) {
-		ProxyTargetConnection pooled = takeIdle(target.process(), requestId, retryable);
+	void acquire(TargetProcess process, ConnectionUse use, ConnectionCallback callback) {
+		IdleConnection pooled = findIdle(process, use);
 		if (pooled != null) {
-			callback.connected(pooled);
+			this.idle.getOrDefault(process, new ArrayDeque<>()).remove(pooled);
+			callback.connected(pooled.connection());
 			return;
 		}
+		connect(process, callback);
+	}
+
+	/**
+	 * Opens a connection and keeps it as an idle one.
+	 * @param process the process to connect to
+	 */
+	void probe(TargetProcess process) {
+		connect(process, new ConnectionCallback() {
+
+			@Override
+			public void connected(ProxyTargetConnection connection) {
+				release(process, connection);
+			}
+
+			@Override
+			public void failed(ConnectFailure failure) {
+				// The observer has been told.
+			}
+
+		});
+	}
+
+	private void connect(TargetProcess process, ConnectionCallback callback) {
 		ProxyTargetConnection connection = new ProxyTargetConnection(this.requestIdHeader, this.bufferBudget,
-				new PoolMembership(target.process()));
+				new PoolMembership(process));
 		ChannelFuture connecting = new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -104,20 +130,31 @@
 				}
 
 			})
-			.connect(new InetSocketAddress(target.host(), target.port()));
+			.connect(new InetSocketAddress(process.host(), process.port()));
 		connecting.addListener((ChannelFutureListener) (future) -> {
 			if (future.isSuccess()) {
+				this.observer.connected(process);
 				callback.connected(connection);
 				return;
 			}
 			ConnectFailure failure = (future.cause() instanceof ConnectTimeoutException) ? ConnectFailure.SILENT
 					: ConnectFailure.REFUSED;
-			this.metrics.count("target_connects_failed_total", failure.name().toLowerCase(Locale.ROOT));
+			this.observer.failed(process, failure);
 			callback.failed(failure);
 		});
 	}
 
-	private @Nullable ProxyTargetConnection takeIdle(TargetProcess process, String requestId, boolean retryable) {
+	/**
+	 * Returns whether there is an idle connection for a request.
+	 * @param process the process that it leads to
+	 * @param use what the connection is for
+	 * @return whether {@link #acquire} would open no new one
+	 */
+	boolean hasIdle(TargetProcess process, ConnectionUse use) {
+		return findIdle(process, use) != null;
+	}
+
+	private @Nullable IdleConnection findIdle(TargetProcess process, ConnectionUse use) {
 		Deque<IdleConnection> idleConnections = this.idle.get(process);
 		if (idleConnections == null) {
 			return null;
@@ -132,17 +169,28 @@
 				latestFirst.remove();
 				connection.channel().close();
 			}
-			else if (!retryable && idleMs > MAX_IDLE_IF_NOT_RETRYABLE_MS) {
+			else if ((!use.retryable() && idleMs > MAX_IDLE_IF_NOT_RETRYABLE_MS)
+					|| candidate.sinceMs() < use.provenSinceMs()) {
 				return null;
 			}
-			else if (!connection.hasCarried(requestId)) {
-				latestFirst.remove();
-				return connection;
+			else if (!connection.hasCarried(use.requestId())) {
+				return candidate;
 			}
 		}
 		return null;
 	}
 
+	/**
+	 * Gives back a connection on which nothing was sent.
+	 * @param process the process that it leads to
+	 * @param connection the connection
+	 */
+	void release(TargetProcess process, ProxyTargetConnection connection) {
+		if (connection.channel().isActive()) {
+			new PoolMembership(process).becameIdle(connection);
+		}
+	}
+
 	private static long idleLifetimeMs(ProxyTargetConnection connection) {
 		return connection.keepAliveTimeoutMs() - KEEP_ALIVE_MARGIN_MS;
 	}
@@ -165,6 +213,28 @@
 		}
 	}
 
+	/**
+	 * What a connection is for.
+	 *
+	 * @param requestId the id of the request, which the connection must not have carried
+	 * @param retryable whether the request may be retried if the connection fails
+	 * @param provenSinceMs an idle connection must have carried a response since then, in
+	 * the clock's milliseconds
+	 */
+	record ConnectionUse(String requestId, boolean retryable, long provenSinceMs) {
+	}
+
+	/**
+	 * Told of every connect, before its callback.
+	 */
+	interface ConnectObserver {
+
+		void connected(TargetProcess process);
+
+		void failed(TargetProcess process, ConnectFailure failure);
+
+	}
+
 	/**
 	 * Receives a connection.
 	 */
--- a/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/TargetMessageMapper.java
@@ -57,19 +57,39 @@
 		FullHttpRequest to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
 				from.content().retainedDuplicate());
 		HttpHeaders headers = to.headers();
-		HopByHopHeaders.copyEndToEnd(from.headers(), headers);
-		headers.remove(HttpHeaderNames.AUTHORIZATION);
+		copyHeaders(from, headers, remainingMs);
 		headers.remove(this.headerNames.account());
 		if (account != null) {
 			headers.set(this.headerNames.account(), account.name());
 		}
-		headers.set(this.headerNames.deadlineMs(), Math.max(1, remainingMs));
 		headers.set(this.headerNames.expectedTarget(), targetId);
+		return to;
+	}
+
+	/**
+	 * Converts a request that another host has sent to be relayed to the request that the
+	 * target gets. The other host has set the client account and the identity of the
+	 * target.
+	 * @param from the request of the other host
+	 * @param remainingMs how long the target may work, in milliseconds
+	 * @return a copy that shares the request's body and holds a reference to it
+	 */
+	FullHttpRequest toRelayedRequest(FullHttpRequest from, long remainingMs) {
+		FullHttpRequest to = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
+				from.content().retainedDuplicate());
+		copyHeaders(from, to.headers(), remainingMs);
+		RelayHeaders.removeAll(to.headers());
+		return to;
+	}
+
+	private void copyHeaders(FullHttpRequest from, HttpHeaders headers, long remainingMs) {
+		HopByHopHeaders.copyEndToEnd(from.headers(), headers);
+		headers.remove(HttpHeaderNames.AUTHORIZATION);
+		headers.set(this.headerNames.deadlineMs(), Math.max(1, remainingMs));
 		if (from.content().isReadable() || from.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
 				|| from.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, from.content().readableBytes());
 		}
-		return to;
 	}
 
 	/**
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -17,6 +17,8 @@
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.health.RequestCrash;
+import org.plantainspur.core.reach.HostReach;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
@@ -53,8 +55,23 @@
 	 * @return the payload of a datagram
 	 */
 	public byte[] encode(HostHeartbeat heartbeat) {
-		boolean extended = !heartbeat.tables().equals(TableStates.NONE) || !heartbeat.requestCrashes().isEmpty()
-				|| !heartbeat.targetStatements().isEmpty();
+		return encode(heartbeat, null);
+	}
+
+	/**
+	 * Encodes a host's entry in the store: its heartbeat and its relay key.
+	 * @param heartbeat the heartbeat
+	 * @param relayKey the key of the host's process
+	 * @return the content of a row
+	 */
+	public byte[] encodeEntry(HostHeartbeat heartbeat, RelayKey relayKey) {
+		return encode(heartbeat, relayKey);
+	}
+
+	private static byte[] encode(HostHeartbeat heartbeat, @Nullable RelayKey relayKey) {
+		boolean withReach = relayKey != null || !heartbeat.reach().equals(HostReach.NONE);
+		boolean extended = withReach || !heartbeat.tables().equals(TableStates.NONE)
+				|| !heartbeat.requestCrashes().isEmpty() || !heartbeat.targetStatements().isEmpty();
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			packer.packInt(FORMAT_VERSION)
 				.packString(heartbeat.host())
@@ -86,6 +103,13 @@
 				packer.packLong(heartbeat.tables().desiredState().version().era())
 					.packLong(heartbeat.tables().targets().version().era());
 			}
+			if (withReach) {
+				packer.packInt(heartbeat.reach().state().ordinal());
+				packStrings(packer, heartbeat.reach().closedTargets());
+			}
+			if (relayKey != null) {
+				packer.packBinaryHeader(RelayKey.BYTES).writePayload(relayKey.bytes());
+			}
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -143,43 +167,71 @@
 	 */
 	public @Nullable HostHeartbeat decode(byte[] bytes) {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
-			if (unpacker.unpackInt() != FORMAT_VERSION) {
-				return null;
-			}
-			String host = unpacker.unpackString();
-			long startMs = unpacker.unpackLong();
-			String failureDomain = unpacker.unpackString();
-			String callerAddress = unpacker.unpackString();
-			String peerAddress = unpacker.unpackString();
-			double cores = unpacker.unpackDouble();
-			boolean acceptingCallers = unpacker.unpackBoolean();
-			long version = unpacker.unpackLong();
-			boolean extended = unpacker.unpackLong() == EXTENSION_FOLLOWS;
-			long storeAgeMs = unpacker.unpackLong();
-			Map<String, AccountUsage> usage = unpackUsage(unpacker);
-			List<String> accountsNearLimit = unpackStrings(unpacker);
-			List<String> failedTargets = unpackStrings(unpacker);
-			List<String> recoveredTargets = unpackStrings(unpacker);
-			List<DomainDigest> digests = unpackDigests(unpacker);
-			long[] tableStates = extended ? unpackLongs(unpacker, 4) : new long[4];
-			List<RequestCrash> requestCrashes = extended ? unpackCrashes(unpacker) : List.of();
-			// Both are missing in the heartbeats of earlier builds.
-			boolean current = unpacker.hasNext();
-			List<TargetStatementReport> targetStatements = current ? unpackStatements(unpacker) : List.of();
-			long[] eras = current ? unpackLongs(unpacker, 2) : new long[2];
-			TableStates tables = new TableStates(
-					new TableState(new StoreVersion(eras[0], tableStates[0]), tableStates[1]),
-					new TableState(new StoreVersion(eras[1], tableStates[2]), tableStates[3]));
-			HostHeartbeat heartbeat = new HostHeartbeat(host, startMs, failureDomain, callerAddress, peerAddress, cores,
-					acceptingCallers, version, tables, storeAgeMs, usage, accountsNearLimit, failedTargets,
-					recoveredTargets, digests, requestCrashes, targetStatements);
-			return isValid(heartbeat) ? heartbeat : null;
+			return unpack(unpacker);
 		}
 		catch (IOException | MessagePackException ex) {
 			return null;
 		}
 	}
 
+	/**
+	 * Decodes the relay key of a host's entry in the store.
+	 * @param bytes the content of a row
+	 * @return the key, or {@code null} if the entry is malformed or of an earlier build
+	 */
+	public @Nullable RelayKey decodeRelayKey(byte[] bytes) {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			boolean hasKey = unpack(unpacker) != null && unpacker.hasNext()
+					&& unpacker.unpackBinaryHeader() == RelayKey.BYTES;
+			return hasKey ? RelayKey.of(unpacker.readPayload(RelayKey.BYTES)) : null;
+		}
+		catch (IOException | MessagePackException ex) {
+			return null;
+		}
+	}
+
+	private static @Nullable HostHeartbeat unpack(MessageUnpacker unpacker) throws IOException {
+		if (unpacker.unpackInt() != FORMAT_VERSION) {
+			return null;
+		}
+		String host = unpacker.unpackString();
+		long startMs = unpacker.unpackLong();
+		String failureDomain = unpacker.unpackString();
+		String callerAddress = unpacker.unpackString();
+		String peerAddress = unpacker.unpackString();
+		double cores = unpacker.unpackDouble();
+		boolean acceptingCallers = unpacker.unpackBoolean();
+		long version = unpacker.unpackLong();
+		boolean extended = unpacker.unpackLong() == EXTENSION_FOLLOWS;
+		long storeAgeMs = unpacker.unpackLong();
+		Map<String, AccountUsage> usage = unpackUsage(unpacker);
+		List<String> accountsNearLimit = unpackStrings(unpacker);
+		List<String> failedTargets = unpackStrings(unpacker);
+		List<String> recoveredTargets = unpackStrings(unpacker);
+		List<DomainDigest> digests = unpackDigests(unpacker);
+		long[] tableStates = extended ? unpackLongs(unpacker, 4) : new long[4];
+		List<RequestCrash> requestCrashes = extended ? unpackCrashes(unpacker) : List.of();
+		// Both are missing in the heartbeats of earlier builds.
+		boolean current = unpacker.hasNext();
+		List<TargetStatementReport> targetStatements = current ? unpackStatements(unpacker) : List.of();
+		long[] eras = current ? unpackLongs(unpacker, 2) : new long[2];
+		HostReach reach = unpacker.hasNext() ? unpackReach(unpacker) : HostReach.NONE;
+		TableStates tables = new TableStates(new TableState(new StoreVersion(eras[0], tableStates[0]), tableStates[1]),
+				new TableState(new StoreVersion(eras[1], tableStates[2]), tableStates[3]));
+		HostHeartbeat heartbeat = new HostHeartbeat(host, startMs, failureDomain, callerAddress, peerAddress, cores,
+				acceptingCallers, version, tables, storeAgeMs, usage, accountsNearLimit, failedTargets,
+				recoveredTargets, digests, requestCrashes, targetStatements, reach);
+		return isValid(heartbeat) ? heartbeat : null;
+	}
+
+	private static HostReach unpackReach(MessageUnpacker unpacker) throws IOException {
+		int state = unpacker.unpackInt();
+		List<String> closedTargets = unpackStrings(unpacker);
+		HostReach.State[] states = HostReach.State.values();
+		return new HostReach((state >= 0 && state < states.length) ? states[state] : HostReach.State.UNKNOWN,
+				closedTargets.subList(0, Math.min(HostReach.MAX_CLOSED_TARGETS, closedTargets.size())));
+	}
+
 	// A heartbeat is used for as long as its host is known: an address that cannot be
 	// used would make each later heartbeat to it fail, and a number out of range would
 	// distort sums.
--- a/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/DomainRepresentativeTests.java
@@ -13,6 +13,7 @@
 import org.plantainspur.core.fleet.AccountUsage;
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostHeartbeat;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoreVersion;
@@ -27,7 +28,7 @@
 	private final HostHeartbeat ownHeartbeat = heartbeat("a1", "pdx-a", List.of(), List.of());
 
 	private final HostRegistry registry = new HostRegistry(new SilentStore(), (delay, task) -> {
-	}, this.ownHeartbeat, () -> {
+	}, this.ownHeartbeat, RelayKey.random(), () -> {
 	});
 
 	private final DomainRepresentative representative = new DomainRepresentative(settings(), this.registry,
@@ -52,6 +53,7 @@
 			.directoryAddress(any)
 			.peerAddress(any)
 			.metricsAddress(any)
+			.relayAddress(any)
 			.storeAddress(any)
 			.build();
 	}
--- a/gateway/src/test/java/org/plantainspur/gateway/HostRegistryTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/HostRegistryTests.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.plantainspur.core.fleet.HostHeartbeat;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoreVersion;
@@ -27,7 +28,7 @@
 
 	private HostRegistry registry(String host, String domain) {
 		return new HostRegistry(this.store, (delay, task) -> this.scheduled.add(task), heartbeat(host, domain, 1),
-				() -> {
+				RelayKey.random(), () -> {
 				});
 	}
 
