Find hosts that relay as soon as a path closes

What callers saw in CutOffHostTests: in the first 100 to 200 ms of a cut, requests were refused, as the hosts that may relay were looked up only at the next tick of the control thread, and the keys of hosts that had started later were read at most every two seconds. A stop of the relaying host left 49 of 163 requests without another one (same cause). A relayed request that reached its deadline was answered with 502, as the relaying host called it broken.

A path that closes, and keys that have been read, now start the look-up at once; keys are read again when a host is new. The outcome timed-out is told between hosts. The choice of a host no longer builds a map for each target.

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -45,6 +45,8 @@
 
 	private final Clock clock;
 
+	private final Runnable closedListener;
+
 	private final ConcurrentMap<TargetProcess, PathState> paths = new ConcurrentHashMap<>();
 
 	/** The state of the host's access to all targets; closed while it is cut off. */
@@ -54,10 +56,12 @@
 	 * Creates the paths of a host that has not connected to a target yet.
 	 * @param registry the listed targets
 	 * @param clock the host's clock
+	 * @param closedListener runs when a path has closed, on the thread that has found so
 	 */
-	public DirectPaths(TargetRegistry registry, Clock clock) {
+	public DirectPaths(TargetRegistry registry, Clock clock, Runnable closedListener) {
 		this.registry = registry;
 		this.clock = clock;
+		this.closedListener = closedListener;
 	}
 
 	/**
@@ -88,10 +92,14 @@
 	 */
 	public void recordFailed(TargetProcess target, ConnectFailure failure) {
 		long nowMs = this.clock.millis();
+		boolean wasOpen = state(target).phase() == PathState.Phase.OPEN;
 		update(target, (state) -> state.failed(failure, nowMs));
 		if (hasLostAllTargets(nowMs)) {
 			this.access.updateAndGet((state) -> state.failed(failure, nowMs));
 		}
+		if (wasOpen) {
+			this.closedListener.run();
+		}
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -3,13 +3,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
 
@@ -168,18 +166,26 @@
 	 */
 	@Nullable RelayHost choose(String targetId) {
 		long nowMs = this.clock.millis();
-		Map<Double, List<RelayHost>> byRank = this.hosts.get()
-			.stream()
-			.filter((host) -> belief(host.name()).mayReach(targetId, nowMs))
-			.collect(Collectors.groupingBy((host) -> rank(host, nowMs)));
-		return byRank.entrySet()
-			.stream()
-			.min(Map.Entry.comparingByKey())
-			.flatMap((nearest) -> nearest.getValue()
-				.stream()
-				.limit(HOSTS_IN_USE)
-				.min(Comparator.comparingInt((host) -> mixedHash(host.name(), targetId))))
-			.orElse(null);
+		RelayHost chosen = null;
+		double bestRank = Double.MAX_VALUE;
+		int inUse = 0;
+		// The hosts are sorted by distance, and each has its place in that order.
+		for (RelayHost host : this.hosts.get()) {
+			if (!belief(host.name()).mayReach(targetId, nowMs)) {
+				continue;
+			}
+			double rank = rank(host, nowMs);
+			if (rank < bestRank) {
+				bestRank = rank;
+				inUse = 0;
+				chosen = null;
+			}
+			if (rank == bestRank && inUse++ < HOSTS_IN_USE
+					&& (chosen == null || mixedHash(host.name(), targetId) < mixedHash(chosen.name(), targetId))) {
+				chosen = host;
+			}
+		}
+		return chosen;
 	}
 
 	private double rank(RelayHost host, long nowMs) {
--- a/core/src/test/java/org/plantainspur/core/reach/ReachFixture.java
+++ b/core/src/test/java/org/plantainspur/core/reach/ReachFixture.java
@@ -22,7 +22,8 @@
 
 	final TargetRegistry registry = new TargetRegistry(this.clock);
 
-	final DirectPaths paths = new DirectPaths(this.registry, this.clock);
+	final DirectPaths paths = new DirectPaths(this.registry, this.clock, () -> {
+	});
 
 	final RelayHosts hosts = new RelayHosts("own", LOCATION, this.clock);
 
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -172,7 +172,9 @@
 				this.settings.retryWindowMs());
 		SequentialCrashQuarantine quarantine = new SequentialCrashQuarantine(this.clock,
 				() -> ThreadLocalRandom.current().nextLong());
-		DirectPaths directPaths = new DirectPaths(this.targets, this.clock);
+		AtomicReference<Runnable> pathClosedListener = new AtomicReference<>(() -> {
+		});
+		DirectPaths directPaths = new DirectPaths(this.targets, this.clock, () -> pathClosedListener.get().run());
 		RelayHosts relayHosts = new RelayHosts(this.settings.host(), location, this.clock);
 		ProbeSchedule probes = new ProbeSchedule(directPaths, this.targets,
 				() -> ThreadLocalRandom.current().nextDouble());
@@ -181,6 +183,7 @@
 						retryBudget, quarantine, targetStatements, limitShare,
 						new PathMonitor.Paths(directPaths, relayHosts, probes, this.targets), this.relayKey),
 				store, storeSynchronizer, this.shutdown::stopping, this::probe, controlLoop, this.log, this.metrics);
+		pathClosedListener.set(gossip::pathClosed);
 		PathComponents paths = new PathComponents(directPaths, relayHosts,
 				new RelayAdmission(this.targets, targetPermits, directPaths, this.shutdown::stopping), this.relayKey,
 				new RelayProof(this.platform.headerNames()));
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -149,6 +149,8 @@
 
 	private final AtomicBoolean urgentHeartbeatPending = new AtomicBoolean();
 
+	private final AtomicBoolean pathCheckPending = new AtomicBoolean();
+
 	private final EventLoop eventLoop;
 
 	private final Scheduler scheduler;
@@ -196,7 +198,7 @@
 		this.representative = new DomainRepresentative(settings, this.registry, this.view::silenceMs,
 				this.channel::send);
 		this.pathMonitor = new PathMonitor(settings, hostState.paths(), this.registry, prober, this.channel::send,
-				hostState.quarantine(), log);
+				this::pathClosed, hostState.quarantine(), log);
 	}
 
 	private static String hostAndPort(InetSocketAddress address) {
@@ -304,13 +306,32 @@
 		}
 	}
 
+	/**
+	 * Looks for hosts that may relay, when a path has closed or their entries have been
+	 * read.
+	 */
+	void pathClosed() {
+		if (this.pathCheckPending.compareAndSet(false, true)) {
+			this.scheduler.after(0, () -> {
+				this.pathCheckPending.set(false);
+				checkPaths();
+			});
+		}
+	}
+
+	private void checkPaths() {
+		HostHeartbeat heartbeat = this.ownHeartbeat.get();
+		if (this.pathMonitor.run(heartbeat, this.view.domainHosts(heartbeat), this.clock.millis())) {
+			sendToAllHosts();
+		}
+	}
+
 	private void tick() {
 		if (this.clock.millis() >= this.storeReadAllowedMs) {
 			electStoreReader();
 		}
-		boolean pathsChanged = this.pathMonitor.run(this.ownHeartbeat.get(),
-				this.view.domainHosts(this.ownHeartbeat.get()), this.clock.millis());
-		if (pathsChanged || this.heartbeatSchedule.due(this.storeSynchronizer.tableStates().digest(),
+		checkPaths();
+		if (this.heartbeatSchedule.due(this.storeSynchronizer.tableStates().digest(),
 				this.storeSynchronizer.storeAgeMs(), this.clock.millis())) {
 			sendToAllHosts();
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/HostRegistry.java
@@ -44,11 +44,6 @@
 
 	private static final long RETRY_DELAY_MS = 1_000;
 
-	/**
-	 * How often a failure domain's table is read for relay keys while they are needed.
-	 */
-	private static final long RELAY_KEYS_INTERVAL_MS = 2_000;
-
 	/**
 	 * The time over which the hosts spread their writes when the store has been restored
 	 * from a copy, which they all notice at once.
@@ -80,8 +75,6 @@
 
 	private final Map<String, HostKey> relayKeys = new ConcurrentHashMap<>();
 
-	private final Map<String, Long> relayKeysReadMs = new HashMap<>();
-
 	private boolean registered;
 
 	/** The era of the store in which this host's entry was written last. */
@@ -221,20 +214,15 @@
 	}
 
 	/**
-	 * Reads the entries of a failure domain's hosts for their relay keys, unless it has
-	 * just been done.
+	 * Reads the entries of a failure domain's hosts for their relay keys.
 	 * @param failureDomain the name of the failure domain
-	 * @param now the reading of the host's clock, in milliseconds
+	 * @param onKeysRead runs when they have been read
 	 */
-	void readRelayKeys(String failureDomain, long now) {
-		Long previous = this.relayKeysReadMs.get(failureDomain);
-		if (previous != null && now - previous < RELAY_KEYS_INTERVAL_MS) {
-			return;
-		}
-		this.relayKeysReadMs.put(failureDomain, now);
+	void readRelayKeys(String failureDomain, Runnable onKeysRead) {
 		this.store.list(table(failureDomain), "").thenAccept((result) -> {
 			if (result instanceof StoreResult.Rows rows) {
 				rows.rows().forEach(this::addIfUnknown);
+				onKeysRead.run();
 			}
 		});
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -37,6 +39,12 @@
 	 */
 	private static final long ASK_INTERVAL_MS = 500;
 
+	/** How often the store is read for keys that it did not hold before. */
+	private static final long MISSING_KEYS_INTERVAL_MS = 2_000;
+
+	/** How often the entries of hosts of other failure domains are read while needed. */
+	private static final long OTHER_DOMAINS_INTERVAL_MS = 5_000;
+
 	/**
 	 * Crashes that were seen this long before the host was cut off are put down to the
 	 * cut, which resets connections before connects show it.
@@ -53,6 +61,8 @@
 
 	private final BiConsumer<HostHeartbeat, Iterable<String>> heartbeatSender;
 
+	private final Runnable onKeysRead;
+
 	private final SequentialCrashQuarantine quarantine;
 
 	private final DecisionLog log;
@@ -65,16 +75,23 @@
 
 	private int loggedClosed;
 
+	private final Map<String, Long> otherDomainsReadMs = new HashMap<>();
+
+	private Set<String> missingKeys = Set.of();
+
+	private long missingKeysReadMs = Long.MIN_VALUE / 2;
+
 	private long askedMs = Long.MIN_VALUE / 2;
 
 	PathMonitor(GatewaySettings settings, Paths paths, HostRegistry registry, Consumer<List<ObservedTarget>> prober,
-			BiConsumer<HostHeartbeat, Iterable<String>> heartbeatSender, SequentialCrashQuarantine quarantine,
-			DecisionLog log) {
+			BiConsumer<HostHeartbeat, Iterable<String>> heartbeatSender, Runnable onKeysRead,
+			SequentialCrashQuarantine quarantine, DecisionLog log) {
 		this.settings = settings;
 		this.paths = paths;
 		this.registry = registry;
 		this.prober = prober;
 		this.heartbeatSender = heartbeatSender;
+		this.onKeysRead = onKeysRead;
 		this.quarantine = quarantine;
 		this.log = log;
 		this.location = new HostLocation(settings.failureDomain(), settings.regions());
@@ -130,15 +147,15 @@
 	private void nameCandidates(List<HostHeartbeat> domainHosts, long now) {
 		boolean needed = this.paths.direct().closedCount() > 0 || this.paths.direct().isCutOff();
 		List<RelayHost> found = new ArrayList<>();
+		Set<String> withoutKey = new HashSet<>();
 		for (HostHeartbeat heartbeat : domainHosts) {
-			if (heartbeat.host().equals(this.settings.host()) || !heartbeat.acceptingCallers()) {
-				continue;
-			}
-			if (!addCandidate(found, heartbeat) && needed) {
-				this.registry.readRelayKeys(this.settings.failureDomain(), now);
+			boolean other = !heartbeat.host().equals(this.settings.host()) && heartbeat.acceptingCallers();
+			if (other && !addCandidate(found, heartbeat)) {
+				withoutKey.add(heartbeat.host() + "/" + heartbeat.startMs());
 			}
 		}
 		if (needed) {
+			readMissingKeys(withoutKey, now);
 			this.registry.others()
 				.stream()
 				.filter((heartbeat) -> !heartbeat.failureDomain().equals(this.settings.failureDomain()))
@@ -153,6 +170,17 @@
 		}
 	}
 
+	// A host whose entry was read without a key is an older build, or has not written its
+	// entry yet.
+	private void readMissingKeys(Set<String> withoutKey, long now) {
+		if (!this.missingKeys.containsAll(withoutKey)
+				|| (!withoutKey.isEmpty() && now - this.missingKeysReadMs >= MISSING_KEYS_INTERVAL_MS)) {
+			this.missingKeys = Set.copyOf(withoutKey);
+			this.missingKeysReadMs = now;
+			this.registry.readRelayKeys(this.settings.failureDomain(), this.onKeysRead);
+		}
+	}
+
 	private boolean addCandidate(Collection<RelayHost> found, HostHeartbeat heartbeat) {
 		RelayKey key = this.registry.relayKey(heartbeat);
 		RelayHost host = (key != null) ? toRelayHost(heartbeat, key) : null;
@@ -185,9 +213,12 @@
 		boolean regionConnected = relayHosts.isAnyConnected(HostLocation.Distance.SAME_REGION);
 		for (String failureDomain : this.settings.regions().keySet()) {
 			HostLocation.Distance distance = this.location.distanceTo(failureDomain);
-			if (distance == HostLocation.Distance.SAME_REGION
-					|| (distance == HostLocation.Distance.OTHER_REGION && !regionConnected)) {
-				this.registry.readRelayKeys(failureDomain, now);
+			Long readMs = this.otherDomainsReadMs.get(failureDomain);
+			if ((readMs == null || now - readMs >= OTHER_DOMAINS_INTERVAL_MS)
+					&& (distance == HostLocation.Distance.SAME_REGION
+							|| (distance == HostLocation.Distance.OTHER_REGION && !regionConnected))) {
+				this.otherDomainsReadMs.put(failureDomain, now);
+				this.registry.readRelayKeys(failureDomain, this.onKeysRead);
 			}
 		}
 		Set<String> asked = new HashSet<>();
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayOutcome.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayOutcome.java
@@ -34,6 +34,9 @@
 	/** Sent: the response was incomplete or could not be used. */
 	BROKEN,
 
+	/** Sent: no response arrived before the deadline. */
+	TIMED_OUT,
+
 	/** Sent: the connection to the target ended before any byte of a response. */
 	CONNECTION_LOST;
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayedAttempt.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayedAttempt.java
@@ -121,7 +121,9 @@
 	private void deadlineReached() {
 		if (!this.ended) {
 			this.path.cancel();
-			end(this.path.timedOut(), RelayOutcome.BROKEN, "no response before the deadline");
+			end(this.sent ? this.path.timedOut() : new AttemptOutcome.NotSent("no connection before the deadline"),
+					this.sent ? RelayOutcome.TIMED_OUT : RelayOutcome.NOTHING_REACHED,
+					"no response before the deadline");
 		}
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayedPath.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayedPath.java
@@ -127,7 +127,7 @@
 			case NOTHING_REACHED -> this.relayHosts.recordUnreached(this.host, this.targetId, false);
 			case BUSY -> this.relayHosts.recordBusy(this.host, retryAfterMs(response));
 			case STOPPING, REJECTED -> this.relayHosts.recordUnavailable(this.host);
-			case BROKEN, CONNECTION_LOST -> this.relayHosts.recordReached(this.host, this.targetId);
+			case BROKEN, TIMED_OUT, CONNECTION_LOST -> this.relayHosts.recordReached(this.host, this.targetId);
 		}
 	}
 
@@ -140,6 +140,7 @@
 	private static AttemptOutcome toAttemptOutcome(RelayOutcome outcome, String reason) {
 		return switch (outcome) {
 			case BROKEN -> new AttemptOutcome.Broken(reason);
+			case TIMED_OUT -> new AttemptOutcome.TimedOut();
 			case CONNECTION_LOST -> new AttemptOutcome.ConnectionLost(reason);
 			case WITHHELD -> new AttemptOutcome.Withheld();
 			case STOPPING, CUT_OFF, TARGET_UNREACHED, NOTHING_REACHED, BUSY, REJECTED ->
--- a/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
@@ -1,7 +1,13 @@
 package org.plantainspur.standins.gateway;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -10,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.plantainspur.standins.http.ServerExchange;
+import org.plantainspur.standins.http.StandInServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -27,6 +34,11 @@
 
 	private final Queue<String> runs = new ConcurrentLinkedQueue<>();
 
+	/** The targets of the service s, and their ports. */
+	private final List<StandInServer> serviceTargets = new ArrayList<>();
+
+	private final Set<Integer> servicePorts = new HashSet<>();
+
 	private final AtomicInteger requestNumber = new AtomicInteger();
 
 	@BeforeEach
@@ -34,7 +46,11 @@
 		this.fixture.writeDesiredStateWithoutRateLimit();
 		for (String service : new String[] { "s", "t" }) {
 			for (int i = 1; i <= 3; i++) {
-				this.fixture.startTarget(service, "i-" + service + i, "a", this::run);
+				StandInServer target = this.fixture.startTarget(service, "i-" + service + i, "a", this::run);
+				if (service.equals("s")) {
+					this.serviceTargets.add(target);
+					this.servicePorts.add(target.port());
+				}
 			}
 		}
 	}
@@ -62,9 +78,37 @@
 		return served;
 	}
 
+	private boolean isServed(GatewayFixture.CuttableHost host, String path) {
+		String id = "r" + this.requestNumber.incrementAndGet();
+		return GatewayFixture.sendRequest(host.port(), GatewayFixture.requestText("GET", path, id, ""))
+			.startsWith("HTTP/1.1 200");
+	}
+
+	private long countLogLines(String beginning, String part) {
+		return this.fixture.logLines()
+			.stream()
+			.filter((line) -> line.startsWith(beginning) && line.contains(part))
+			.count();
+	}
+
+	private Map<String, Integer> outcomes() {
+		Map<String, Integer> counts = new TreeMap<>();
+		this.fixture.logLines()
+			.stream()
+			.filter((line) -> line.contains(" request ") || line.contains("targets-"))
+			.map((line) -> line.replaceAll("r[0-9]+|[0-9]+ms|tookMs, [0-9]+|i-..", "")
+				.replaceAll(".*outcome", "outcome"))
+			.forEach((line) -> counts.merge(line, 1, Integer::sum));
+		return counts;
+	}
+
+	private GatewayFixture.CuttableHost startHost(String name, String failureDomain) throws IOException {
+		return this.fixture.startReadyCuttableHost(name, failureDomain, REGIONS);
+	}
+
 	private void assertServedDuring(CuttablePath.Kind kind) throws IOException {
-		GatewayFixture.CuttableHost cutOff = this.fixture.startReadyCuttableHost("a1", "a", REGIONS);
-		GatewayFixture.CuttableHost other = this.fixture.startReadyCuttableHost("a2", "a", REGIONS);
+		GatewayFixture.CuttableHost cutOff = startHost("a1", "a");
+		GatewayFixture.CuttableHost other = startHost("a2", "a");
 		assertThat(countServed(cutOff, REQUESTS)).isEqualTo(REQUESTS);
 		cutOff.paths().cut(kind);
 		long cutMs = GatewayFixture.nowMs();
@@ -96,4 +140,139 @@
 
 	}
 
+	@Nested
+	class WhoIsCutOff {
+
+		@Test
+		void aWholeDomainIsServedOverTheOtherOne() throws IOException {
+			GatewayFixture.CuttableHost first = startHost("a1", "a");
+			GatewayFixture.CuttableHost second = startHost("a2", "a");
+			startHost("b1", "b");
+			assertThat(countServed(first, REQUESTS)).isEqualTo(REQUESTS);
+			first.paths().cut(CuttablePath.Kind.SILENT);
+			second.paths().cut(CuttablePath.Kind.RESET);
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS / 2);
+			countServed(first, 6);
+			countServed(second, 6);
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS / 2);
+			assertThat(countServed(first, REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(countServed(second, REQUESTS)).isEqualTo(REQUESTS);
+		}
+
+		@Test
+		void oneHostServesTheCallersOfMoreHostsThatAreCutOff() throws IOException {
+			List<GatewayFixture.CuttableHost> hosts = new ArrayList<>();
+			for (String name : new String[] { "a1", "a2", "a3", "a4" }) {
+				hosts.add(startHost(name, "a"));
+			}
+			for (GatewayFixture.CuttableHost host : hosts.subList(0, 3)) {
+				host.paths().cut(CuttablePath.Kind.RESET);
+			}
+			hosts.forEach((host) -> countServed(host, 6));
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS);
+			for (GatewayFixture.CuttableHost host : hosts) {
+				assertThat(countServed(host, REQUESTS)).isEqualTo(REQUESTS);
+			}
+		}
+
+		@Test
+		void allHostsRefuseAtOnce() throws IOException {
+			List<GatewayFixture.CuttableHost> hosts = List.of(startHost("a1", "a"), startHost("a2", "a"));
+			for (GatewayFixture.CuttableHost host : hosts) {
+				host.paths().cut(CuttablePath.Kind.SILENT);
+			}
+			hosts.forEach((host) -> countServed(host, 6));
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS);
+			long startMs = GatewayFixture.nowMs();
+			assertThat(countServed(hosts.get(0), 6)).isZero();
+			assertThat(GatewayFixture.nowMs() - startMs).isLessThan(600);
+		}
+
+	}
+
+	@Nested
+	class WhoseFaultItIs {
+
+		@Test
+		void theTargetsOfOneServiceAreReachedOverAnotherHost() throws IOException {
+			GatewayFixture.CuttableHost host = startHost("a1", "a");
+			startHost("a2", "a");
+			countServed(host, REQUESTS);
+			host.paths().cut(CuttablePath.Kind.RESET, CutOffHostTests.this.servicePorts::contains);
+			long cutMs = GatewayFixture.nowMs();
+			while (GatewayFixture.nowMs() - cutMs < SERVED_AFTER_CUT_MS) {
+				countServed(host, 3);
+			}
+			for (int i = 0; i < REQUESTS; i++) {
+				assertThat(isServed(host, "/other/1")).isTrue();
+				assertThat(isServed(host, "/read/1")).isTrue();
+			}
+			assertThat(countLogLines("a1 targets-lost", "")).isZero();
+		}
+
+		@Test
+		void aServiceThatIsDownIsNotSentAround() throws Exception {
+			GatewayFixture.CuttableHost host = startHost("a1", "a");
+			startHost("a2", "a");
+			startHost("a3", "a");
+			countServed(host, REQUESTS);
+			for (StandInServer target : CutOffHostTests.this.serviceTargets) {
+				target.close();
+			}
+			for (int i = 0; i < REQUESTS; i++) {
+				assertThat(isServed(host, "/other/1")).isTrue();
+				assertThat(isServed(host, "/read/1")).isFalse();
+			}
+			// Each of the three targets is tried once over each of the other hosts.
+			assertThat(countLogLines("a1 request", " over ")).isLessThanOrEqualTo(6);
+			assertThat(countLogLines("", "targets-lost")).isZero();
+		}
+
+	}
+
+	@Nested
+	class EndOfTheCut {
+
+		@Test
+		void attemptsAreDirectAgainWithinASecond() throws IOException {
+			GatewayFixture.CuttableHost host = startHost("a1", "a");
+			startHost("a2", "a");
+			host.paths().cut(CuttablePath.Kind.SILENT);
+			countServed(host, REQUESTS);
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS);
+			assertThat(countLogLines("a1 request", " over a2 ")).isPositive();
+			host.paths().restore();
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS);
+			long relayedBefore = countLogLines("a1 request", " over a2 ");
+			assertThat(countServed(host, REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(countLogLines("a1 request", " over a2 ")).isEqualTo(relayedBefore);
+			assertThat(countLogLines("a1 targets-regained", "")).isEqualTo(1);
+		}
+
+		@Test
+		void callersAreServedWhilePathsComeAndGo() throws IOException {
+			GatewayFixture.CuttableHost host = startHost("a1", "a");
+			startHost("a2", "a");
+			int sent = 0;
+			int served = 0;
+			for (int i = 0; i < 6; i++) {
+				host.paths().cut(CuttablePath.Kind.RESET);
+				long endMs = GatewayFixture.nowMs() + 700;
+				while (GatewayFixture.nowMs() < endMs) {
+					served += countServed(host, 3);
+					sent += 3;
+				}
+				host.paths().restore();
+				endMs = GatewayFixture.nowMs() + 700;
+				while (GatewayFixture.nowMs() < endMs) {
+					served += countServed(host, 3);
+					sent += 3;
+				}
+			}
+			assertThat(served).as(String.valueOf(outcomes())).isGreaterThanOrEqualTo(sent * 97 / 100);
+			assertThat(countLogLines("a1 targets-lost", "")).isLessThanOrEqualTo(3);
+		}
+
+	}
+
 }
