Bind the proof of a relayed request to its place on the connection

The relaying host remembered a number for each request, 20,000 at most in a minute, and rejected all requests beyond it. A host that relays 500 requests a second for others would have reached that bound too.

The proof now covers the sender's address and port and the request's position on the connection instead, so a recorded request is rejected anywhere else, and nothing is remembered.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/PathConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/PathConnection.java
@@ -87,12 +87,22 @@
 	}
 
 	void send(FullHttpRequest request, ProxyTargetConnection.ResponseListener responseListener) {
+		this.sent = true;
+		openConnection().send(request, this.use.requestId(), responseListener);
+	}
+
+	// Returns where the next request will be sent.
+	RelayProof.Place place() {
+		ProxyTargetConnection opened = openConnection();
+		return RelayProof.Place.of(opened.channel().localAddress(), opened.carriedCount());
+	}
+
+	private ProxyTargetConnection openConnection() {
 		ProxyTargetConnection opened = this.connection;
 		if (opened == null) {
 			throw new IllegalStateException("the connection is not open yet");
 		}
-		this.sent = true;
-		opened.send(request, this.use.requestId(), responseListener);
+		return opened;
 	}
 
 	void cancel() {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnection.java
@@ -134,6 +134,10 @@
 		return this.carriedIds.contains(id);
 	}
 
+	int carriedCount() {
+		return this.carriedIds.size();
+	}
+
 	void send(FullHttpRequest request, String id, ResponseListener responseListener) {
 		this.listener = responseListener;
 		this.requestId = id;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayConnection.java
@@ -34,6 +34,8 @@
 
 	private final AtomicInteger openRequests;
 
+	private int received;
+
 	private @Nullable RelayedAttempt running;
 
 	RelayConnection(ProxyComponents components, AttemptPaths paths, AtomicInteger openRequests) {
@@ -58,7 +60,9 @@
 		this.openRequests.incrementAndGet();
 		if (request.decoderResult().isFailure() || !this.components.paths()
 			.relayProof()
-			.accept(request, this.components.paths().relayKey(), System.currentTimeMillis())) {
+			.accept(request, this.components.paths().relayKey(),
+					RelayProof.Place.of(context.channel().remoteAddress(), this.received++),
+					System.currentTimeMillis())) {
 			this.components.metrics().count("relayed_requests_total", "rejected");
 			respond(context, request, refusal(request, RelayOutcome.REJECTED, "no valid proof"));
 			return;
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayHeaders.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayHeaders.java
@@ -14,9 +14,6 @@
 	/** Whether the request may be retried if its connection fails. */
 	static final String RETRYABLE = "Plantainspur-Relay-Retryable";
 
-	/** A number that is used once, so that a request cannot be sent again by others. */
-	static final String NONCE = "Plantainspur-Relay-Nonce";
-
 	/** When the request was sent, in Unix milliseconds. */
 	static final String SENT_MS = "Plantainspur-Relay-Sent-Ms";
 
@@ -35,7 +32,6 @@
 	static void removeAll(HttpHeaders headers) {
 		headers.remove(TARGET);
 		headers.remove(RETRYABLE);
-		headers.remove(NONCE);
 		headers.remove(SENT_MS);
 		headers.remove(PROOF);
 		headers.remove(OUTCOME);
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayProof.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayProof.java
@@ -1,14 +1,12 @@
 package org.plantainspur.gateway.http;
 
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.util.HexFormat;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
@@ -20,9 +18,9 @@
 
 /**
  * Proves that a host of the fleet has sent a request to be relayed: a keyed hash, with
- * the key of the receiving process, of all that decides what the request does. A request
- * is accepted once and for a short time, so that a recorded one cannot be sent again.
- * Thread-safe.
+ * the key of the receiving process, of all that decides what the request does. It covers
+ * the connection and the request's place on it, so that a recorded request cannot be sent
+ * again on another connection or a second time on the same one. Thread-safe.
  */
 public final class RelayProof {
 
@@ -31,16 +29,10 @@
 	 */
 	static final long MAX_AGE_MS = 30_000;
 
-	/** The requests that are remembered; beyond it further ones are rejected. */
-	private static final int MAX_NONCES = 20_000;
-
 	private static final String ALGORITHM = "HmacSHA256";
 
 	private final HeaderNames headerNames;
 
-	/** When each accepted request was sent, oldest first. */
-	private final Map<String, Long> acceptedMs = new LinkedHashMap<>();
-
 	public RelayProof(HeaderNames headerNames) {
 		this.headerNames = headerNames;
 	}
@@ -49,22 +41,23 @@
 	 * Adds the proof to a request.
 	 * @param request the request with all its other headers
 	 * @param key the key of the host that it is sent to
+	 * @param place where the request is sent
 	 * @param nowMs the time of day in Unix milliseconds
 	 */
-	void sign(FullHttpRequest request, RelayKey key, long nowMs) {
-		request.headers().set(RelayHeaders.NONCE, Long.toHexString(ThreadLocalRandom.current().nextLong()));
+	void sign(FullHttpRequest request, RelayKey key, Place place, long nowMs) {
 		request.headers().set(RelayHeaders.SENT_MS, nowMs);
-		request.headers().set(RelayHeaders.PROOF, HexFormat.of().formatHex(hash(request, key)));
+		request.headers().set(RelayHeaders.PROOF, HexFormat.of().formatHex(hash(request, key, place)));
 	}
 
 	/**
-	 * Checks the proof of a request. A second check of the same request fails.
+	 * Checks the proof of a request.
 	 * @param request the request as received
 	 * @param key the key of this host
+	 * @param place where the request was received
 	 * @param nowMs the time of day in Unix milliseconds
 	 * @return whether a host of the fleet has sent it just now
 	 */
-	boolean accept(FullHttpRequest request, RelayKey key, long nowMs) {
+	boolean accept(FullHttpRequest request, RelayKey key, Place place, long nowMs) {
 		HttpHeaders headers = request.headers();
 		String sent = headers.get(RelayHeaders.SENT_MS, "");
 		String proof = headers.get(RelayHeaders.PROOF, "");
@@ -72,27 +65,16 @@
 				|| Math.abs(nowMs - Long.parseLong(sent)) > MAX_AGE_MS) {
 			return false;
 		}
-		return MessageDigest.isEqual(HexFormat.of().parseHex(proof), hash(request, key))
-				&& isFirst(headers.get(RelayHeaders.NONCE, ""), nowMs);
+		return MessageDigest.isEqual(HexFormat.of().parseHex(proof), hash(request, key, place));
 	}
 
-	private boolean isFirst(String nonce, long nowMs) {
-		synchronized (this.acceptedMs) {
-			Iterator<Long> oldestFirst = this.acceptedMs.values().iterator();
-			while (oldestFirst.hasNext() && nowMs - oldestFirst.next() > 2 * MAX_AGE_MS) {
-				oldestFirst.remove();
-			}
-			return this.acceptedMs.size() < MAX_NONCES && this.acceptedMs.putIfAbsent(nonce, nowMs) == null;
-		}
-	}
-
-	private byte[] hash(FullHttpRequest request, RelayKey key) {
+	private byte[] hash(FullHttpRequest request, RelayKey key, Place place) {
 		HttpHeaders headers = request.headers();
 		String text = String.join("\n", request.method().name(), request.uri(),
 				headers.get(this.headerNames.requestId(), ""), headers.get(this.headerNames.account(), ""),
 				headers.get(this.headerNames.expectedTarget(), ""), headers.get(this.headerNames.deadlineMs(), ""),
 				headers.get(RelayHeaders.TARGET, ""), headers.get(RelayHeaders.RETRYABLE, ""),
-				headers.get(RelayHeaders.NONCE, ""), headers.get(RelayHeaders.SENT_MS, ""), "");
+				headers.get(RelayHeaders.SENT_MS, ""), place.toString(), "");
 		try {
 			Mac mac = Mac.getInstance(ALGORITHM);
 			mac.init(new SecretKeySpec(key.bytes(), ALGORITHM));
@@ -107,4 +89,20 @@
 		}
 	}
 
+	/**
+	 * The place of a request: a connection and its position there.
+	 *
+	 * @param address the IP address of the sending host
+	 * @param port the port from which the connection was opened
+	 * @param position the number of requests before it on the connection
+	 */
+	record Place(String address, int port, int position) {
+
+		static Place of(SocketAddress sender, int position) {
+			InetSocketAddress address = (InetSocketAddress) sender;
+			return new Place(address.getAddress().getHostAddress(), address.getPort(), position);
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayedPath.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayedPath.java
@@ -84,7 +84,7 @@
 	public void send(FullHttpRequest request) {
 		request.headers().set(RelayHeaders.TARGET, this.targetId);
 		request.headers().set(RelayHeaders.RETRYABLE, this.retryable);
-		this.proof.sign(request, this.host.key(), System.currentTimeMillis());
+		this.proof.sign(request, this.host.key(), this.connection.place(), System.currentTimeMillis());
 		this.connection.send(request, this);
 	}
 
