Move one attempt of a request into a class of its own

It now decides what follows an attempt; ProxyAttempt carries one on any path and records its outcome. No behaviour changes.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
@@ -20,13 +19,11 @@
 import org.plantainspur.core.desired.AccountRule;
 import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.RouteRule;
-import org.plantainspur.core.health.SequentialCrashQuarantine;
 import org.plantainspur.core.proxy.AdmissionControl;
 import org.plantainspur.core.proxy.Refusal;
 import org.plantainspur.core.proxy.RetryRules;
 import org.plantainspur.core.request.RequestFingerprint;
 import org.plantainspur.core.target.AttemptOutcome;
-import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetSelector;
 
 /**
@@ -34,7 +31,7 @@
  * attempts at targets, and the deadline. Confined to the event loop of the caller's
  * connection.
  */
-final class ProxiedRequest {
+final class ProxiedRequest implements ProxyAttempt.Request {
 
 	/**
 	 * Subtracted from the deadline that a target is given, so that a response that the
@@ -42,11 +39,6 @@
 	 */
 	private static final long DEADLINE_MARGIN_MS = 20;
 
-	/**
-	 * An attempt counts as slow after this multiple of the typical duration of its route.
-	 */
-	private static final double SLOW_ATTEMPT_FACTOR = 4;
-
 	/**
 	 * The longest time that a request waits for a starting host to read the store. If the
 	 * store can be reached, it has been read within this time.
@@ -65,9 +57,6 @@
 	 */
 	private static final long DECLINED_RETRY_DELAY_MS = 100;
 
-	/** No attempt counts as slow before this time. */
-	private static final long MIN_SLOW_ATTEMPT_MS = 400;
-
 	private final ProxyComponents components;
 
 	private final EventLoop eventLoop;
@@ -80,8 +69,6 @@
 
 	private final TargetMessageMapper targetMapper;
 
-	private final TargetResponseRecorder responseRecorder;
-
 	private final ResponseWriter responseWriter;
 
 	private final int bodyBytes;
@@ -117,7 +104,7 @@
 
 	private int unsentAttempts;
 
-	private @Nullable Attempt currentAttempt;
+	private @Nullable ProxyAttempt currentAttempt;
 
 	private @Nullable ScheduledFuture<?> timer;
 
@@ -136,7 +123,6 @@
 		this.bodyBytes = request.content().readableBytes();
 		this.callerMapper = new CallerMessageMapper(components.headerNames(), request);
 		this.targetMapper = new TargetMessageMapper(components.headerNames());
-		this.responseRecorder = new TargetResponseRecorder(components, this.targetMapper);
 		this.responseWriter = responseWriter;
 		this.arrivedMs = arrivedMs;
 		this.requestId = this.callerMapper.requestId();
@@ -197,7 +183,8 @@
 		return (decoderFailure instanceof TooLongFrameException) ? Refusal.HEADERS_TOO_LARGE : Refusal.MALFORMED;
 	}
 
-	private long remainingMs() {
+	@Override
+	public long remainingMs() {
 		return this.deadlineMs - this.components.clock().millis();
 	}
 
@@ -229,11 +216,88 @@
 	}
 
 	private void startAttempt(RouteRule admittedRoute, TargetSelector.Selection selection, boolean retryable) {
-		Attempt attempt = new Attempt(selection.target(), this.paths.create(selection, this.requestId, retryable),
-				admittedRoute);
+		ProxyAttempt attempt = new ProxyAttempt(this.components, this.eventLoop, this, selection.target(),
+				this.paths.create(selection, this.requestId, retryable), admittedRoute.name());
 		this.currentAttempt = attempt;
-		this.components.attemptRecorder().recordSent(selection.target());
-		attempt.path.open(attempt);
+		attempt.start();
+	}
+
+	@Override
+	public FullHttpRequest attemptSent(ProxyAttempt attempt) {
+		this.sentAttempts++;
+		this.triedTargets.add(attempt.targetId());
+		return this.targetMapper.toTargetRequest(this.request, this.account, attempt.targetId(),
+				remainingMs() - DEADLINE_MARGIN_MS);
+	}
+
+	@Override
+	public void pathOverdue(ProxyAttempt attempt) {
+		RouteRule admittedRoute = this.route;
+		if (admittedRoute == null || !this.components.retryRules().mayLeaveSlowPath(this.unsentAttempts + 1)) {
+			return;
+		}
+		boolean retryable = mayRetryAgain(admittedRoute);
+		TargetSelector.Selection other = select(admittedRoute, retryable);
+		if (other != null) {
+			this.unsentAttempts++;
+			attempt.leaveSlow();
+			startAttempt(admittedRoute, other, retryable);
+		}
+	}
+
+	@Override
+	public boolean replaceSlowAttempt(ProxyAttempt attempt, double typicalMs) {
+		RouteRule admittedRoute = this.route;
+		if (admittedRoute == null || typicalMs >= remainingMs() || !this.components.retryRules()
+			.tryReplaceSlowAttempt(admittedRoute, this.service, this.sentAttempts)) {
+			return false;
+		}
+		attempt.leaveSlow();
+		startAttempt(admittedRoute);
+		return true;
+	}
+
+	@Override
+	public void outcomeRecorded(ProxyAttempt attempt, AttemptOutcome outcome, long tookMs) {
+		this.mayHaveRun |= outcome.mayHaveRun();
+		this.attemptLog.append(this.attemptLog.isEmpty() ? "" : "; ")
+			.append(attempt.description())
+			.append(' ')
+			.append(outcome)
+			.append(' ')
+			.append(tookMs)
+			.append("ms");
+	}
+
+	@Override
+	public void attemptEnded(ProxyAttempt attempt, AttemptOutcome outcome, boolean deadlineReached,
+			@Nullable HttpResponse response, ByteBuf body) {
+		if (!outcome.reachedTarget()) {
+			countUnsent(attempt);
+		}
+		RouteRule admittedRoute = this.route;
+		if (this.finished || admittedRoute == null) {
+			body.release();
+			return;
+		}
+		this.currentAttempt = null;
+		RetryRules.NextStep next = this.components.retryRules()
+			.nextStep(admittedRoute, this.service, outcome, this.sentAttempts, this.unsentAttempts,
+					deadlineReached || remainingMs() <= DEADLINE_MARGIN_MS);
+		if (!(next instanceof RetryRules.Deliver)) {
+			body.release();
+		}
+		proceed(next, response, body);
+	}
+
+	// An attempt that another host did not pass on was sent to that host, but has reached
+	// no target.
+	private void countUnsent(ProxyAttempt attempt) {
+		this.unsentAttempts++;
+		if (attempt.isSent()) {
+			this.sentAttempts--;
+			this.triedTargets.remove(attempt.targetId());
+		}
 	}
 
 	private void refuseWithoutTarget() {
@@ -251,7 +315,13 @@
 		}
 	}
 
-	private String fingerprint() {
+	@Override
+	public String requestId() {
+		return this.requestId;
+	}
+
+	@Override
+	public String fingerprint() {
 		if (this.fingerprint.isEmpty()) {
 			AccountRule requestAccount = this.account;
 			this.fingerprint = RequestFingerprint.of((requestAccount != null) ? requestAccount.name() : "",
@@ -261,10 +331,9 @@
 	}
 
 	private void deadlineReached() {
-		Attempt runningAttempt = this.currentAttempt;
+		ProxyAttempt runningAttempt = this.currentAttempt;
 		if (runningAttempt != null) {
-			runningAttempt.end(runningAttempt.sent ? runningAttempt.path.timedOut()
-					: new AttemptOutcome.NotSent("no connection before the deadline"), true);
+			runningAttempt.deadlineReached();
 		}
 		else {
 			refuse(Refusal.NO_ROOM);
@@ -280,13 +349,13 @@
 		if (this.finished) {
 			return;
 		}
-		Attempt runningAttempt = this.currentAttempt;
+		ProxyAttempt runningAttempt = this.currentAttempt;
 		RouteRule admittedRoute = this.route;
 		boolean cancellable = admittedRoute != null && admittedRoute.idempotent();
-		if (runningAttempt != null && (cancellable || !runningAttempt.sent)) {
+		if (runningAttempt != null && (cancellable || !runningAttempt.isSent())) {
 			runningAttempt.cancel();
 		}
-		if (runningAttempt == null || cancellable || !runningAttempt.sent) {
+		if (runningAttempt == null || cancellable || !runningAttempt.isSent()) {
 			finish(outcome, 0);
 		}
 		// A sent request of a route that is not idempotent runs on, as its work cannot be
@@ -298,7 +367,7 @@
 	 * says whether it may have run.
 	 */
 	void endForShutdown() {
-		Attempt runningAttempt = this.currentAttempt;
+		ProxyAttempt runningAttempt = this.currentAttempt;
 		if (runningAttempt != null) {
 			runningAttempt.cancel();
 		}
@@ -380,204 +449,4 @@
 
 	}
 
-	private final class Attempt implements AttemptPath.Listener {
-
-		private final ObservedTarget target;
-
-		private final AttemptPath path;
-
-		private final RouteRule admittedRoute;
-
-		private final long startedMs = ProxiedRequest.this.components.clock().millis();
-
-		private @Nullable ScheduledFuture<?> slowTimer;
-
-		private boolean sent;
-
-		private long sentMs;
-
-		private boolean ended;
-
-		private Attempt(ObservedTarget target, AttemptPath path, RouteRule admittedRoute) {
-			this.target = target;
-			this.path = path;
-			this.admittedRoute = admittedRoute;
-		}
-
-		@Override
-		public void notOpened(String reason) {
-			end(new AttemptOutcome.NotSent(reason), false);
-		}
-
-		// The request goes another way if there is one; nothing was sent on this one.
-		@Override
-		public void overdue() {
-			if (!ProxiedRequest.this.components.retryRules().mayLeaveSlowPath(ProxiedRequest.this.unsentAttempts + 1)) {
-				return;
-			}
-			boolean retryable = mayRetryAgain(this.admittedRoute);
-			TargetSelector.Selection other = select(this.admittedRoute, retryable);
-			if (other != null) {
-				ProxiedRequest.this.unsentAttempts++;
-				recordOutcome(new AttemptOutcome.NotSent("no answer to the connect in the usual time"));
-				this.path.cancel();
-				startAttempt(this.admittedRoute, other, retryable);
-			}
-		}
-
-		@Override
-		public void opened() {
-			if (ProxiedRequest.this.components.targetPermits().isWithdrawn(this.target)) {
-				end(new AttemptOutcome.Withheld(), false);
-				return;
-			}
-			this.sent = true;
-			this.sentMs = ProxiedRequest.this.components.clock().millis();
-			ProxiedRequest.this.sentAttempts++;
-			ProxiedRequest.this.triedTargets.add(this.target.listing().id());
-			this.path.send(ProxiedRequest.this.targetMapper.toTargetRequest(ProxiedRequest.this.request,
-					ProxiedRequest.this.account, this.target.listing().id(), remainingMs() - DEADLINE_MARGIN_MS));
-			scheduleSlowCheck();
-		}
-
-		private void scheduleSlowCheck() {
-			double typicalMs = ProxiedRequest.this.components.attemptRecorder()
-				.typicalDurationMs(this.admittedRoute.name());
-			long slowAfterMs = (long) Math.max(MIN_SLOW_ATTEMPT_MS, typicalMs * SLOW_ATTEMPT_FACTOR);
-			if (typicalMs > 0 && slowAfterMs < remainingMs()) {
-				this.slowTimer = ProxiedRequest.this.eventLoop.schedule(() -> handleSlowAttempt(typicalMs), slowAfterMs,
-						TimeUnit.MILLISECONDS);
-			}
-		}
-
-		private void handleSlowAttempt(double typicalMs) {
-			if (this.ended) {
-				return;
-			}
-			boolean replace = typicalMs < remainingMs() && ProxiedRequest.this.components.retryRules()
-				.tryReplaceSlowAttempt(this.admittedRoute, ProxiedRequest.this.service,
-						ProxiedRequest.this.sentAttempts);
-			if (replace) {
-				recordOutcome(this.path.timedOut());
-				this.path.cancel();
-				startAttempt(this.admittedRoute);
-			}
-			else if (this.path.timedOut().concernsTarget()) {
-				// The attempt goes on, but other requests should avoid the target
-				// meanwhile.
-				ProxiedRequest.this.components.attemptRecorder().recordOverdue(this.target);
-				ProxiedRequest.this.components.targetHealthListener().targetFailed(this.target);
-			}
-		}
-
-		@Override
-		public void responseReceived(HttpResponse response, ByteBuf body) {
-			ProxiedRequest.this.components.attemptRecorder()
-				.recordResponseBytes(this.admittedRoute.name(), body.readableBytes());
-			AttemptOutcome outcome = ProxiedRequest.this.targetMapper.toOutcome(response);
-			ProxiedRequest.this.responseRecorder.record(this.target, response, outcome);
-			end(outcome, false, response, body);
-		}
-
-		@Override
-		public void ended(AttemptOutcome outcome) {
-			end(outcome, false);
-		}
-
-		private void cancel() {
-			recordOutcome(this.sent ? new AttemptOutcome.Cancelled() : new AttemptOutcome.NotSent("cancelled"));
-			this.path.cancel();
-		}
-
-		private void end(AttemptOutcome outcome, boolean deadlineReached) {
-			end(outcome, deadlineReached, null, Unpooled.EMPTY_BUFFER);
-		}
-
-		private void end(AttemptOutcome outcome, boolean deadlineReached, @Nullable HttpResponse response,
-				ByteBuf body) {
-			if (this.ended) {
-				body.release();
-				return;
-			}
-			recordOutcome(outcome);
-			if (response == null) {
-				this.path.cancel();
-			}
-			countAttempt(outcome);
-			if (ProxiedRequest.this.finished) {
-				body.release();
-				return;
-			}
-			ProxiedRequest.this.currentAttempt = null;
-			RetryRules.NextStep next = ProxiedRequest.this.components.retryRules()
-				.nextStep(this.admittedRoute, ProxiedRequest.this.service, outcome, ProxiedRequest.this.sentAttempts,
-						ProxiedRequest.this.unsentAttempts, deadlineReached || remainingMs() <= DEADLINE_MARGIN_MS);
-			if (!(next instanceof RetryRules.Deliver)) {
-				body.release();
-			}
-			proceed(next, response, body);
-		}
-
-		// An attempt that another host did not pass on has reached no target.
-		private void countAttempt(AttemptOutcome outcome) {
-			if (outcome.reachedTarget()) {
-				return;
-			}
-			ProxiedRequest.this.unsentAttempts++;
-			if (this.sent) {
-				ProxiedRequest.this.sentAttempts--;
-				ProxiedRequest.this.triedTargets.remove(this.target.listing().id());
-			}
-		}
-
-		private void recordInQuarantine(AttemptOutcome outcome) {
-			SequentialCrashQuarantine quarantine = ProxiedRequest.this.components.quarantine();
-			String targetId = this.target.listing().id();
-			if (outcome instanceof AttemptOutcome.ConnectionLost) {
-				quarantine.recordCrash(fingerprint(), targetId, this.sentMs);
-				ProxiedRequest.this.components.log()
-					.event("target-connection-lost", "id", ProxiedRequest.this.requestId, "target", targetId,
-							"fingerprint", fingerprint());
-			}
-			else if (!quarantine.isEmpty()) {
-				boolean completed = outcome instanceof AttemptOutcome.Answered;
-				if (completed) {
-					quarantine.recordCompletion(fingerprint());
-				}
-				if (completed || outcome instanceof AttemptOutcome.Declined) {
-					quarantine.recordResponse(targetId, this.sentMs);
-				}
-			}
-		}
-
-		private void recordOutcome(AttemptOutcome outcome) {
-			this.ended = true;
-			ProxiedRequest.this.mayHaveRun |= outcome.mayHaveRun();
-			ScheduledFuture<?> pending = this.slowTimer;
-			if (pending != null) {
-				pending.cancel(false);
-			}
-			recordInQuarantine(outcome);
-			long tookMs = ProxiedRequest.this.components.clock().millis() - this.startedMs;
-			boolean wasSuspect = ProxiedRequest.this.components.attemptRecorder().isSuspect(this.target);
-			boolean failed = ProxiedRequest.this.components.attemptRecorder()
-				.recordOutcome(this.target, this.admittedRoute.name(), outcome, tookMs);
-			if (failed) {
-				ProxiedRequest.this.components.targetHealthListener().targetFailed(this.target);
-			}
-			else if (wasSuspect && outcome instanceof AttemptOutcome.Answered) {
-				ProxiedRequest.this.components.targetHealthListener().targetRecovered(this.target);
-			}
-			ProxiedRequest.this.attemptLog.append(ProxiedRequest.this.attemptLog.isEmpty() ? "" : "; ")
-				.append(this.target.listing().id())
-				.append(' ')
-				.append(this.path.description().isEmpty() ? "" : this.path.description() + ' ')
-				.append(outcome)
-				.append(' ')
-				.append(tookMs)
-				.append("ms");
-		}
-
-	}
-
 }
