Do no work for closed paths while none is closed

DirectPaths counts its closed paths; what is gone is forgotten every two seconds. A path that closes while the process ends no longer starts a task on an event loop that has ended (seen as a warning in CutOffSoakTests).

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
 
@@ -49,6 +50,9 @@
 
 	private final ConcurrentMap<TargetProcess, PathState> paths = new ConcurrentHashMap<>();
 
+	/** The number of paths that are not open, so that a host without any does no work. */
+	private final AtomicInteger closedPaths = new AtomicInteger();
+
 	/** The state of the host's access to all targets; closed while it is cut off. */
 	private final AtomicReference<PathState> access = new AtomicReference<>(PathState.INITIAL);
 
@@ -112,7 +116,12 @@
 	}
 
 	private PathState update(TargetProcess target, UnaryOperator<PathState> change) {
-		return this.paths.merge(target, change.apply(PathState.INITIAL), (present, ignored) -> change.apply(present));
+		return this.paths.compute(target, (process, present) -> {
+			PathState before = (present != null) ? present : PathState.INITIAL;
+			PathState after = change.apply(before);
+			this.closedPaths.addAndGet(after.closedCount() - before.closedCount());
+			return after;
+		});
 	}
 
 	private boolean hasLostAllTargets(long nowMs) {
@@ -174,7 +183,7 @@
 	 * @return a number of listed targets
 	 */
 	public int closedCount() {
-		return (int) this.paths.values().stream().filter((state) -> state.phase() != PathState.Phase.OPEN).count();
+		return this.closedPaths.get();
 	}
 
 	/**
@@ -206,15 +215,23 @@
 
 	/** Forgets the paths to targets that are not listed any more. */
 	public void removeUnlisted() {
-		this.paths.keySet().removeIf((target) -> {
+		for (TargetProcess target : this.paths.keySet()) {
 			ObservedTarget listed = this.registry.target(target.id());
-			return listed == null || !listed.listing().process().equals(target);
-		});
+			if (listed == null || !listed.listing().process().equals(target)) {
+				this.paths.computeIfPresent(target, (process, state) -> {
+					this.closedPaths.addAndGet(-state.closedCount());
+					return null;
+				});
+			}
+		}
 	}
 
 	// Returns the listed targets whose paths should be tried, those whose last connect
 	// failed longest ago first.
 	List<ObservedTarget> closedTargets() {
+		if (closedCount() == 0 && !isCutOff()) {
+			return List.of();
+		}
 		List<ObservedTarget> closed = new ArrayList<>();
 		Collection<String> ids = this.registry.ids();
 		for (String id : ids) {
--- a/core/src/main/java/org/plantainspur/core/reach/PathState.java
+++ b/core/src/main/java/org/plantainspur/core/reach/PathState.java
@@ -66,6 +66,11 @@
 				this.provenMs, this.failedMs, this.failure, this.relapses, this.stableSinceMs) : this;
 	}
 
+	/** Returns 1 if the path is not open, 0 if it is. */
+	int closedCount() {
+		return (this.phase == Phase.OPEN) ? 0 : 1;
+	}
+
 	private long holdMs() {
 		return (this.relapses == 0) ? 0 : FIRST_HOLD_MS << Math.min(MAX_DOUBLINGS, this.relapses - 1);
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -311,7 +311,7 @@
 	 * read.
 	 */
 	void pathClosed() {
-		if (this.pathCheckPending.compareAndSet(false, true)) {
+		if (!this.eventLoop.isShuttingDown() && this.pathCheckPending.compareAndSet(false, true)) {
 			this.scheduler.after(0, () -> {
 				this.pathCheckPending.set(false);
 				checkPaths();
--- a/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
@@ -39,6 +39,9 @@
 	 */
 	private static final long ASK_INTERVAL_MS = 500;
 
+	/** How often what is known of targets and hosts that are gone is forgotten. */
+	private static final long CLEAN_UP_INTERVAL_MS = 2_000;
+
 	/** How often the store is read for keys that it did not hold before. */
 	private static final long MISSING_KEYS_INTERVAL_MS = 2_000;
 
@@ -81,6 +84,8 @@
 
 	private long missingKeysReadMs = Long.MIN_VALUE / 2;
 
+	private long cleanedUpMs = Long.MIN_VALUE / 2;
+
 	private long askedMs = Long.MIN_VALUE / 2;
 
 	PathMonitor(GatewaySettings settings, Paths paths, HostRegistry registry, Consumer<List<ObservedTarget>> prober,
@@ -105,7 +110,10 @@
 	 * @return whether the other hosts should hear of this host's paths at once
 	 */
 	boolean run(HostHeartbeat ownHeartbeat, List<HostHeartbeat> domainHosts, long now) {
-		this.paths.direct().removeUnlisted();
+		if (now - this.cleanedUpMs >= CLEAN_UP_INTERVAL_MS) {
+			this.cleanedUpMs = now;
+			cleanUp();
+		}
 		this.prober.accept(this.paths.probes().due(this.paths.relayHosts().isAnyCutOff(), now));
 		boolean cutOff = this.paths.direct().isCutOff();
 		nameCandidates(domainHosts, now);
@@ -164,12 +172,16 @@
 		if (!found.equals(this.candidates)) {
 			this.candidates = List.copyOf(found);
 			this.paths.relayHosts().replace(found);
-			Set<String> known = new HashSet<>();
-			this.registry.others().forEach((heartbeat) -> known.add(heartbeat.host()));
-			this.paths.relayHosts().removeOld(known);
 		}
 	}
 
+	private void cleanUp() {
+		this.paths.direct().removeUnlisted();
+		Set<String> known = new HashSet<>();
+		this.registry.others().forEach((heartbeat) -> known.add(heartbeat.host()));
+		this.paths.relayHosts().removeOld(known);
+	}
+
 	// A host whose entry was read without a key is an older build, or has not written its
 	// entry yet.
 	private void readMissingKeys(Set<String> withoutKey, long now) {
