--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -20,6 +20,8 @@
 import org.plantainspur.core.fleet.DomainDigest;
 import org.plantainspur.core.fleet.HostHeartbeat;
 import org.plantainspur.core.health.RequestCrash;
+import org.plantainspur.core.reach.HostReach;
+import org.plantainspur.core.reach.RelayKey;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.StoredRow;
@@ -108,6 +110,34 @@
 			}
 		}
 
+		@Test
+		void aHeartbeatTellsOfClosedPaths() {
+			HostHeartbeat heartbeat = HEARTBEAT
+				.withReach(new HostReach(HostReach.State.CONNECTED, List.of("i-8", "i-9")));
+			assertThat(this.codec.decode(this.codec.encode(heartbeat))).isEqualTo(heartbeat);
+		}
+
+		/**
+		 * Guards against bytes that heartbeats cost while no path is closed.
+		 */
+		@Test
+		void aHeartbeatWithoutClosedPathsIsAsSmallAsBefore() {
+			assertThat(this.codec.encode(HEARTBEAT)).hasSizeLessThan(
+					this.codec.encode(HEARTBEAT.withReach(new HostReach(HostReach.State.CUT_OFF, List.of()))).length);
+		}
+
+		@Test
+		void anEntryHoldsTheHeartbeatAndTheKey() {
+			RelayKey key = RelayKey.random();
+			byte[] entry = this.codec.encodeEntry(HEARTBEAT, key);
+			assertThat(this.codec.decode(entry)).isEqualTo(HEARTBEAT);
+			assertThat(this.codec.decodeRelayKey(entry)).isEqualTo(key);
+			assertThat(this.codec.decodeRelayKey(this.codec.encode(HEARTBEAT))).isNull();
+			for (int length = 0; length < entry.length; length++) {
+				assertThat(this.codec.decodeRelayKey(Arrays.copyOf(entry, length))).isNull();
+			}
+		}
+
 		@Test
 		void aHeartbeatOfAnotherFormatVersionIsDropped() {
 			byte[] bytes = this.codec.encode(HEARTBEAT);
