--- a/core/src/main/java/org/plantainspur/core/reach/ProbeSchedule.java
+++ b/core/src/main/java/org/plantainspur/core/reach/ProbeSchedule.java
@@ -68,8 +68,8 @@
 			this.nextVerifyMs = nowMs + VERIFY_INTERVAL_MS;
 			return ofDifferentServices();
 		}
-		List<ObservedTarget> closed = this.paths.closedTargets();
-		if (closed.isEmpty() || nowMs < this.nextProbeMs) {
+		List<ObservedTarget> closed = (nowMs >= this.nextProbeMs) ? this.paths.closedTargets() : List.of();
+		if (closed.isEmpty()) {
 			return List.of();
 		}
 		this.nextProbeMs = nowMs + (long) (PROBE_INTERVAL_MS * (1 + JITTER * this.random.getAsDouble()));
--- a/core/src/test/java/org/plantainspur/core/health/SequentialCrashQuarantineTests.java
+++ b/core/src/test/java/org/plantainspur/core/health/SequentialCrashQuarantineTests.java
@@ -55,6 +55,20 @@
 			assertThat(isQuarantined("another")).isFalse();
 		}
 
+		/**
+		 * Guards against a host that is cut off, whose lost connections look like
+		 * crashes.
+		 */
+		@Test
+		void areDiscardedIfConnectionsWereLostForAnotherReason() {
+			long cutMs = SequentialCrashQuarantineTests.this.clock.millis();
+			crashThreeTargets("harmless");
+			assertThat(isQuarantined("harmless")).isTrue();
+			SequentialCrashQuarantineTests.this.quarantine.discardSince(cutMs);
+			assertThat(isQuarantined("harmless")).isFalse();
+			assertThat(SequentialCrashQuarantineTests.this.quarantine.isEmpty()).isTrue();
+		}
+
 		@Test
 		void ofOneTargetThatStartsAgainCountToo() {
 			for (int i = 0; i < 3; i++) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayConnection.java
@@ -32,15 +32,19 @@
 
 	private final AttemptPaths paths;
 
+	private final RequestBodyLimiter bodyLimiter;
+
 	private final AtomicInteger openRequests;
 
 	private int received;
 
 	private @Nullable RelayedAttempt running;
 
-	RelayConnection(ProxyComponents components, AttemptPaths paths, AtomicInteger openRequests) {
+	RelayConnection(ProxyComponents components, AttemptPaths paths, RequestBodyLimiter bodyLimiter,
+			AtomicInteger openRequests) {
 		this.components = components;
 		this.paths = paths;
+		this.bodyLimiter = bodyLimiter;
 		this.openRequests = openRequests;
 	}
 
@@ -50,6 +54,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
+		long arrivedMs = this.bodyLimiter.takeArrivalMs();
 		if (this.running != null) {
 			// Hosts do not pipeline.
 			this.components.bufferBudget().release(request.content().readableBytes());
@@ -73,7 +78,7 @@
 		if (decision instanceof RelayAdmission.Accepted accepted) {
 			this.components.metrics().count("relayed_requests_total", "accepted");
 			RelayedAttempt attempt = new RelayedAttempt(this.components, this.paths, context.channel().eventLoop(),
-					request, accepted.target(), (response) -> attemptEnded(context, request, response));
+					request, arrivedMs, accepted.target(), (response) -> attemptEnded(context, request, response));
 			this.running = attempt;
 			attempt.start();
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayServer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayServer.java
@@ -74,12 +74,13 @@
 	private void initializePipeline(SocketChannel channel) {
 		CallerLimits limits = this.components.desiredState().current().limits();
 		int maxBodyBytes = (int) Math.min(Integer.MAX_VALUE, limits.maxBodyBytes());
+		RequestBodyLimiter bodyLimiter = new RequestBodyLimiter(this.components.bufferBudget(), maxBodyBytes,
+				this.components.clock());
 		channel.pipeline()
 			.addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_MS, TimeUnit.MILLISECONDS),
 					new StrictRequestDecoder(limits.maxHeaderBytes() + ADDED_HEADER_BYTES), new HttpResponseEncoder(),
-					new RequestBodyLimiter(this.components.bufferBudget(), maxBodyBytes, this.components.clock()),
-					new HttpObjectAggregator(maxBodyBytes),
-					new RelayConnection(this.components, this.paths.of(channel.eventLoop()), this.openRequests));
+					bodyLimiter, new HttpObjectAggregator(maxBodyBytes), new RelayConnection(this.components,
+							this.paths.of(channel.eventLoop()), bodyLimiter, this.openRequests));
 	}
 
 }
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayedAttempt.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayedAttempt.java
@@ -51,7 +51,7 @@
 	private boolean ended;
 
 	RelayedAttempt(ProxyComponents components, AttemptPaths paths, EventLoop eventLoop, FullHttpRequest request,
-			ObservedTarget target, Consumer<FullHttpResponse> responseWriter) {
+			long arrivedMs, ObservedTarget target, Consumer<FullHttpResponse> responseWriter) {
 		this.components = components;
 		this.eventLoop = eventLoop;
 		this.request = request;
@@ -66,7 +66,7 @@
 			.route(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
 		this.route = (rule != null) ? rule.name() : "";
 		this.startedMs = components.clock().millis();
-		this.deadlineMs = this.startedMs + mapper.deadlineMs();
+		this.deadlineMs = arrivedMs + mapper.deadlineMs();
 	}
 
 	void start() {
--- a/standins/src/test/java/org/plantainspur/standins/gateway/RelayedAttemptTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/RelayedAttemptTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -189,6 +190,47 @@
 
 	}
 
+	@Nested
+	class HostWithoutRoom {
+
+		private static final int REQUESTS = 60;
+
+		/** Most of the time that a request takes at the target. */
+		private static final long AT_ONCE_MS = 600;
+
+		@Test
+		void refusesAtOnceWithATimeToReturnAndServesItsOwnCallers() throws Exception {
+			Queue<String> refusals = new ConcurrentLinkedQueue<>();
+			AtomicInteger served = new AtomicInteger();
+			CountDownLatch ended = new CountDownLatch(REQUESTS);
+			for (int i = 0; i < REQUESTS; i++) {
+				String id = "many" + i;
+				RawServer.startDaemonThread(() -> {
+					long startMs = GatewayFixture.nowMs();
+					String response = send("GET", "/read/slow", id, "");
+					if (response.startsWith("HTTP/1.1 200")) {
+						served.incrementAndGet();
+					}
+					else if (GatewayFixture.nowMs() - startMs < AT_ONCE_MS) {
+						refusals.add(response);
+					}
+					ended.countDown();
+				});
+			}
+			GatewayFixture.sleep(200);
+			String own = GatewayFixture.sendRequest(RelayedAttemptTests.this.relay.port(),
+					GatewayFixture.requestText("GET", "/other/1", "own", ""));
+			assertThat(own).startsWith("HTTP/1.1 200");
+			ended.await();
+			assertThat(served).hasPositiveValue();
+			assertThat(refusals).isNotEmpty();
+			assertThat(served.get() + refusals.size()).isEqualTo(REQUESTS);
+			assertThat(refusals)
+				.allMatch((response) -> response.startsWith("HTTP/1.1 503") && response.contains("retry-after: "));
+		}
+
+	}
+
 	@Nested
 	class StoppingHost {
 
--- a/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
@@ -157,6 +157,30 @@
 
 	}
 
+	@Nested
+	class HostThatIsCutOff {
+
+		@Test
+		void usesItsPartOfTheLimitOverAnotherHostAndNoMore() throws Exception {
+			startLimitedTarget("i-1");
+			startTarget("i-2");
+			List<GatewayFixture.CuttableHost> cuttable = new ArrayList<>();
+			for (String name : new String[] { "a1", "a2", "a3" }) {
+				cuttable.add(TargetLimitTests.this.fixture.startReadyCuttableHost(name, "a", "zones.a=r"));
+			}
+			List<GatewayFixture.Host> hosts = cuttable.stream().map(GatewayFixture.CuttableHost::host).toList();
+			sendFor(APPLY_MS, hosts);
+			cuttable.get(0).paths().cut(CuttablePath.Kind.SILENT);
+			long cutMs = GatewayFixture.nowMs();
+			sendFor(2 * WINDOW_MS, hosts);
+			assertThat(mostArrivalsInAWindow(cutMs)).isLessThanOrEqualTo((int) ALLOWED_IN_WINDOW);
+			assertThat(TargetLimitTests.this.exchanges).filteredOn((exchange) -> exchange.startMs() >= cutMs + 1_000)
+				.isNotEmpty()
+				.allSatisfy((exchange) -> assertThat(exchange.response()).startsWith("HTTP/1.1 200"));
+		}
+
+	}
+
 	private record Exchange(long startMs, long tookMs, String response) {
 	}
 
