Let requests wait for hosts that are being looked up

The bound of the test is unchanged. A request that finds no path now waits 20 ms at a time while a look-up is pending, 500 ms at most after the path has closed; once all hosts have been looked up, it is refused at once.

CutOffSoakTests can play many seeds in one run.

--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -40,6 +40,9 @@
 	/** How long a target is not sent over a host that did not reach it. */
 	static final long UNREACHED_MS = 2_000;
 
+	/** How long a request waits at most for hosts that are being looked up. */
+	static final long LOOK_UP_MS = 500;
+
 	/** Cost of a host that is not known to reach targets, in steps of distance. */
 	private static final double UNKNOWN_RANK = 1.5;
 
@@ -53,6 +56,11 @@
 
 	private final ConcurrentMap<String, Belief> beliefs = new ConcurrentHashMap<>();
 
+	/** Whether hosts of the failure domain have not been looked up yet. */
+	private volatile boolean incomplete;
+
+	private volatile long lookUpUntilMs = PathState.NEVER;
+
 	/**
 	 * Creates a set without hosts.
 	 * @param ownName the name of this host
@@ -79,6 +87,32 @@
 		this.hosts.set(sorted);
 	}
 
+	/**
+	 * Sets whether hosts of the failure domain have not been looked up yet. They are
+	 * looked up when a path closes.
+	 * @param hostsMissing {@code false} once all of them have been
+	 */
+	public void setIncomplete(boolean hostsMissing) {
+		this.incomplete = hostsMissing;
+	}
+
+	/** Called when a path has closed, which starts a look-up of missing hosts. */
+	public void pathClosed() {
+		long nowMs = this.clock.millis();
+		if (this.incomplete && nowMs >= this.lookUpUntilMs) {
+			this.lookUpUntilMs = nowMs + LOOK_UP_MS;
+		}
+	}
+
+	/**
+	 * Returns whether a request that finds no path should wait, as further hosts may be
+	 * known in a moment.
+	 * @return {@code false} if the request can be refused at once
+	 */
+	public boolean isLookUpPending() {
+		return this.incomplete && this.clock.millis() < this.lookUpUntilMs;
+	}
+
 	/**
 	 * Forgets hosts that are gone, and what was known of targets long ago.
 	 * @param names the names of the hosts that are known to the fleet
@@ -144,8 +178,8 @@
 	}
 
 	/**
-	 * Returns the hosts that are needed while no near one is known to reach targets: the
-	 * first few at each distance that are not known to be cut off.
+	 * Returns the first few hosts at a distance that are not known to be cut off, to be
+	 * asked whether they reach targets.
 	 * @param distance the distance of the hosts
 	 * @return hosts in order of preference
 	 */
@@ -169,7 +203,8 @@
 		RelayHost chosen = null;
 		double bestRank = Double.MAX_VALUE;
 		int inUse = 0;
-		// The hosts are sorted by distance, and each has its place in that order.
+		// Of the hosts with the best rank, the first few in the order of this host share the
+		// targets.
 		for (RelayHost host : this.hosts.get()) {
 			if (!belief(host.name()).mayReach(targetId, nowMs)) {
 				continue;
@@ -193,9 +228,9 @@
 	}
 
 	/**
-	 * Returns whether the last host that connected to a target reached it.
+	 * Returns whether a target has answered over another host recently.
 	 * @param targetId the target's identity
-	 * @return {@code true} if a relayed attempt at the target was answered recently
+	 * @return {@code true} if the target is healthy behind a closed path
 	 */
 	boolean isReached(String targetId) {
 		long nowMs = this.clock.millis();
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -183,7 +183,10 @@
 						retryBudget, quarantine, targetStatements, limitShare,
 						new PathMonitor.Paths(directPaths, relayHosts, probes, this.targets), this.relayKey),
 				store, storeSynchronizer, this.shutdown::stopping, this::probe, controlLoop, this.log, this.metrics);
-		pathClosedListener.set(gossip::pathClosed);
+		pathClosedListener.set(() -> {
+			relayHosts.pathClosed();
+			gossip.checkPathsSoon();
+		});
 		PathComponents paths = new PathComponents(directPaths, relayHosts,
 				new RelayAdmission(this.targets, targetPermits, directPaths, this.shutdown::stopping), this.relayKey,
 				new RelayProof(this.platform.headerNames()));
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -198,7 +198,7 @@
 		this.representative = new DomainRepresentative(settings, this.registry, this.view::silenceMs,
 				this.channel::send);
 		this.pathMonitor = new PathMonitor(settings, hostState.paths(), this.registry, prober, this.channel::send,
-				this::pathClosed, hostState.quarantine(), log);
+				this::checkPathsSoon, hostState.quarantine(), log);
 	}
 
 	private static String hostAndPort(InetSocketAddress address) {
@@ -310,7 +310,7 @@
 	 * Looks for hosts that may relay, when a path has closed or their entries have been
 	 * read.
 	 */
-	void pathClosed() {
+	void checkPathsSoon() {
 		if (!this.eventLoop.isShuttingDown() && this.pathCheckPending.compareAndSet(false, true)) {
 			this.scheduler.after(0, () -> {
 				this.pathCheckPending.set(false);
--- a/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
@@ -42,6 +42,9 @@
 	/** How often what is known of targets and hosts that are gone is forgotten. */
 	private static final long CLEAN_UP_INTERVAL_MS = 2_000;
 
+	/** The time after which a read of the store counts as lost. */
+	private static final long KEYS_READ_MS = 200;
+
 	/** How often the store is read for keys that it did not hold before. */
 	private static final long MISSING_KEYS_INTERVAL_MS = 2_000;
 
@@ -80,9 +83,10 @@
 
 	private final Map<String, Long> otherDomainsReadMs = new HashMap<>();
 
-	private Set<String> missingKeys = Set.of();
+	/** Hosts whose keys were missing when the store was read last. */
+	private Set<String> readWithoutKey = Set.of();
 
-	private long missingKeysReadMs = Long.MIN_VALUE / 2;
+	private long keysReadMs = Long.MIN_VALUE / 2;
 
 	private long cleanedUpMs = Long.MIN_VALUE / 2;
 
@@ -162,6 +166,7 @@
 				withoutKey.add(heartbeat.host() + "/" + heartbeat.startMs());
 			}
 		}
+		this.paths.relayHosts().setIncomplete(!this.readWithoutKey.containsAll(withoutKey));
 		if (needed) {
 			readMissingKeys(withoutKey, now);
 			this.registry.others()
@@ -185,11 +190,14 @@
 	// A host whose entry was read without a key is an older build, or has not written its
 	// entry yet.
 	private void readMissingKeys(Set<String> withoutKey, long now) {
-		if (!this.missingKeys.containsAll(withoutKey)
-				|| (!withoutKey.isEmpty() && now - this.missingKeysReadMs >= MISSING_KEYS_INTERVAL_MS)) {
-			this.missingKeys = Set.copyOf(withoutKey);
-			this.missingKeysReadMs = now;
-			this.registry.readRelayKeys(this.settings.failureDomain(), this.onKeysRead);
+		boolean allRead = this.readWithoutKey.containsAll(withoutKey);
+		long intervalMs = allRead ? MISSING_KEYS_INTERVAL_MS : KEYS_READ_MS;
+		if (!withoutKey.isEmpty() && now - this.keysReadMs >= intervalMs) {
+			this.keysReadMs = now;
+			this.registry.readRelayKeys(this.settings.failureDomain(), () -> {
+				this.readWithoutKey = Set.copyOf(withoutKey);
+				this.onKeysRead.run();
+			});
 		}
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -57,6 +57,12 @@
 	 */
 	private static final long DECLINED_RETRY_DELAY_MS = 100;
 
+	/**
+	 * Delay before a request looks for a path again while hosts that may relay are being
+	 * looked up.
+	 */
+	private static final long PATH_LOOK_UP_DELAY_MS = 20;
+
 	private final ProxyComponents components;
 
 	private final EventLoop eventLoop;
@@ -195,14 +201,26 @@
 		}
 		boolean retryable = mayRetryAgain(admittedRoute);
 		TargetSelector.Selection selection = select(admittedRoute, retryable);
-		if (selection == null) {
-			refuseWithoutTarget();
+		if (selection != null) {
+			startAttempt(admittedRoute, selection, retryable);
+		}
+		else if (this.components.paths().relayHosts().isLookUpPending() && remainingMs() > PATH_LOOK_UP_DELAY_MS) {
+			this.currentAttempt = null;
+			startAttemptLater(admittedRoute, PATH_LOOK_UP_DELAY_MS);
 		}
 		else {
-			startAttempt(admittedRoute, selection, retryable);
+			refuseWithoutTarget();
 		}
 	}
 
+	private void startAttemptLater(RouteRule admittedRoute, long delayMs) {
+		this.eventLoop.schedule(() -> {
+			if (!this.finished && this.currentAttempt == null) {
+				startAttempt(admittedRoute);
+			}
+		}, delayMs, TimeUnit.MILLISECONDS);
+	}
+
 	private boolean mayRetryAgain(RouteRule admittedRoute) {
 		return this.components.retryRules().mayRetryAgain(admittedRoute, this.service, this.sentAttempts);
 	}
@@ -381,11 +399,7 @@
 		}
 		else if (next instanceof RetryRules.RetrySameTargets && admittedRoute != null) {
 			this.retryTriedTargets = true;
-			this.eventLoop.schedule(() -> {
-				if (!this.finished && this.currentAttempt == null) {
-					startAttempt(admittedRoute);
-				}
-			}, DECLINED_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+			startAttemptLater(admittedRoute, DECLINED_RETRY_DELAY_MS);
 		}
 		else if (next instanceof RetryRules.Refuse refuse) {
 			refuse(refuse.refusal());
--- a/standins/src/test/java/org/plantainspur/standins/gateway/CutOffSoakTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CutOffSoakTests.java
@@ -26,7 +26,8 @@
  * Guards against requests that run twice, refusals of requests that have run, and callers
  * that are not served, while hosts are cut off from targets in series, beside stops,
  * restarts and changes. Callers keep using their connections until these end. The system
- * properties {@code soak.seed}, {@code soak.seconds} and {@code soak.hosts} set the run.
+ * properties {@code soak.seed}, {@code soak.seconds} and {@code soak.hosts} set the run,
+ * {@code soak.seeds} the number of runs with one seed after another.
  */
 class CutOffSoakTests extends AbstractGatewayTests {
 
@@ -40,7 +41,9 @@
 	/** The share that must be served at the host that is not disturbed. */
 	private static final double UNDISTURBED_SHARE = 0.98;
 
-	private final long seed = Long.getLong("soak.seed", 1);
+	private final int seeds = Integer.getInteger("soak.seeds", 1);
+
+	private long seed = Long.getLong("soak.seed", 1);
 
 	private final int seconds = Integer.getInteger("soak.seconds", 20);
 
@@ -150,6 +153,22 @@
 
 		@Test
 		void requestsRunOnceAndCallersAreServed() throws Exception {
+			for (int i = 0; i < CutOffSoakTests.this.seeds; i++) {
+				if (i > 0) {
+					closeFixture();
+					openFixture();
+					CutOffSoakTests.this.seed++;
+				}
+				this.hosts.clear();
+				CutOffSoakTests.this.callerPorts.clear();
+				CutOffSoakTests.this.results.clear();
+				CutOffSoakTests.this.runs.clear();
+				CutOffSoakTests.this.ended = false;
+				soak();
+			}
+		}
+
+		private void soak() throws Exception {
 			CutOffSoakTests.this.fixture.writeDesiredStateWithoutRateLimit();
 			for (String service : new String[] { "s", "t" }) {
 				for (int i = 1; i <= 4; i++) {
