--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -203,7 +203,8 @@
 		RelayHost chosen = null;
 		double bestRank = Double.MAX_VALUE;
 		int inUse = 0;
-		// Of the hosts with the best rank, the first few in the order of this host share the
+		// Of the hosts with the best rank, the first few in the order of this host share
+		// the
 		// targets.
 		for (RelayHost host : this.hosts.get()) {
 			if (!belief(host.name()).mayReach(targetId, nowMs)) {
--- a/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/http/ProxyTargetConnectionTests.java
@@ -137,6 +137,27 @@
 	@Nested
 	class ResponsesThatRunOnIntoACopy {
 
+		/**
+		 * Guards against a late copy that breaks off within a header's name while the
+		 * body of the next response is being sent.
+		 */
+		@Test
+		void beforeTheRestOfTheBodyFollowsAreNotDelivered() {
+			String copy = answer("r1", "done");
+			int afterFirstHeader = copy.indexOf("Request-Id");
+			for (int length = afterFirstHeader + 8; length < copy.length(); length++) {
+				TestConnection connection = open();
+				connection.send("r1");
+				connection.receive(copy);
+				Outcome outcome = connection.send("r2");
+				String response = answer("r2", "x".repeat(200));
+				int middle = response.length() - 100;
+				connection
+					.receive(response.substring(0, middle) + copy.substring(0, length) + response.substring(middle));
+				assertThat(outcome.failed).as("%d bytes of a copy: %s", length, outcome).isTrue();
+			}
+		}
+
 		@Test
 		void afterABreakAnywhereInTheBodyAreNotDelivered() {
 			String response = answer("r1", "done".repeat(100));
