Count paths on trial as open, and log how long a host was cut off

After a cut, paths that no request had tried yet counted as closed, so the host went on looking for hosts that relay and its log named closed paths. They count as open now, as the next request uses them. The line targets-regained says for how long the host was cut off, instead of how long ago it was not any more.

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 import org.plantainspur.core.target.ConnectFailure;
@@ -50,7 +51,7 @@
 
 	private final ConcurrentMap<TargetProcess, PathState> paths = new ConcurrentHashMap<>();
 
-	/** The number of paths that are not open, so that a host without any does no work. */
+	/** The number of closed paths, so that a host without any does no work. */
 	private final AtomicInteger closedPaths = new AtomicInteger();
 
 	/** The state of the host's access to all targets; closed while it is cut off. */
@@ -79,12 +80,16 @@
 		boolean wasCutOff = isCutOff();
 		this.access.updateAndGet((state) -> state.connected(nowMs));
 		if (wasCutOff && !isCutOff()) {
-			this.paths.replaceAll((process, state) -> state.onTrial());
+			putOnTrial((state) -> true);
 		}
-		else if (before.phase() != PathState.Phase.OPEN && after.phase() == PathState.Phase.OPEN) {
-			this.paths
-				.replaceAll((process, state) -> (Math.abs(state.changedMs() - before.changedMs()) <= CLOSED_TOGETHER_MS)
-						? state.onTrial() : state);
+		else if (before.phase() == PathState.Phase.CLOSED && after.phase() == PathState.Phase.OPEN) {
+			putOnTrial((state) -> Math.abs(state.changedMs() - before.changedMs()) <= CLOSED_TOGETHER_MS);
+		}
+	}
+
+	private void putOnTrial(Predicate<PathState> expectedToOpen) {
+		for (TargetProcess target : this.paths.keySet()) {
+			update(target, (state) -> expectedToOpen.test(state) ? state.onTrial() : state);
 		}
 	}
 
--- a/core/src/main/java/org/plantainspur/core/reach/PathState.java
+++ b/core/src/main/java/org/plantainspur/core/reach/PathState.java
@@ -66,9 +66,9 @@
 				this.provenMs, this.failedMs, this.failure, this.relapses, this.stableSinceMs) : this;
 	}
 
-	/** Returns 1 if the path is not open, 0 if it is. */
+	/** Returns 1 if the path is closed, else 0. */
 	int closedCount() {
-		return (this.phase == Phase.OPEN) ? 0 : 1;
+		return (this.phase == Phase.CLOSED) ? 1 : 0;
 	}
 
 	private long holdMs() {
--- a/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
@@ -79,6 +79,8 @@
 
 	private boolean wasCutOff;
 
+	private long lostMs;
+
 	private int loggedClosed;
 
 	private final Map<String, Long> otherDomainsReadMs = new HashMap<>();
@@ -135,10 +137,9 @@
 	 * @return {@link HostReach#NONE} while no path is closed and no host is cut off
 	 */
 	HostReach reach() {
-		HostReach reach = this.paths.direct().reach();
-		boolean worthTelling = reach.state() == HostReach.State.CUT_OFF || !reach.closedTargets().isEmpty()
+		boolean worthTelling = this.paths.direct().isCutOff() || this.paths.direct().closedCount() > 0
 				|| this.paths.relayHosts().isAnyCutOff();
-		return worthTelling ? reach : HostReach.NONE;
+		return worthTelling ? this.paths.direct().reach() : HostReach.NONE;
 	}
 
 	/**
@@ -259,12 +260,14 @@
 		int listed = this.paths.targets().ids().size();
 		long changedMs = this.paths.direct().accessChangedMs();
 		if (cutOff && !this.wasCutOff) {
+			this.lostMs = changedMs;
 			this.quarantine.discardSince(changedMs - CUT_NOTICED_MS);
 			this.log.event("targets-lost", "closed", closed, "listed", listed, "sinceMs", now - changedMs, "relayHosts",
 					this.candidates.size());
 		}
 		else if (!cutOff && this.wasCutOff) {
-			this.log.event("targets-regained", "closed", closed, "listed", listed, "sinceMs", now - changedMs);
+			this.log.event("targets-regained", "closed", closed, "listed", listed, "lostForMs",
+					changedMs - this.lostMs);
 		}
 		else if (!cutOff && closed != this.loggedClosed) {
 			this.log.event("target-paths", "closed", closed, "listed", listed);
