Give up a slow attempt only for another one

Cause: a slow attempt was left before it was known whether another target takes the request; when none did, the request ended as one that may have run, and the host that relayed it was avoided for a second. The other target is selected first now.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -266,12 +266,17 @@
 	@Override
 	public boolean replaceSlowAttempt(ProxyAttempt attempt, double typicalMs) {
 		RouteRule admittedRoute = this.route;
-		if (admittedRoute == null || typicalMs >= remainingMs() || !this.components.retryRules()
+		if (admittedRoute == null || typicalMs >= remainingMs()) {
+			return false;
+		}
+		boolean retryable = mayRetryAgain(admittedRoute);
+		TargetSelector.Selection other = select(admittedRoute, retryable);
+		if (other == null || !this.components.retryRules()
 			.tryReplaceSlowAttempt(admittedRoute, this.service, this.sentAttempts)) {
 			return false;
 		}
 		attempt.leaveSlow();
-		startAttempt(admittedRoute);
+		startAttempt(admittedRoute, other, retryable);
 		return true;
 	}
 
