Close the connection of each request that a test sends

Cause: a fault of the tests. TestHttpClient made a connection pool for each request, and the pools kept their connections until the garbage collector found them. A loop of requests with one key reached the limit of 1,000 connections of a client account, and the host refused as documented.

Each request now asks the server to close its connection. The assertion is the same and shows the problem document.

--- a/standins/src/test/java/org/plantainspur/standins/DoubleFaultTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/DoubleFaultTests.java
@@ -102,7 +102,7 @@
 				long resumedNanos = System.nanoTime();
 				assertRefused(responsesToQueuedRequests);
 				while (System.nanoTime() - resumedNanos < 4_000_000_000L) {
-					assertThat(fleet.get("entry-2", key).statusCode()).isIn(401, 503);
+					assertRefused(fleet.get("entry-2", key));
 					assertThat(fleet.refusesAsNotCurrent("entry-2")).isTrue();
 				}
 				for (String host : List.of("entry-1", "entry-3", "entry-4")) {
@@ -142,7 +142,7 @@
 				long resumedNanos = System.nanoTime();
 				assertRefused(responsesToQueuedRequests);
 				while (System.nanoTime() - resumedNanos < 1_000_000_000L) {
-					assertThat(fleet.get("entry-2", key).statusCode()).isIn(401, 503);
+					assertRefused(fleet.get("entry-2", key));
 				}
 				TestFleet.await("the resumed host serves", 5000, () -> fleet.read("entry-2") == 200);
 				assertThat(fleet.get("entry-2", key).statusCode()).isEqualTo(401);
@@ -174,10 +174,14 @@
 
 		private static void assertRefused(List<CompletableFuture<HttpResponse<String>>> responses) throws Exception {
 			for (CompletableFuture<HttpResponse<String>> response : responses) {
-				assertThat(response.get().statusCode()).isIn(401, 503);
+				assertRefused(response.get());
 			}
 		}
 
+		private static void assertRefused(HttpResponse<String> response) {
+			assertThat(response.statusCode()).as(response.body()).isIn(401, 503);
+		}
+
 		private static long countRemovals(TestFleet fleet) throws Exception {
 			return fleet.changes().stream().filter((change) -> change instanceof Change.MembersRemoved).count();
 		}
--- a/standins/src/test/java/org/plantainspur/standins/TestHttpClient.java
+++ b/standins/src/test/java/org/plantainspur/standins/TestHttpClient.java
@@ -11,8 +11,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
- * Sends the HTTP requests of tests to one address. Each instance has a connection pool of
- * its own, so that no test uses a connection that a fault of another test has closed.
+ * Sends the HTTP requests of tests to one address, each on a connection of its own that
+ * closes with the response. So no test uses a connection that a fault of another test has
+ * closed, and none reaches a host's limit of connections with those that it has ended.
  */
 public final class TestHttpClient {
 
@@ -33,6 +34,7 @@
 			long timeoutMillis) throws Exception {
 		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create(this.baseUri + path))
 			.timeout(Duration.ofMillis(timeoutMillis))
+			.header("Connection", "close")
 			.method(method, HttpRequest.BodyPublishers.ofString(body));
 		headers.forEach(request::header);
 		return this.client.send(request.build(), HttpResponse.BodyHandlers.ofString());
