--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -168,7 +168,7 @@
 	 * @return {@code false} if the connect is expected to fail
 	 */
 	boolean isOpen(TargetProcess target) {
-		return !isCutOff() && state(target).phase() != PathState.Phase.CLOSED;
+		return !isCutOff() && (closedCount() == 0 || state(target).phase() != PathState.Phase.CLOSED);
 	}
 
 	/**
