Spell the names of constants in one place

Six places wrote a constant's name in lower case with hyphens, each in its own way; the names that leave the process are the same. A relayed attempt builds its mapper once, and the reason of its end keeps its spelling.

--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -57,6 +56,7 @@
 import org.plantainspur.gateway.http.RelayProof;
 import org.plantainspur.gateway.http.RelayServer;
 import org.plantainspur.gateway.http.StartupLatch;
+import org.plantainspur.gateway.log.ExternalNames;
 import org.plantainspur.gateway.log.FailureReporter;
 import org.plantainspur.gateway.log.GatewayMetrics;
 import org.plantainspur.gateway.peer.PeerTableReaders;
@@ -221,10 +221,10 @@
 
 	private void targetStatementChanged(TargetIncarnation target, TargetStatement statement,
 			TargetStatements.Source source) {
-		this.metrics.count("target_statements_total", source.name().toLowerCase(Locale.ROOT));
+		this.metrics.count("target_statements_total", ExternalNames.of(source));
 		this.log.event("target-statement", "id", target.id(), "requestsPerSecond",
 				statement.limited() ? statement.requestsPerSecond() : "unlimited", "leaving", statement.leaving(),
-				"source", source.name().toLowerCase(Locale.ROOT));
+				"source", ExternalNames.of(source));
 	}
 
 	private void serveEndpoints(GossipTask gossip, StoreSynchronizer storeSynchronizer) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/AttemptPaths.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/AttemptPaths.java
@@ -1,7 +1,5 @@
 package org.plantainspur.gateway.http;
 
-import java.util.Locale;
-
 import io.netty.channel.EventLoop;
 
 import org.plantainspur.core.reach.PathChooser;
@@ -10,6 +8,7 @@
 import org.plantainspur.core.target.ObservedTarget;
 import org.plantainspur.core.target.TargetProcess;
 import org.plantainspur.core.target.TargetSelector;
+import org.plantainspur.gateway.log.ExternalNames;
 
 /**
  * Creates the paths of the attempts of one event loop, with its connections to targets
@@ -95,8 +94,7 @@
 		@Override
 		public void failed(TargetProcess process, ConnectFailure failure) {
 			AttemptPaths.this.components.paths().directPaths().recordFailed(process, failure);
-			AttemptPaths.this.components.metrics()
-				.count("target_connects_failed_total", failure.name().toLowerCase(Locale.ROOT));
+			AttemptPaths.this.components.metrics().count("target_connects_failed_total", ExternalNames.of(failure));
 		}
 
 	}
@@ -110,8 +108,7 @@
 
 		@Override
 		public void failed(TargetProcess process, ConnectFailure failure) {
-			AttemptPaths.this.components.metrics()
-				.count("relay_connects_total", failure.name().toLowerCase(Locale.ROOT));
+			AttemptPaths.this.components.metrics().count("relay_connects_total", ExternalNames.of(failure));
 		}
 
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxiedRequest.java
@@ -1,7 +1,6 @@
 package org.plantainspur.gateway.http;
 
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +24,7 @@
 import org.plantainspur.core.request.RequestFingerprint;
 import org.plantainspur.core.target.AttemptOutcome;
 import org.plantainspur.core.target.TargetSelector;
+import org.plantainspur.gateway.log.ExternalNames;
 
 /**
  * Carries one request of a caller from its arrival to its response: admission, the
@@ -432,7 +432,7 @@
 		Refusal refusal = (this.mayHaveRun && reason.notRun()) ? Refusal.BROKEN : reason;
 		this.responseWriter.write(this.callerMapper.toRefusalResponse(refusal,
 				(refusal == reason) ? retryAfterMs : refusal.retryAfterMs()));
-		finish(refusal.name().toLowerCase(Locale.ROOT).replace('_', '-'), refusal.status());
+		finish(ExternalNames.of(refusal), refusal.status());
 	}
 
 	private void finish(String outcome, int status) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/ProxyTargetConnectionPool.java
@@ -5,7 +5,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.Locale;
 import java.util.Map;
 
 import io.netty.bootstrap.Bootstrap;
@@ -24,6 +23,7 @@
 import org.plantainspur.core.target.ConnectFailure;
 import org.plantainspur.core.target.TargetProcess;
 import org.plantainspur.core.time.Clock;
+import org.plantainspur.gateway.log.ExternalNames;
 import org.plantainspur.gateway.log.GatewayMetrics;
 
 /**
@@ -269,7 +269,7 @@
 
 		@Override
 		public void receivedUnexpected(ProxyTargetConnection.UnexpectedBytes kind, String requestId) {
-			String name = kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+			String name = ExternalNames.of(kind);
 			ProxyTargetConnectionPool.this.metrics.count("target_unexpected_bytes_total", name);
 			ProxyTargetConnectionPool.this.log.event("target-unexpected-bytes", "target", this.process.id(), "kind",
 					name, "id", requestId);
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayConnection.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayConnection.java
@@ -1,7 +1,6 @@
 package org.plantainspur.gateway.http;
 
 import java.io.IOException;
-import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.buffer.Unpooled;
@@ -19,6 +18,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.reach.RelayAdmission;
+import org.plantainspur.gateway.log.ExternalNames;
 
 /**
  * Handles one connection of another host, which sends one attempt at a time. A request
@@ -83,7 +83,7 @@
 			attempt.start();
 		}
 		else if (decision instanceof RelayAdmission.Declined declined) {
-			String reason = declined.reason().name().toLowerCase(Locale.ROOT).replace('_', '-');
+			String reason = ExternalNames.of(declined.reason());
 			this.components.metrics().count("relayed_requests_total", reason);
 			respond(context, request, refusal(request, RelayOutcome.of(declined.reason()), reason));
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayedAttempt.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayedAttempt.java
@@ -1,6 +1,5 @@
 package org.plantainspur.gateway.http;
 
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -34,6 +33,8 @@
 
 	private final Consumer<FullHttpResponse> responseWriter;
 
+	private final CallerMessageMapper callerMapper;
+
 	private final TargetMessageMapper targetMapper;
 
 	private final AttemptPath path;
@@ -58,15 +59,15 @@
 		this.target = target;
 		this.responseWriter = responseWriter;
 		this.targetMapper = new TargetMessageMapper(components.headerNames());
-		CallerMessageMapper mapper = new CallerMessageMapper(components.headerNames(), request);
-		this.path = paths.direct(target, mapper.requestId(),
+		this.callerMapper = new CallerMessageMapper(components.headerNames(), request);
+		this.path = paths.direct(target, this.callerMapper.requestId(),
 				request.headers().get(RelayHeaders.RETRYABLE, "").equals("true"));
 		RouteRule rule = components.desiredState()
 			.current()
 			.route(request.headers().get(HttpHeaderNames.HOST, ""), request.uri());
 		this.route = (rule != null) ? rule.name() : "";
 		this.startedMs = components.clock().millis();
-		this.deadlineMs = arrivedMs + mapper.deadlineMs();
+		this.deadlineMs = arrivedMs + this.callerMapper.deadlineMs();
 	}
 
 	void start() {
@@ -106,8 +107,7 @@
 	public void responseReceived(HttpResponse response, ByteBuf body) {
 		AttemptOutcome outcome = this.targetMapper.toOutcome(response);
 		new TargetResponseRecorder(this.components, this.targetMapper).record(this.target, response, outcome);
-		FullHttpResponse relayed = new CallerMessageMapper(this.components.headerNames(), this.request)
-			.toCallerResponse(response, body);
+		FullHttpResponse relayed = this.callerMapper.toCallerResponse(response, body);
 		RelayHeaders.removeAll(relayed.headers());
 		end(outcome, relayed);
 	}
@@ -137,8 +137,8 @@
 	}
 
 	private void end(AttemptOutcome outcome, RelayOutcome relayOutcome, String reason) {
-		end(outcome, RelayConnection.outcomeResponse(this.components.headerNames(), this.request, relayOutcome,
-				reason.toLowerCase(Locale.ROOT)));
+		end(outcome,
+				RelayConnection.outcomeResponse(this.components.headerNames(), this.request, relayOutcome, reason));
 	}
 
 	private void end(AttemptOutcome outcome, FullHttpResponse response) {
--- a/gateway/src/main/java/org/plantainspur/gateway/http/RelayedPath.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/RelayedPath.java
@@ -1,7 +1,5 @@
 package org.plantainspur.gateway.http;
 
-import java.util.Locale;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -13,6 +11,7 @@
 import org.plantainspur.core.target.AttemptOutcome;
 import org.plantainspur.core.target.ConnectFailure;
 import org.plantainspur.core.target.TargetProcess;
+import org.plantainspur.gateway.log.ExternalNames;
 
 /**
  * A connection to another host, which connects to the target. The other host sends the
@@ -144,7 +143,7 @@
 			case CONNECTION_LOST -> new AttemptOutcome.ConnectionLost(reason);
 			case WITHHELD -> new AttemptOutcome.Withheld();
 			case STOPPING, CUT_OFF, TARGET_UNREACHED, NOTHING_REACHED, BUSY, REJECTED ->
-				new AttemptOutcome.NotSent("not relayed: " + outcome.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+				new AttemptOutcome.NotSent("not relayed: " + ExternalNames.of(outcome));
 		};
 	}
 
