Test hosts of two regions that are cut off, the first requests, and the callers of hosts that relay

Hosts of two regions were played only in the random fleets of ReachabilityTests, and no test held what the callers of hosts that relay get.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
@@ -9,6 +9,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +30,8 @@
 
 	private static final String REGIONS = "zones.a=r\nzones.b=r";
 
+	private static final String TWO_REGIONS = "zones.a=r\nzones.b=q";
+
 	/** The time from a cut until callers must be served at the first attempt. */
 	private static final long SERVED_AFTER_CUT_MS = 1_000;
 
@@ -190,6 +195,113 @@
 
 	}
 
+	@Nested
+	class HostsOfTwoRegions {
+
+		private GatewayFixture.CuttableHost start(String name, String failureDomain) throws IOException {
+			return CutOffHostTests.this.fixture.startReadyCuttableHost(name, failureDomain, TWO_REGIONS);
+		}
+
+		@Test
+		void areServedOverTheNearestHostThatReachesTheTargets() throws IOException {
+			GatewayFixture.CuttableHost first = start("a1", "a");
+			GatewayFixture.CuttableHost near = start("a2", "a");
+			GatewayFixture.CuttableHost far = start("b1", "b");
+			start("b2", "b");
+			first.paths().cut(CuttablePath.Kind.SILENT);
+			far.paths().cut(CuttablePath.Kind.REFUSED);
+			countServed(first, 6);
+			countServed(far, 6);
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS);
+			assertThat(countServed(first, REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(countServed(far, REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(countLogLines("a1 request", " over b")).isZero();
+			assertThat(countLogLines("b1 request", " over a")).isZero();
+			near.paths().cut(CuttablePath.Kind.RESET);
+			long cutMs = GatewayFixture.nowMs();
+			while (GatewayFixture.nowMs() - cutMs < SERVED_AFTER_CUT_MS) {
+				countServed(first, 1);
+				countServed(near, 1);
+			}
+			assertThat(countServed(first, REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(countServed(near, REQUESTS)).isEqualTo(REQUESTS);
+			assertThat(countLogLines("a1 request", " over b2 ")).isPositive();
+		}
+
+	}
+
+	/** Guards against requests that each find the same dead path anew. */
+	@Nested
+	class FirstRequests {
+
+		@Test
+		void waitForEachSilentTargetOnceAtMost() throws IOException {
+			GatewayFixture.CuttableHost host = startHost("a1", "a");
+			startHost("a2", "a");
+			host.paths().cut(CuttablePath.Kind.SILENT);
+			assertThat(countServed(host, REQUESTS)).isEqualTo(REQUESTS);
+			for (String service : new String[] { "s", "t" }) {
+				for (int i = 1; i <= 3; i++) {
+					assertThat(countLogLines("a1 request", "i-" + service + i + " NotSent")).isLessThanOrEqualTo(1);
+				}
+			}
+		}
+
+	}
+
+	/** Guards against callers that pay for those of hosts that are cut off. */
+	@Nested
+	class HostsThatRelay {
+
+		private static final int CALLERS = 4;
+
+		private static final int REQUESTS_PER_CALLER = 30;
+
+		@Test
+		void serveTheirOwnCallersAsBeforeWhileAThirdIsCutOff() throws Exception {
+			List<GatewayFixture.CuttableHost> hosts = List.of(startHost("a1", "a"), startHost("a2", "a"),
+					startHost("b1", "b"));
+			List<Integer> before = servedSideBySide(hosts);
+			hosts.get(0).paths().cut(CuttablePath.Kind.SILENT);
+			countServed(hosts.get(0), 6);
+			GatewayFixture.sleep(SERVED_AFTER_CUT_MS);
+			List<Integer> during = servedSideBySide(hosts);
+			for (int i = 0; i < hosts.size(); i++) {
+				assertThat(during.get(i)).as("%s before, %s during the cut", before, during)
+					.isGreaterThanOrEqualTo(before.get(i) * 9 / 10);
+			}
+			assertThat(before).containsOnly(CALLERS * REQUESTS_PER_CALLER);
+		}
+
+		// Returns how many requests each host has served to callers of all hosts at once.
+		private List<Integer> servedSideBySide(List<GatewayFixture.CuttableHost> hosts) throws Exception {
+			ExecutorService callers = Executors.newFixedThreadPool(hosts.size() * CALLERS);
+			try {
+				List<List<Future<Integer>>> served = new ArrayList<>();
+				for (GatewayFixture.CuttableHost host : hosts) {
+					List<Future<Integer>> servedByHost = new ArrayList<>();
+					for (int i = 0; i < CALLERS; i++) {
+						servedByHost.add(callers.submit(() -> countServed(host, REQUESTS_PER_CALLER)));
+					}
+					served.add(servedByHost);
+				}
+				List<Integer> counts = new ArrayList<>();
+				for (List<Future<Integer>> servedByHost : served) {
+					int count = 0;
+					for (Future<Integer> servedByCaller : servedByHost) {
+						count += servedByCaller.get();
+					}
+					counts.add(count);
+				}
+				return counts;
+			}
+			finally {
+				callers.shutdownNow();
+			}
+		}
+
+	}
+
 	@Nested
 	class WhoseFaultItIs {
 
