Lock the writes of the stand-in that sends copies by a lock that holds

Cause: a fault under the test. A trace of the writes shows both threads writing at the same time: the serving thread between two pieces of a response, the timer's thread a copy.

A part of a copy within a body that ends with its connection cannot be told from the body, so the stand-in must not send one.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/DuplicatingTarget.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/DuplicatingTarget.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.ReentrantLock;
 
 import org.jspecify.annotations.Nullable;
 
@@ -47,7 +49,8 @@
 	@Override
 	public void serve(RawServer.Connection connection) throws IOException {
 		String connectionName = this.name + "/" + this.connections.incrementAndGet();
-		Object writeLock = new Object();
+		// The JIT compiler of JDK 17 was seen to eliminate a monitor here.
+		Lock writeLock = new ReentrantLock();
 		AtomicBoolean ended = new AtomicBoolean();
 		String previous = "nothing";
 		String latestCopy = "no copy";
@@ -68,7 +71,8 @@
 					plan.ran(),
 					connectionName + "#" + position + " " + plan.ending() + " after " + previous + ", " + latestCopy));
 			GatewayFixture.sleep(random.nextInt(6));
-			synchronized (writeLock) {
+			writeLock.lock();
+			try {
 				if (pending != null) {
 					writeInPieces(connection, pending.bytes(), pending.pieces(), random);
 				}
@@ -97,6 +101,9 @@
 					latestCopy = "latest copy at #" + position + " " + copy;
 				}
 			}
+			finally {
+				writeLock.unlock();
+			}
 			if (plan.ending() != Ending.KEEP_OPEN) {
 				this.record.count(plan.ending().name());
 				plan.ending().end(connection);
@@ -107,19 +114,21 @@
 
 	// Nothing is written behind the last response: the beginning of a copy behind a body
 	// that ends with its connection cannot be told from the body.
-	private void writeLate(RawServer.Connection connection, SecondCopy copy, Object writeLock, AtomicBoolean ended,
+	private void writeLate(RawServer.Connection connection, SecondCopy copy, Lock writeLock, AtomicBoolean ended,
 			Random random) {
 		this.timer.schedule(() -> {
+			writeLock.lock();
 			try {
-				synchronized (writeLock) {
-					if (!ended.get()) {
-						writeInPieces(connection, copy.bytes(), copy.pieces(), random);
-					}
+				if (!ended.get()) {
+					writeInPieces(connection, copy.bytes(), copy.pieces(), random);
 				}
 			}
 			catch (IOException ex) {
 				this.record.count("late copy to a closed connection");
 			}
+			finally {
+				writeLock.unlock();
+			}
 		}, copy.delayMs(), TimeUnit.MILLISECONDS);
 	}
 
