Reset the target's connection only after a byte of the request

Cause: a fault of the test. The target reset the connection as soon as it had accepted it, so the reset could arrive before the connect had returned; then nothing was sent, and NotSent is true. The target now waits for the first byte, which shows that the request is on its way; the expectation is the same.

--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -88,10 +88,13 @@
 			assertThat(dispatch("127.0.0.1:" + port, false, 2000)).isInstanceOf(DispatchOutcome.NotSent.class);
 		}
 
+		// A reset before the first byte may arrive before the connect has returned.
 		@Test
-		void closedBeforeTheRequestIsReadGivesUnknown() throws Exception {
-			assertUnknown(dispatch(ScriptedTarget.TargetSideConnection::reset, 2000),
-					DispatchOutcome.Unknown.Cause.RESET);
+		void closedBeforeTheWholeRequestIsReadGivesUnknown() throws Exception {
+			assertUnknown(dispatch((connection) -> {
+				connection.read();
+				connection.reset();
+			}, 2000), DispatchOutcome.Unknown.Cause.RESET);
 		}
 
 		@Test
