Judge a target only by hosts that reach others now

Two hosts refused 615 requests (no-target) at once and without an attempt, though one host reached all targets.

Cause: three hosts that reach others and do not reach a target show together that it is down. A host still counted as one that reaches others when it was cut off itself: it claimed so for 10 s after the last sign on a path that had closed since, and what it had claimed before was kept when it said that it was cut off. So three hosts of four judged all targets to be down. The design says that nothing depends on a majority; this did.

A sign counts as proof only while its path is open, and a host that says or shows that it reaches no targets loses its proof with the others. DirectPathsTests (Report) and ReachabilityTests (isNotJudgedByHostsThatReachNoTargets) fail before. CutOffHostTests and RelayedAttemptTests pass.

Remains, by reading: a service of one domain of targets, whose paths to three or more hosts of another domain are cut while these reach other targets, counts as down there, though hosts elsewhere may reach it.

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -211,12 +211,14 @@
 	}
 
 	/**
-	 * Returns whether a target has given a sign recently.
+	 * Returns whether a target has given a sign recently and its path is still open.
 	 * @return {@code false} if it is not known whether this host reaches targets
 	 */
 	boolean hasProof() {
 		long nowMs = this.clock.millis();
-		return this.paths.values().stream().anyMatch((state) -> nowMs - state.provenMs() < PROOF_VALID_MS);
+		return this.paths.values()
+			.stream()
+			.anyMatch((state) -> state.phase() == PathState.Phase.OPEN && nowMs - state.provenMs() < PROOF_VALID_MS);
 	}
 
 	/** Forgets the paths to targets that are not listed any more. */
--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -151,6 +151,9 @@
 		if (reach.state() == HostReach.State.CONNECTED) {
 			belief.provenMs = nowMs;
 		}
+		else if (!reach.equals(HostReach.NONE)) {
+			belief.provenMs = PathState.NEVER;
+		}
 		reach.closedTargets().forEach((target) -> belief.unreached.put(target, nowMs + UNREACHED_MS));
 	}
 
@@ -310,7 +313,9 @@
 	 * @param host the host
 	 */
 	public void recordCutOff(RelayHost host) {
-		belief(host.name()).cutOffUntilMs = this.clock.millis() + CUT_OFF_VALID_MS;
+		Belief belief = belief(host.name());
+		belief.cutOffUntilMs = this.clock.millis() + CUT_OFF_VALID_MS;
+		belief.provenMs = PathState.NEVER;
 	}
 
 	/**
--- a/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
+++ b/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
@@ -187,6 +187,13 @@
 			assertThat(DirectPathsTests.this.paths.reach()).isEqualTo(HostReach.NONE);
 		}
 
+		@Test
+		void doesNotClaimToReachTargetsWhosePathsHaveClosedSince() {
+			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
+			fail("u1");
+			assertThat(DirectPathsTests.this.paths.reach().state()).isEqualTo(HostReach.State.UNKNOWN);
+		}
+
 		@Test
 		void namesTheClosedTargets() {
 			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
--- a/core/src/test/java/org/plantainspur/core/reach/ReachabilityTests.java
+++ b/core/src/test/java/org/plantainspur/core/reach/ReachabilityTests.java
@@ -157,6 +157,25 @@
 			assertThat(relayed).isEqualTo(Reachability.MAX_UNREACHED);
 		}
 
+		/**
+		 * Guards against refusals while one host reaches the target, but three others
+		 * that were cut off named it before.
+		 */
+		@Test
+		void isNotJudgedByHostsThatReachNoTargets() {
+			addHosts(ReachabilityTests.this.near, ReachabilityTests.this.secondNear, ReachabilityTests.this.inRegion,
+					ReachabilityTests.this.far);
+			ReachabilityTests.this.fleet.fail("s1", ConnectFailure.REFUSED);
+			HostReach someClosed = new HostReach(HostReach.State.CONNECTED, List.of("s1"));
+			HostReach cutOff = new HostReach(HostReach.State.CUT_OFF, List.of());
+			HostReach allClosed = new HostReach(HostReach.State.UNKNOWN, List.of("s1", "t1", "u1"));
+			List.of("a2", "a3", "b1").forEach((host) -> ReachabilityTests.this.fleet.hosts.receive(host, someClosed));
+			assertThat(ReachabilityTests.this.fleet.choose("s1")).isNull();
+			ReachabilityTests.this.fleet.hosts.receive("a2", cutOff);
+			ReachabilityTests.this.fleet.hosts.receive("a3", allClosed);
+			assertThat(ReachabilityTests.this.fleet.relayOf("s1")).isEqualTo("c1");
+		}
+
 		@Test
 		void staysInUseOverAHostThatReachesIt() {
 			addHosts(ReachabilityTests.this.near, ReachabilityTests.this.secondNear, ReachabilityTests.this.inRegion);
