Reset connections that are accepted while a path is being cut

The hosts' log lines of the repetitions show that the request ran once, and directly ("i-s1 Answered"), though the host's paths were cut.

Cause: a fault of the test's fixture. CuttablePath closes its listener to cut a path, and its accepting thread may accept one more connection meanwhile, which was then forwarded for as long as it lasted. So the host had a path that worked.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/CuttablePath.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CuttablePath.java
@@ -121,7 +121,9 @@
 		while (!socket.isClosed()) {
 			try {
 				Socket client = socket.accept();
-				RawServer.startDaemonThread(() -> forward(client));
+				if (admit(client, socket)) {
+					RawServer.startDaemonThread(() -> forward(client));
+				}
 			}
 			catch (IOException ex) {
 				// The path was cut.
@@ -129,11 +131,20 @@
 		}
 	}
 
+	// A connection may still be accepted while the path is being cut.
+	private synchronized boolean admit(Socket client, ServerSocket acceptedBy) {
+		if (acceptedBy.isClosed()) {
+			reset(client);
+			return false;
+		}
+		this.sockets.add(client);
+		return true;
+	}
+
 	private void forward(Socket client) {
 		try (client; Socket target = new Socket(InetAddress.getLoopbackAddress(), this.targetPort)) {
 			client.setTcpNoDelay(true);
 			target.setTcpNoDelay(true);
-			this.sockets.add(client);
 			this.sockets.add(target);
 			RawServer.startDaemonThread(() -> copy(target, client));
 			copy(client, target);
