Count a target as down only if hosts of each failure domain do not reach it

Callers of a failure domain whose hosts had all lost their paths to one service were refused, though hosts of other domains reached it.

Cause: three hosts that reach other targets showed that a target is down, and all three could be hosts of the domain that was cut off. Besides, a host read the relay keys of other domains only when it was cut off from all targets, so nobody else could be asked.

Now a target is down when, among three hosts or more, there is one of each domain that can be asked. Hosts of the other domains are asked before a second one of the same domain, so an outage costs one relayed attempt for each target and domain, three at least as before. The keys of other domains are read once when the paths to all targets of a service are closed.

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -221,6 +221,20 @@
 			.anyMatch((state) -> state.phase() == PathState.Phase.OPEN && nowMs - state.provenMs() < PROOF_VALID_MS);
 	}
 
+	/**
+	 * Returns whether the paths to all targets of some service are closed.
+	 * @return {@code true} if requests of a service depend on other hosts
+	 */
+	public boolean hasLostService() {
+		return isCutOff() || (closedCount() > 0 && this.registry.services().stream().anyMatch(this::isLost));
+	}
+
+	private boolean isLost(String service) {
+		Collection<ObservedTarget> targets = this.registry.targets(service);
+		return !targets.isEmpty()
+				&& targets.stream().allMatch((target) -> state(target).phase() == PathState.Phase.CLOSED);
+	}
+
 	/** Forgets the paths to targets that are not listed any more. */
 	public void removeUnlisted() {
 		for (TargetProcess target : this.paths.keySet()) {
--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -46,6 +47,13 @@
 	/** Cost of a host that is not known to reach targets, in steps of distance. */
 	private static final double UNKNOWN_RANK = 1.5;
 
+	/**
+	 * Cost of a host of a failure domain with another host that does not reach the
+	 * target, in steps of distance. Larger than all other costs, so that hosts of each
+	 * other domain are asked before a second one of this domain.
+	 */
+	private static final double UNREACHING_DOMAIN_RANK = 10;
+
 	private final HostLocation location;
 
 	private final String ownName;
@@ -203,17 +211,18 @@
 	 */
 	@Nullable RelayHost choose(String targetId) {
 		long nowMs = this.clock.millis();
+		Set<String> unreachingDomains = unreachingDomains(targetId, nowMs);
 		RelayHost chosen = null;
 		double bestRank = Double.MAX_VALUE;
 		int inUse = 0;
 		// Of the hosts with the best rank, the first few in the order of this host share
-		// the
-		// targets.
+		// the targets.
 		for (RelayHost host : this.hosts.get()) {
 			if (!belief(host.name()).mayReach(targetId, nowMs)) {
 				continue;
 			}
-			double rank = rank(host, nowMs);
+			double rank = rank(host, nowMs)
+					+ (unreachingDomains.contains(host.failureDomain()) ? UNREACHING_DOMAIN_RANK : 0);
 			if (rank < bestRank) {
 				bestRank = rank;
 				inUse = 0;
@@ -231,6 +240,18 @@
 		return distance(host) + (belief(host.name()).isProven(nowMs) ? 0 : UNKNOWN_RANK);
 	}
 
+	// Returns the failure domains with a host that reaches other targets but not this
+	// one.
+	private Set<String> unreachingDomains(String targetId, long nowMs) {
+		Set<String> domains = new HashSet<>();
+		for (RelayHost host : this.hosts.get()) {
+			if (belief(host.name()).reachesAllBut(targetId, nowMs)) {
+				domains.add(host.failureDomain());
+			}
+		}
+		return domains;
+	}
+
 	/**
 	 * Returns whether a target has answered over another host recently.
 	 * @param targetId the target's identity
@@ -251,11 +272,23 @@
 	 */
 	int unreachedCount(String targetId) {
 		long nowMs = this.clock.millis();
-		return (int) this.beliefs.values()
+		return (int) this.beliefs.values().stream().filter((belief) -> belief.reachesAllBut(targetId, nowMs)).count();
+	}
+
+	/**
+	 * Returns whether each failure domain that could be asked has a host that reaches
+	 * other targets but not this one. The paths of a whole domain may be closed together,
+	 * so its hosts alone do not show that a target is down.
+	 * @param targetId the target's identity
+	 * @return {@code true} if no host of a further domain is left to be asked
+	 */
+	boolean isUnreachedFromAllDomains(String targetId) {
+		long nowMs = this.clock.millis();
+		Set<String> unreachingDomains = unreachingDomains(targetId, nowMs);
+		return this.hosts.get()
 			.stream()
-			.filter((belief) -> belief.isProven(nowMs)
-					&& nowMs < belief.unreached.getOrDefault(targetId, PathState.NEVER))
-			.count();
+			.filter((host) -> belief(host.name()).isUsable(nowMs))
+			.allMatch((host) -> unreachingDomains.contains(host.failureDomain()));
 	}
 
 	/**
@@ -387,7 +420,15 @@
 		}
 
 		private boolean mayReach(String targetId, long nowMs) {
-			return isUsable(nowMs) && hasRoom(nowMs) && nowMs >= this.unreached.getOrDefault(targetId, PathState.NEVER);
+			return isUsable(nowMs) && hasRoom(nowMs) && !hasNotReached(targetId, nowMs);
+		}
+
+		private boolean reachesAllBut(String targetId, long nowMs) {
+			return isProven(nowMs) && hasNotReached(targetId, nowMs);
+		}
+
+		private boolean hasNotReached(String targetId, long nowMs) {
+			return nowMs < this.unreached.getOrDefault(targetId, PathState.NEVER);
 		}
 
 	}
--- a/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
+++ b/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
@@ -45,6 +45,17 @@
 			assertThat(DirectPathsTests.this.paths.isOpen(DirectPathsTests.this.fleet.process("t1"))).isTrue();
 		}
 
+		/** Guards against reads of the store for each target that fails by itself. */
+		@Test
+		void fromOneServiceNeedsAllItsTargets() {
+			fail("s1", "s2", "s3");
+			assertThat(DirectPathsTests.this.paths.hasLostService()).isFalse();
+			fail("s4");
+			assertThat(DirectPathsTests.this.paths.hasLostService()).isTrue();
+			connect("s2");
+			assertThat(DirectPathsTests.this.paths.hasLostService()).isFalse();
+		}
+
 		@Test
 		void notWhileOtherTargetsAnswer() {
 			fail("s1", "s2");
--- a/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
@@ -322,6 +322,28 @@
 			assertThat(countLogLines("a1 targets-lost", "")).isZero();
 		}
 
+		/** Guards against a service that counts as down because one domain lost it. */
+		@Test
+		void theTargetsOfOneServiceAreReachedOverAnotherDomain() throws IOException {
+			List<GatewayFixture.CuttableHost> hosts = new ArrayList<>();
+			for (String name : new String[] { "a1", "a2", "a3", "a4" }) {
+				hosts.add(startHost(name, "a"));
+			}
+			startHost("b1", "b");
+			countServed(hosts.get(0), REQUESTS);
+			for (GatewayFixture.CuttableHost host : hosts) {
+				host.paths().cut(CuttablePath.Kind.RESET, CutOffHostTests.this.servicePorts::contains);
+			}
+			long cutMs = GatewayFixture.nowMs();
+			while (GatewayFixture.nowMs() - cutMs < SERVED_AFTER_CUT_MS) {
+				hosts.forEach((host) -> countServed(host, 3));
+			}
+			for (GatewayFixture.CuttableHost host : hosts) {
+				assertThat(countServed(host, REQUESTS)).as(String.valueOf(outcomes())).isEqualTo(REQUESTS);
+			}
+			assertThat(CutOffHostTests.this.runs).doesNotHaveDuplicates();
+		}
+
 		@Test
 		void aServiceThatIsDownIsNotSentAround() throws Exception {
 			GatewayFixture.CuttableHost host = startHost("a1", "a");
