End the threads of a host before its process exits

The host now ends its event loops at the end of its stop, and waits up to 50 ms for the last lines of the log, which that delay had covered.

--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -94,6 +94,9 @@
 	 */
 	private static final int HEAP_PER_BUFFER_BUDGET = 3;
 
+	/** How long a stop waits for threads that do not end. */
+	private static final long MAX_THREADS_END_MS = 50;
+
 	private final GatewaySettings settings;
 
 	private final PlatformAdapter platform;
@@ -253,18 +256,34 @@
 		return this.channels.stream().map((channel) -> (InetSocketAddress) channel.localAddress()).toList();
 	}
 
+	/**
+	 * Stops the host gracefully and ends its threads; blocks until the process may end. A
+	 * JVM that exits waits 310 ms for threads in native code, such as event loops that
+	 * wait for connections, which a short grace period does not have left.
+	 */
+	public void stop() {
+		this.shutdown.stop();
+		endThreads();
+		this.controlLoops.terminationFuture().awaitUninterruptibly(MAX_THREADS_END_MS);
+		this.requestLoops.terminationFuture().awaitUninterruptibly(MAX_THREADS_END_MS);
+	}
+
 	/**
 	 * Stops the host at once, as a kill of its process would; blocks until its threads
 	 * have ended.
 	 */
 	@Override
 	public void close() {
-		this.controlLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
-		this.requestLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+		endThreads();
 		this.controlLoops.terminationFuture().syncUninterruptibly();
 		this.requestLoops.terminationFuture().syncUninterruptibly();
 	}
 
+	private void endThreads() {
+		this.controlLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+		this.requestLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+	}
+
 	private EndpointServer.Response readiness() {
 		boolean ready = this.desiredState.current().isLoaded() && !this.shutdown.stopping()
 				&& !this.targets.ids().isEmpty();
--- a/gateway/src/main/java/org/plantainspur/gateway/log/JsonLineLog.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/log/JsonLineLog.java
@@ -7,6 +7,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 
@@ -25,7 +27,7 @@
 	/** Lines that can wait to be written: about one second of a busy host's log. */
 	private static final int QUEUE_CAPACITY = 512;
 
-	private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+	private final BlockingQueue<Entry> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
 
 	private final AtomicLong dropped = new AtomicLong();
 
@@ -71,10 +73,33 @@
 		return this.dropped.get();
 	}
 
+	/**
+	 * Waits until the lines so far are written. Called before the process ends.
+	 * @param maxMs the longest wait, in milliseconds
+	 * @return whether they are written
+	 */
+	public boolean awaitWritten(long maxMs) {
+		Marker marker = new Marker(new CountDownLatch(1));
+		try {
+			return this.queue.offer(marker, maxMs, TimeUnit.MILLISECONDS)
+					&& marker.reached().await(maxMs, TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return false;
+		}
+	}
+
 	private void writeLines() {
 		try {
 			while (true) {
-				write(this.queue.take());
+				Entry entry = this.queue.take();
+				if (entry instanceof Line line) {
+					write(line);
+				}
+				else if (entry instanceof Marker marker) {
+					marker.reached().countDown();
+				}
 			}
 		}
 		catch (InterruptedException ex) {
@@ -135,7 +160,15 @@
 		}
 	}
 
-	private record Line(long unixMs, String name, Object[] fields) {
+	private sealed interface Entry {
+
+	}
+
+	private record Line(long unixMs, String name, Object[] fields) implements Entry {
+	}
+
+	/** Tells that all lines before it are written. */
+	private record Marker(CountDownLatch reached) implements Entry {
 	}
 
 }
--- a/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/PlannedStopTests.java
@@ -1,9 +1,11 @@
 package org.plantainspur.standins.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -221,6 +223,9 @@
 	@Nested
 	class Signal {
 
+		/** Less than the time that an exit waits for threads in native code. */
+		private static final long EXIT_NANOS = 250_000_000;
+
 		@ParameterizedTest
 		@ValueSource(ints = { 4, 6 })
 		void everyRequestThatWasReadIsAnswered(int graceSeconds) throws Exception {
@@ -266,6 +271,36 @@
 			assertThat(faults).isEmpty();
 		}
 
+		/**
+		 * Guards against a process that is killed at the end of a short grace period, as
+		 * its exit waits for threads in native code. Each exit did so, so one of a few
+		 * that is faster shows that it does not, also on a busy machine.
+		 */
+		@Test
+		void theProcessEndsAsSoonAsTheHostHasStopped() throws Exception {
+			PlannedStopTests.this.fixture.startTarget("i-1",
+					(exchange) -> exchange.respond(GatewayFixture.signedResponse(attemptId(exchange), "done")));
+			long fastestNanos = Long.MAX_VALUE;
+			for (int i = 0; i < 4; i++) {
+				GatewayFixture.HostProcess host = PlannedStopTests.this.fixture.startReadyHostProcess("a" + i, 1);
+				host.process().destroy();
+				GatewayFixture.await(() -> hasStopped(host));
+				long stoppedNanos = System.nanoTime();
+				assertThat(host.process().waitFor(10, TimeUnit.SECONDS)).isTrue();
+				fastestNanos = Math.min(fastestNanos, System.nanoTime() - stoppedNanos);
+			}
+			assertThat(fastestNanos).isLessThan(EXIT_NANOS);
+		}
+
+		private boolean hasStopped(GatewayFixture.HostProcess host) {
+			try {
+				return Files.readString(host.log()).contains("\"stopped\"");
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
 		/** The process ended while a caller was still reading its response. */
 		@Test
 		void aResponseIsWrittenToASlowCallerBeforeTheProcessEnds() throws Exception {
