Tell which targets reach a host though others have lost them

A target that three hosts did not reach counted as down at a host, though a further host of the same domain was served by it. With five of six hosts cut off from a service, callers of the five were refused for as long as the cut lasted.

Cause: hosts told each other only which targets they do not reach. What was known of a target that is reached came from own relayed attempts, and these ended after three hosts had failed.

A heartbeat now also names, of the targets that other hosts do not reach, those that have answered its host within the last 2 s, 64 at most. Such a target is not down, and its attempts go to that host. Nothing is added while no path is closed. The list follows at the end of a heartbeat, where earlier builds read no further, and is left out of entries in the store.

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -40,6 +40,9 @@
 	/** How long a sign of a target shows that this host reaches targets. */
 	static final long PROOF_VALID_MS = 10_000;
 
+	/** How long a sign of a target shows that this host reaches it. */
+	static final long REACHED_VALID_MS = 2_000;
+
 	/** Paths that closed within this time of each other are expected to open together. */
 	static final long CLOSED_TOGETHER_MS = 1_000;
 
@@ -194,20 +197,31 @@
 
 	/**
 	 * Returns what the other hosts should know of these paths.
+	 * @param unreachedElsewhere identities of targets that other hosts do not reach
 	 * @return {@link HostReach#NONE} if no path is closed and no target has given a sign
 	 * recently
 	 */
-	public HostReach reach() {
+	public HostReach reach(Collection<String> unreachedElsewhere) {
 		if (isCutOff()) {
 			return new HostReach(HostReach.State.CUT_OFF, List.of());
 		}
 		List<String> closed = this.paths.entrySet()
 			.stream()
 			.filter((path) -> path.getValue().phase() == PathState.Phase.CLOSED)
-			.limit(HostReach.MAX_CLOSED_TARGETS)
+			.limit(HostReach.MAX_TARGETS)
 			.map((path) -> path.getKey().id())
 			.toList();
-		return new HostReach(hasProof() ? HostReach.State.CONNECTED : HostReach.State.UNKNOWN, closed);
+		List<String> reached = unreachedElsewhere.stream()
+			.filter(this::isReached)
+			.limit(HostReach.MAX_TARGETS)
+			.toList();
+		return new HostReach(hasProof() ? HostReach.State.CONNECTED : HostReach.State.UNKNOWN, closed, reached);
+	}
+
+	private boolean isReached(String targetId) {
+		ObservedTarget target = this.registry.target(targetId);
+		return target != null && state(target).phase() == PathState.Phase.OPEN
+				&& this.clock.millis() - state(target).provenMs() < REACHED_VALID_MS;
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/reach/HostReach.java
+++ b/core/src/main/java/org/plantainspur/core/reach/HostReach.java
@@ -7,18 +7,30 @@
  *
  * @param state whether it reaches targets at all
  * @param closedTargets identities of targets that it does not reach though it reaches
- * others, at most {@link #MAX_CLOSED_TARGETS}
+ * others, at most {@link #MAX_TARGETS}
+ * @param reachedTargets identities of targets that have answered it recently though other
+ * hosts do not reach them, at most {@link #MAX_TARGETS}
  */
-public record HostReach(State state, List<String> closedTargets) {
+public record HostReach(State state, List<String> closedTargets, List<String> reachedTargets) {
 
-	/** The most targets that a host names, which bounds the size of heartbeats. */
-	public static final int MAX_CLOSED_TARGETS = 64;
+	/** The most targets of each kind that a host names, which bounds heartbeats. */
+	public static final int MAX_TARGETS = 64;
 
 	/** Told by a host that has nothing to report. */
 	public static final HostReach NONE = new HostReach(State.UNKNOWN, List.of());
 
 	public HostReach {
 		closedTargets = List.copyOf(closedTargets);
+		reachedTargets = List.copyOf(reachedTargets);
+	}
+
+	/**
+	 * Creates a report without targets that other hosts do not reach.
+	 * @param state whether the host reaches targets at all
+	 * @param closedTargets identities of targets that it does not reach
+	 */
+	public HostReach(State state, List<String> closedTargets) {
+		this(state, closedTargets, List.of());
 	}
 
 	/**
--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -47,6 +47,9 @@
 	/** Cost of a host that is not known to reach targets, in steps of distance. */
 	private static final double UNKNOWN_RANK = 1.5;
 
+	/** Advantage of a host that is known to reach the target, in steps of distance. */
+	private static final double REACHING_RANK = 0.5;
+
 	/**
 	 * Cost of a host of a failure domain with another host that does not reach the
 	 * target, in steps of distance. Larger than all other costs, so that hosts of each
@@ -162,7 +165,23 @@
 		else if (!reach.equals(HostReach.NONE)) {
 			belief.provenMs = PathState.NEVER;
 		}
-		reach.closedTargets().forEach((target) -> belief.unreached.put(target, nowMs + UNREACHED_MS));
+		reach.reachedTargets().forEach((target) -> belief.reportReached(target, nowMs));
+		reach.closedTargets().forEach((target) -> belief.recordUnreached(target, nowMs));
+	}
+
+	/**
+	 * Returns the targets that other hosts do not reach.
+	 * @return identities of targets
+	 */
+	public Set<String> unreachedTargets() {
+		long nowMs = this.clock.millis();
+		Set<String> targets = new HashSet<>();
+		this.beliefs.values().forEach((belief) -> belief.unreached.forEach((target, untilMs) -> {
+			if (nowMs < untilMs) {
+				targets.add(target);
+			}
+		}));
+		return targets;
 	}
 
 	/**
@@ -221,8 +240,7 @@
 			if (!belief(host.name()).mayReach(targetId, nowMs)) {
 				continue;
 			}
-			double rank = rank(host, nowMs)
-					+ (unreachingDomains.contains(host.failureDomain()) ? UNREACHING_DOMAIN_RANK : 0);
+			double rank = rank(host, targetId, unreachingDomains, nowMs);
 			if (rank < bestRank) {
 				bestRank = rank;
 				inUse = 0;
@@ -236,8 +254,15 @@
 		return chosen;
 	}
 
-	private double rank(RelayHost host, long nowMs) {
-		return distance(host) + (belief(host.name()).isProven(nowMs) ? 0 : UNKNOWN_RANK);
+	// The rank of a host is its distance, with a cost for what is not known of it. One
+	// that reaches the target itself goes before all others at its distance.
+	private double rank(RelayHost host, String targetId, Set<String> unreachingDomains, long nowMs) {
+		Belief belief = belief(host.name());
+		if (belief.reaches(targetId, nowMs)) {
+			return distance(host) - REACHING_RANK;
+		}
+		return distance(host) + (belief.isProven(nowMs) ? 0 : UNKNOWN_RANK)
+				+ (unreachingDomains.contains(host.failureDomain()) ? UNREACHING_DOMAIN_RANK : 0);
 	}
 
 	// Returns the failure domains with a host that reaches other targets but not this
@@ -259,10 +284,7 @@
 	 */
 	boolean isReached(String targetId) {
 		long nowMs = this.clock.millis();
-		return this.beliefs.values()
-			.stream()
-			.anyMatch((belief) -> nowMs
-					- belief.reached.getOrDefault(targetId, PathState.NEVER) < DirectPaths.PROOF_VALID_MS);
+		return this.beliefs.values().stream().anyMatch((belief) -> belief.reaches(targetId, nowMs));
 	}
 
 	/**
@@ -330,8 +352,7 @@
 	public void recordUnreached(RelayHost host, String targetId, boolean reachesOthers) {
 		long nowMs = this.clock.millis();
 		Belief belief = belief(host.name());
-		belief.reached.remove(targetId);
-		belief.unreached.put(targetId, nowMs + UNREACHED_MS);
+		belief.recordUnreached(targetId, nowMs);
 		if (reachesOthers) {
 			belief.provenMs = nowMs;
 		}
@@ -423,6 +444,22 @@
 			return isUsable(nowMs) && hasRoom(nowMs) && !hasNotReached(targetId, nowMs);
 		}
 
+		private boolean reaches(String targetId, long nowMs) {
+			return nowMs - this.reached.getOrDefault(targetId, PathState.NEVER) < DirectPaths.PROOF_VALID_MS;
+		}
+
+		// What a host reports of itself is repeated with each of its heartbeats, so it is
+		// valid for less time than a response.
+		private void reportReached(String targetId, long nowMs) {
+			this.reached.merge(targetId, nowMs - DirectPaths.PROOF_VALID_MS + DirectPaths.REACHED_VALID_MS, Math::max);
+			this.unreached.remove(targetId);
+		}
+
+		private void recordUnreached(String targetId, long nowMs) {
+			this.reached.remove(targetId);
+			this.unreached.put(targetId, nowMs + UNREACHED_MS);
+		}
+
 		private boolean reachesAllBut(String targetId, long nowMs) {
 			return isProven(nowMs) && hasNotReached(targetId, nowMs);
 		}
--- a/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
+++ b/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
@@ -1,5 +1,7 @@
 package org.plantainspur.core.reach;
 
+import java.util.Set;
+
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -35,7 +37,7 @@
 		void afterTargetsOfSeveralServicesHaveFailed() {
 			fail("s1", "s2", "t1");
 			assertThat(DirectPathsTests.this.paths.isCutOff()).isTrue();
-			assertThat(DirectPathsTests.this.paths.reach().state()).isEqualTo(HostReach.State.CUT_OFF);
+			assertThat(DirectPathsTests.this.paths.reach(Set.of()).state()).isEqualTo(HostReach.State.CUT_OFF);
 		}
 
 		@Test
@@ -193,23 +195,37 @@
 	@Nested
 	class Report {
 
+		/**
+		 * Guards against a target that counts as down though this host is served by it.
+		 */
+		@Test
+		void namesTargetsThatOthersDoNotReach() {
+			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("s1"));
+			connect("s2");
+			fail("s2");
+			assertThat(DirectPathsTests.this.paths.reach(Set.of("s1", "s2", "s3", "gone")).reachedTargets())
+				.containsExactly("s1");
+			DirectPathsTests.this.fleet.clock.advance(DirectPaths.REACHED_VALID_MS);
+			assertThat(DirectPathsTests.this.paths.reach(Set.of("s1")).reachedTargets()).isEmpty();
+		}
+
 		@Test
 		void isEmptyOnAHostWithoutClosedPathsAndSigns() {
-			assertThat(DirectPathsTests.this.paths.reach()).isEqualTo(HostReach.NONE);
+			assertThat(DirectPathsTests.this.paths.reach(Set.of())).isEqualTo(HostReach.NONE);
 		}
 
 		@Test
 		void doesNotClaimToReachTargetsWhosePathsHaveClosedSince() {
 			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
 			fail("u1");
-			assertThat(DirectPathsTests.this.paths.reach().state()).isEqualTo(HostReach.State.UNKNOWN);
+			assertThat(DirectPathsTests.this.paths.reach(Set.of()).state()).isEqualTo(HostReach.State.UNKNOWN);
 		}
 
 		@Test
 		void namesTheClosedTargets() {
 			DirectPathsTests.this.paths.recordAnswered(DirectPathsTests.this.fleet.process("u1"));
 			fail("s1");
-			HostReach reach = DirectPathsTests.this.paths.reach();
+			HostReach reach = DirectPathsTests.this.paths.reach(Set.of());
 			assertThat(reach.state()).isEqualTo(HostReach.State.CONNECTED);
 			assertThat(reach.closedTargets()).containsExactly("s1");
 		}
--- a/core/src/test/java/org/plantainspur/core/reach/ReachabilityTests.java
+++ b/core/src/test/java/org/plantainspur/core/reach/ReachabilityTests.java
@@ -192,6 +192,30 @@
 			assertThat(ReachabilityTests.this.fleet.choose("s1")).isNull();
 		}
 
+		/** Guards against refusals while one host of many says that it is served. */
+		@Test
+		void isNotDownWhileAHostIsServedByIt() {
+			List<RelayHost> hosts = new ArrayList<>();
+			for (int i = 2; i < 9; i++) {
+				RelayHost host = ReachFixture.host("a" + i, "a");
+				hosts.add(host);
+				List<String> closed = (i == 5) ? List.of() : List.of("s1");
+				List<String> reached = (i == 5) ? List.of("s1") : List.of();
+				ReachabilityTests.this.fleet.hosts.receive("a" + i,
+						new HostReach(HostReach.State.CONNECTED, closed, reached));
+			}
+			ReachabilityTests.this.fleet.hosts.replace(hosts);
+			ReachabilityTests.this.fleet.fail("s1", ConnectFailure.SILENT);
+			assertThat(ReachabilityTests.this.fleet.hosts.unreachedTargets()).containsExactly("s1");
+			assertThat(ReachabilityTests.this.fleet.relayOf("s1")).isEqualTo("a5");
+			PathChooser.Choice choice = ReachabilityTests.this.fleet.choose("s1");
+			assertThat(choice).isNotNull();
+			assertThat(choice.doubtful()).isFalse();
+			ReachabilityTests.this.fleet.hosts.receive("a5",
+					new HostReach(HostReach.State.CONNECTED, List.of("s1"), List.of()));
+			assertThat(ReachabilityTests.this.fleet.choose("s1")).isNull();
+		}
+
 		@Test
 		void isTriedOverOneHostOfEachDomainFirst() {
 			addHosts(ReachabilityTests.this.near, ReachabilityTests.this.secondNear, ReachabilityTests.this.inRegion,
--- a/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PathMonitor.java
@@ -137,12 +137,14 @@
 
 	/**
 	 * Returns what heartbeats tell of this host's paths.
-	 * @return {@link HostReach#NONE} while no path is closed and no host is cut off
+	 * @return {@link HostReach#NONE} while no path is closed, at this host or at those
+	 * that it hears
 	 */
 	HostReach reach() {
+		Set<String> unreachedElsewhere = this.paths.relayHosts().unreachedTargets();
 		boolean worthTelling = this.paths.direct().isCutOff() || this.paths.direct().closedCount() > 0
-				|| this.paths.relayHosts().isAnyCutOff();
-		return worthTelling ? this.paths.direct().reach() : HostReach.NONE;
+				|| this.paths.relayHosts().isAnyCutOff() || !unreachedElsewhere.isEmpty();
+		return worthTelling ? this.paths.direct().reach(unreachedElsewhere) : HostReach.NONE;
 	}
 
 	/**
@@ -155,7 +157,7 @@
 		this.paths.relayHosts().receive(heartbeat.host(), heartbeat.reach());
 		if (heartbeat.reach().state() == HostReach.State.CUT_OFF
 				&& !heartbeat.failureDomain().equals(this.settings.failureDomain())) {
-			this.heartbeatSender.accept(ownHeartbeat.onlyReach(this.paths.direct().reach()),
+			this.heartbeatSender.accept(ownHeartbeat.onlyReach(this.paths.direct().reach(Set.of())),
 					List.of(heartbeat.peerAddress()));
 		}
 	}
@@ -252,7 +254,7 @@
 			.filter((heartbeat) -> asked.contains(heartbeat.host()))
 			.map(HostHeartbeat::peerAddress)
 			.toList();
-		this.heartbeatSender.accept(ownHeartbeat.onlyReach(this.paths.direct().reach()), addresses);
+		this.heartbeatSender.accept(ownHeartbeat.onlyReach(this.paths.direct().reach(Set.of())), addresses);
 	}
 
 	// The hosts of this failure domain may all have lost the paths to a service together,
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/HeartbeatCodec.java
@@ -12,6 +12,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ValueType;
 
 import org.plantainspur.core.fleet.AccountUsage;
 import org.plantainspur.core.fleet.DomainDigest;
@@ -107,6 +108,9 @@
 				packer.packInt(heartbeat.reach().state().ordinal());
 				packStrings(packer, heartbeat.reach().closedTargets());
 			}
+			if (!heartbeat.reach().reachedTargets().isEmpty()) {
+				packStrings(packer, heartbeat.reach().reachedTargets());
+			}
 			if (relayKey != null) {
 				packer.packBinaryHeader(RelayKey.BYTES).writePayload(relayKey.bytes());
 			}
@@ -227,9 +231,16 @@
 	private static HostReach unpackReach(MessageUnpacker unpacker) throws IOException {
 		int state = unpacker.unpackInt();
 		List<String> closedTargets = unpackStrings(unpacker);
+		// In the entry of a host its relay key follows instead.
+		boolean withReached = unpacker.hasNext() && unpacker.getNextFormat().getValueType() == ValueType.ARRAY;
+		List<String> reachedTargets = withReached ? unpackStrings(unpacker) : List.of();
 		HostReach.State[] states = HostReach.State.values();
 		return new HostReach((state >= 0 && state < states.length) ? states[state] : HostReach.State.UNKNOWN,
-				closedTargets.subList(0, Math.min(HostReach.MAX_CLOSED_TARGETS, closedTargets.size())));
+				firstOf(closedTargets), firstOf(reachedTargets));
+	}
+
+	private static List<String> firstOf(List<String> targets) {
+		return targets.subList(0, Math.min(HostReach.MAX_TARGETS, targets.size()));
 	}
 
 	// A heartbeat is used for as long as its host is known: an address that cannot be
--- a/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/plantainspur/gateway/peer/PeerCodecTests.java
@@ -117,6 +117,15 @@
 			assertThat(this.codec.decode(this.codec.encode(heartbeat))).isEqualTo(heartbeat);
 		}
 
+		@Test
+		void aHeartbeatTellsOfTargetsThatOthersDoNotReach() {
+			HostHeartbeat heartbeat = HEARTBEAT
+				.withReach(new HostReach(HostReach.State.CONNECTED, List.of("i-8"), List.of("i-9")));
+			assertThat(this.codec.decode(this.codec.encode(heartbeat))).isEqualTo(heartbeat);
+			RelayKey key = RelayKey.random();
+			assertThat(this.codec.decodeRelayKey(this.codec.encodeEntry(heartbeat, key))).isEqualTo(key);
+		}
+
 		/**
 		 * Guards against bytes that heartbeats cost while no path is closed.
 		 */
--- a/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/CutOffHostTests.java
@@ -322,6 +322,29 @@
 			assertThat(countLogLines("a1 targets-lost", "")).isZero();
 		}
 
+		/** Guards against a service that counts as down as most hosts have lost it. */
+		@Test
+		void theTargetsOfOneServiceAreReachedOverTheOnlyHostThatReachesThem() throws IOException {
+			List<GatewayFixture.CuttableHost> hosts = new ArrayList<>();
+			for (String name : new String[] { "a1", "a2", "a3", "a4", "a5", "a6" }) {
+				hosts.add(startHost(name, "a"));
+			}
+			hosts.forEach((host) -> countServed(host, 6));
+			for (GatewayFixture.CuttableHost host : hosts.subList(0, 5)) {
+				host.paths().cut(CuttablePath.Kind.RESET, CutOffHostTests.this.servicePorts::contains);
+			}
+			long cutMs = GatewayFixture.nowMs();
+			while (GatewayFixture.nowMs() - cutMs < SERVED_AFTER_CUT_MS) {
+				hosts.forEach((host) -> countServed(host, 3));
+			}
+			for (int i = 0; i < REQUESTS; i++) {
+				for (GatewayFixture.CuttableHost host : hosts) {
+					assertThat(countServed(host, 3)).as(host + ": " + outcomes()).isEqualTo(3);
+				}
+			}
+			assertThat(CutOffHostTests.this.runs).doesNotHaveDuplicates();
+		}
+
 		/** Guards against a service that counts as down because one domain lost it. */
 		@Test
 		void theTargetsOfOneServiceAreReachedOverAnotherDomain() throws IOException {
