--- a/standins/src/test/java/org/plantainspur/standins/ChildProcesses.java
+++ b/standins/src/test/java/org/plantainspur/standins/ChildProcesses.java
@@ -17,6 +17,9 @@
  */
 public final class ChildProcesses implements AutoCloseable {
 
+	/** How long a process takes at most to print what its threads do. */
+	private static final long THREADS_PRINTED_MS = 1_000;
+
 	private final List<Process> processes = new CopyOnWriteArrayList<>();
 
 	/**
@@ -80,6 +83,16 @@
 		}
 	}
 
+	/**
+	 * Has a process print what its threads do, with the other lines of its output.
+	 * @param process a running process
+	 * @throws Exception if it cannot be signalled
+	 */
+	public static void printThreads(Process process) throws Exception {
+		new ProcessBuilder("kill", "-QUIT", String.valueOf(process.pid())).start().waitFor();
+		Thread.sleep(THREADS_PRINTED_MS);
+	}
+
 	public static int freePort() throws IOException {
 		return FreePorts.next();
 	}
--- a/standins/src/test/java/org/plantainspur/standins/target/TargetFaultTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/target/TargetFaultTests.java
@@ -16,6 +16,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 /**
  * Guards against a target emulator that injects faults other than the ones that a test
@@ -182,9 +183,13 @@
 				TestHttpClient otherHttp = new TestHttpClient(address);
 				otherHttp.put("/.control/behaviour",
 						"{\"crash\": {\"onText\": \"poison\", \"downMillis\": 0, \"exit\": true}}");
-				assertThatExceptionOfType(IOException.class)
-					.isThrownBy(() -> otherHttp.send("POST", "/booking", "poison"));
-				assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+				Throwable thrown = catchThrowable(() -> otherHttp.send("POST", "/booking", "poison"));
+				assertThat(thrown).isInstanceOf(IOException.class);
+				boolean ended = process.waitFor(10, TimeUnit.SECONDS);
+				if (!ended) {
+					ChildProcesses.printThreads(process);
+				}
+				assertThat(ended).as("ended after %s", thrown).isTrue();
 				assertThat(process.exitValue()).isEqualTo(70);
 			}
 		}
