Look through the hosts that may relay once, and stop at the nearest ones

While a host is cut off, each candidate target of a request walked all known hosts and all beliefs several times, with a look-up by name for each.

What is known of a host is now a class of its own, held with the host in the sorted list; what all hosts tell of a target is gathered once for each choice, from those that have named targets; and the choice ends when no farther host can be better.

The choices are the same: ReachabilityTests with 300 random fleets.

--- a/core/src/main/java/org/plantainspur/core/reach/Reachability.java
+++ b/core/src/main/java/org/plantainspur/core/reach/Reachability.java
@@ -56,20 +56,20 @@
 				|| connections.isOpen(target, this.directPaths.connectionsProvenSinceMs(target.listing().process()))) {
 			return Choice.DIRECT;
 		}
-		String targetId = target.listing().id();
-		boolean reached = this.relayHosts.isReached(targetId);
-		int unreached = reached ? 0 : this.relayHosts.unreachedCount(targetId);
-		if (unreached >= MAX_UNREACHED && this.relayHosts.isUnreachedFromAllDomains(targetId)) {
+		RelayHosts.Evidence evidence = this.relayHosts.evidence(target.listing().id());
+		if (!evidence.reached() && evidence.unreached() >= MAX_UNREACHED
+				&& this.relayHosts.isUnreachedFromAllDomains(evidence)) {
 			return null;
 		}
-		RelayHost host = this.relayHosts.choose(targetId);
+		RelayHost host = this.relayHosts.choose(evidence);
 		if (host == null) {
 			return null;
 		}
-		boolean doubtful = !reached && (unreached > 0 || !this.directPaths.isCutOff());
+		boolean doubtful = !evidence.reached() && (evidence.unreached() > 0 || !this.directPaths.isCutOff());
 		double distance = this.location.distanceTo(host.failureDomain()).ordinal();
 		return new Choice(new TargetPath.Relayed(host),
-				RELAY_COST + distance * DISTANCE_COST + (doubtful ? DOUBT_COST * (1 + unreached) : 0), doubtful);
+				RELAY_COST + distance * DISTANCE_COST + (doubtful ? DOUBT_COST * (1 + evidence.unreached()) : 0),
+				doubtful);
 	}
 
 }
--- a/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
+++ b/core/src/main/java/org/plantainspur/core/reach/RelayHosts.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.jspecify.annotations.Nullable;
@@ -26,21 +25,9 @@
 	/** The hosts at one distance that share the relayed attempts of this host. */
 	static final int HOSTS_IN_USE = 3;
 
-	/** The relayed attempts that one host runs for this host at a time. */
-	static final int MAX_IN_FLIGHT = 16;
-
-	/** How long a host counts as cut off after it has said so. */
-	static final long CUT_OFF_VALID_MS = 2_000;
-
 	/** How long a host that could not be connected to is avoided. */
 	static final long UNAVAILABLE_MS = 1_000;
 
-	/** How long a host is avoided that did not reach a target and may be cut off. */
-	static final long SUSPECT_MS = 300;
-
-	/** How long a target is not sent over a host that did not reach it. */
-	static final long UNREACHED_MS = 2_000;
-
 	/** How long a request waits at most for hosts that are being looked up. */
 	static final long LOOK_UP_MS = 500;
 
@@ -63,9 +50,12 @@
 
 	private final Clock clock;
 
-	private final AtomicReference<List<RelayHost>> hosts = new AtomicReference<>(List.of());
+	private final AtomicReference<List<Candidate>> candidates = new AtomicReference<>(List.of());
 
-	private final ConcurrentMap<String, Belief> beliefs = new ConcurrentHashMap<>();
+	private final ConcurrentMap<String, HostBelief> beliefs = new ConcurrentHashMap<>();
+
+	/** The beliefs that have named targets, mostly of few hosts. */
+	private final ConcurrentMap<String, HostBelief> beliefsOfTargets = new ConcurrentHashMap<>();
 
 	/** Whether hosts of the failure domain have not been looked up yet. */
 	private volatile boolean incomplete;
@@ -86,16 +76,17 @@
 
 	/**
 	 * Replaces the hosts.
-	 * @param candidates the hosts that may relay, without this one
+	 * @param hosts the hosts that may relay, without this one
 	 */
-	public void replace(Collection<RelayHost> candidates) {
+	public void replace(Collection<RelayHost> hosts) {
 		// Each host has another order, so that hosts which are cut off together use
 		// different ones.
-		List<RelayHost> sorted = candidates.stream()
-			.sorted(Comparator.comparingInt(this::distance)
-				.thenComparingInt((host) -> mixedHash(this.ownName, host.name())))
+		List<Candidate> sorted = hosts.stream()
+			.map((host) -> new Candidate(host, distance(host), belief(host.name())))
+			.sorted(Comparator.comparingInt(Candidate::distance)
+				.thenComparingInt((candidate) -> mixedHash(this.ownName, candidate.host().name())))
 			.toList();
-		this.hosts.set(sorted);
+		this.candidates.set(sorted);
 	}
 
 	/**
@@ -130,11 +121,11 @@
 	 */
 	public void removeOld(Set<String> names) {
 		long nowMs = this.clock.millis();
-		this.beliefs.keySet().retainAll(names);
-		this.beliefs.values().forEach((belief) -> {
-			belief.unreached.values().removeIf((untilMs) -> nowMs >= untilMs);
-			belief.reached.values().removeIf((reachedMs) -> nowMs - reachedMs >= DirectPaths.PROOF_VALID_MS);
-		});
+		Set<String> kept = new HashSet<>(names);
+		this.candidates.get().forEach((candidate) -> kept.add(candidate.host().name()));
+		this.beliefs.keySet().retainAll(kept);
+		this.beliefs.values().forEach((belief) -> belief.removeOld(nowMs));
+		this.beliefsOfTargets.keySet().retainAll(kept);
 	}
 
 	private int distance(RelayHost host) {
@@ -157,16 +148,11 @@
 			return;
 		}
 		long nowMs = this.clock.millis();
-		Belief belief = belief(host);
-		belief.cutOffUntilMs = (reach.state() == HostReach.State.CUT_OFF) ? nowMs + CUT_OFF_VALID_MS : PathState.NEVER;
-		if (reach.state() == HostReach.State.CONNECTED) {
-			belief.provenMs = nowMs;
-		}
-		else if (!reach.equals(HostReach.NONE)) {
-			belief.provenMs = PathState.NEVER;
+		HostBelief belief = belief(host);
+		belief.receive(reach, nowMs);
+		if (belief.namesTargets()) {
+			this.beliefsOfTargets.put(host, belief);
 		}
-		reach.reachedTargets().forEach((target) -> belief.reportReached(target, nowMs));
-		reach.closedTargets().forEach((target) -> belief.recordUnreached(target, nowMs));
 	}
 
 	/**
@@ -176,11 +162,7 @@
 	public Set<String> unreachedTargets() {
 		long nowMs = this.clock.millis();
 		Set<String> targets = new HashSet<>();
-		this.beliefs.values().forEach((belief) -> belief.unreached.forEach((target, untilMs) -> {
-			if (nowMs < untilMs) {
-				targets.add(target);
-			}
-		}));
+		this.beliefsOfTargets.values().forEach((belief) -> belief.addUnreached(targets, nowMs));
 		return targets;
 	}
 
@@ -190,7 +172,7 @@
 	 */
 	public boolean isAnyCutOff() {
 		long nowMs = this.clock.millis();
-		return this.beliefs.values().stream().anyMatch((belief) -> nowMs < belief.cutOffUntilMs);
+		return this.beliefs.values().stream().anyMatch((belief) -> belief.isCutOff(nowMs));
 	}
 
 	/**
@@ -200,11 +182,10 @@
 	 */
 	public boolean isAnyConnected(HostLocation.Distance distance) {
 		long nowMs = this.clock.millis();
-		return this.hosts.get()
+		return this.candidates.get()
 			.stream()
-			.filter((host) -> distance(host) == distance.ordinal())
-			.map((host) -> belief(host.name()))
-			.anyMatch((belief) -> belief.isUsable(nowMs) && belief.isProven(nowMs));
+			.filter((candidate) -> candidate.distance() == distance.ordinal())
+			.anyMatch((candidate) -> candidate.belief().isUsable(nowMs) && candidate.belief().isProven(nowMs));
 	}
 
 	/**
@@ -215,102 +196,94 @@
 	 */
 	public List<RelayHost> candidates(HostLocation.Distance distance) {
 		long nowMs = this.clock.millis();
-		return this.hosts.get()
+		return this.candidates.get()
 			.stream()
-			.filter((host) -> distance(host) == distance.ordinal() && belief(host.name()).isUsable(nowMs))
+			.filter((candidate) -> candidate.distance() == distance.ordinal() && candidate.belief().isUsable(nowMs))
 			.limit(HOSTS_IN_USE)
+			.map(Candidate::host)
 			.toList();
 	}
 
+	/**
+	 * Returns what all hosts tell of a target.
+	 * @param targetId the target's identity
+	 * @return the evidence as of now
+	 */
+	Evidence evidence(String targetId) {
+		long nowMs = this.clock.millis();
+		boolean reached = false;
+		int unreached = 0;
+		for (HostBelief belief : this.beliefsOfTargets.values()) {
+			reached |= belief.reaches(targetId, nowMs);
+			unreached += belief.reachesAllBut(targetId, nowMs) ? 1 : 0;
+		}
+		return new Evidence(targetId, reached, unreached);
+	}
+
 	/**
 	 * Returns the host that relays an attempt.
-	 * @param targetId the identity of the attempt's target
+	 * @param evidence what all hosts tell of the attempt's target
 	 * @return the host, or {@code null} if none is known that may reach the target and
 	 * has room
 	 */
-	@Nullable RelayHost choose(String targetId) {
+	@Nullable RelayHost choose(Evidence evidence) {
 		long nowMs = this.clock.millis();
-		Set<String> unreachingDomains = unreachingDomains(targetId, nowMs);
+		Set<String> unreachingDomains = unreachingDomains(evidence, nowMs);
 		RelayHost chosen = null;
 		double bestRank = Double.MAX_VALUE;
 		int inUse = 0;
 		// Of the hosts with the best rank, the first few in the order of this host share
 		// the targets.
-		for (RelayHost host : this.hosts.get()) {
-			if (!belief(host.name()).mayReach(targetId, nowMs)) {
+		for (Candidate candidate : this.candidates.get()) {
+			double lowestRank = candidate.distance() - (evidence.reached() ? REACHING_RANK : 0);
+			if (bestRank < lowestRank || (bestRank == lowestRank && inUse >= HOSTS_IN_USE)) {
+				break;
+			}
+			if (!candidate.belief().mayReach(evidence.targetId(), nowMs)) {
 				continue;
 			}
-			double rank = rank(host, targetId, unreachingDomains, nowMs);
+			double rank = candidate.rank(evidence.targetId(), unreachingDomains, nowMs);
 			if (rank < bestRank) {
 				bestRank = rank;
 				inUse = 0;
 				chosen = null;
 			}
-			if (rank == bestRank && inUse++ < HOSTS_IN_USE
-					&& (chosen == null || mixedHash(host.name(), targetId) < mixedHash(chosen.name(), targetId))) {
-				chosen = host;
+			if (rank == bestRank && inUse++ < HOSTS_IN_USE && (chosen == null || mixedHash(candidate.host().name(),
+					evidence.targetId()) < mixedHash(chosen.name(), evidence.targetId()))) {
+				chosen = candidate.host();
 			}
 		}
 		return chosen;
 	}
 
-	// The rank of a host is its distance, with a cost for what is not known of it. One
-	// that reaches the target itself goes before all others at its distance.
-	private double rank(RelayHost host, String targetId, Set<String> unreachingDomains, long nowMs) {
-		Belief belief = belief(host.name());
-		if (belief.reaches(targetId, nowMs)) {
-			return distance(host) - REACHING_RANK;
-		}
-		return distance(host) + (belief.isProven(nowMs) ? 0 : UNKNOWN_RANK)
-				+ (unreachingDomains.contains(host.failureDomain()) ? UNREACHING_DOMAIN_RANK : 0);
-	}
-
 	// Returns the failure domains with a host that reaches other targets but not this
 	// one.
-	private Set<String> unreachingDomains(String targetId, long nowMs) {
+	private Set<String> unreachingDomains(Evidence evidence, long nowMs) {
 		Set<String> domains = new HashSet<>();
-		for (RelayHost host : this.hosts.get()) {
-			if (belief(host.name()).reachesAllBut(targetId, nowMs)) {
-				domains.add(host.failureDomain());
+		if (evidence.unreached() > 0) {
+			for (Candidate candidate : this.candidates.get()) {
+				if (candidate.belief().reachesAllBut(evidence.targetId(), nowMs)) {
+					domains.add(candidate.host().failureDomain());
+				}
 			}
 		}
 		return domains;
 	}
 
-	/**
-	 * Returns whether a target has answered over another host recently.
-	 * @param targetId the target's identity
-	 * @return {@code true} if the target is healthy behind a closed path
-	 */
-	boolean isReached(String targetId) {
-		long nowMs = this.clock.millis();
-		return this.beliefs.values().stream().anyMatch((belief) -> belief.reaches(targetId, nowMs));
-	}
-
-	/**
-	 * Returns how many hosts that reach other targets do not reach this one.
-	 * @param targetId the target's identity
-	 * @return a number of hosts
-	 */
-	int unreachedCount(String targetId) {
-		long nowMs = this.clock.millis();
-		return (int) this.beliefs.values().stream().filter((belief) -> belief.reachesAllBut(targetId, nowMs)).count();
-	}
-
 	/**
 	 * Returns whether each failure domain that could be asked has a host that reaches
 	 * other targets but not this one. The paths of a whole domain may be closed together,
 	 * so its hosts alone do not show that a target is down.
-	 * @param targetId the target's identity
+	 * @param evidence what all hosts tell of the target
 	 * @return {@code true} if no host of a further domain is left to be asked
 	 */
-	boolean isUnreachedFromAllDomains(String targetId) {
+	boolean isUnreachedFromAllDomains(Evidence evidence) {
 		long nowMs = this.clock.millis();
-		Set<String> unreachingDomains = unreachingDomains(targetId, nowMs);
-		return this.hosts.get()
+		Set<String> unreachingDomains = unreachingDomains(evidence, nowMs);
+		return this.candidates.get()
 			.stream()
-			.filter((host) -> belief(host.name()).isUsable(nowMs))
-			.allMatch((host) -> unreachingDomains.contains(host.failureDomain()));
+			.filter((candidate) -> candidate.belief().isUsable(nowMs))
+			.allMatch((candidate) -> unreachingDomains.contains(candidate.host().failureDomain()));
 	}
 
 	/**
@@ -319,7 +292,7 @@
 	 * @param host the host
 	 */
 	public void recordSent(RelayHost host) {
-		belief(host.name()).inFlight.incrementAndGet();
+		belief(host.name()).recordSent();
 	}
 
 	/**
@@ -327,7 +300,7 @@
 	 * @param host the host
 	 */
 	public void recordEnd(RelayHost host) {
-		belief(host.name()).inFlight.decrementAndGet();
+		belief(host.name()).recordEnd();
 	}
 
 	/**
@@ -336,11 +309,9 @@
 	 * @param targetId the target's identity
 	 */
 	public void recordReached(RelayHost host, String targetId) {
-		long nowMs = this.clock.millis();
-		Belief belief = belief(host.name());
-		belief.provenMs = nowMs;
-		belief.reached.put(targetId, nowMs);
-		belief.unreached.remove(targetId);
+		HostBelief belief = belief(host.name());
+		belief.recordReached(targetId, this.clock.millis());
+		this.beliefsOfTargets.put(host.name(), belief);
 	}
 
 	/**
@@ -350,16 +321,9 @@
 	 * @param reachesOthers whether the host reaches other targets
 	 */
 	public void recordUnreached(RelayHost host, String targetId, boolean reachesOthers) {
-		long nowMs = this.clock.millis();
-		Belief belief = belief(host.name());
-		belief.recordUnreached(targetId, nowMs);
-		if (reachesOthers) {
-			belief.provenMs = nowMs;
-		}
-		else {
-			belief.provenMs = PathState.NEVER;
-			belief.avoidUntilMs = nowMs + SUSPECT_MS;
-		}
+		HostBelief belief = belief(host.name());
+		belief.recordUnreached(targetId, reachesOthers, this.clock.millis());
+		this.beliefsOfTargets.put(host.name(), belief);
 	}
 
 	/**
@@ -367,9 +331,7 @@
 	 * @param host the host
 	 */
 	public void recordCutOff(RelayHost host) {
-		Belief belief = belief(host.name());
-		belief.cutOffUntilMs = this.clock.millis() + CUT_OFF_VALID_MS;
-		belief.provenMs = PathState.NEVER;
+		belief(host.name()).recordCutOff(this.clock.millis());
 	}
 
 	/**
@@ -377,7 +339,7 @@
 	 * @param host the host
 	 */
 	public void recordUnavailable(RelayHost host) {
-		belief(host.name()).avoidUntilMs = this.clock.millis() + UNAVAILABLE_MS;
+		belief(host.name()).avoid(this.clock.millis() + UNAVAILABLE_MS);
 	}
 
 	/**
@@ -386,7 +348,7 @@
 	 * @param retryAfterMs when it expects to have room, in milliseconds from now
 	 */
 	public void recordBusy(RelayHost host, long retryAfterMs) {
-		belief(host.name()).busyUntilMs = this.clock.millis() + retryAfterMs;
+		belief(host.name()).recordBusy(this.clock.millis() + retryAfterMs);
 	}
 
 	/**
@@ -395,77 +357,47 @@
 	 */
 	public long retryAfterMs() {
 		long nowMs = this.clock.millis();
-		return this.hosts.get()
+		return this.candidates.get()
 			.stream()
-			.map((host) -> belief(host.name()))
+			.map(Candidate::belief)
 			.filter((belief) -> belief.isUsable(nowMs) && !belief.hasRoom(nowMs))
-			.mapToLong((belief) -> Math.max(belief.busyUntilMs - nowMs, RelayAdmission.RETRY_AFTER_MS))
+			.mapToLong((belief) -> Math.max(belief.busyForMs(nowMs), RelayAdmission.RETRY_AFTER_MS))
 			.min()
 			.orElse(0);
 	}
 
-	private Belief belief(String host) {
-		return this.beliefs.computeIfAbsent(host, (name) -> new Belief());
+	private HostBelief belief(String host) {
+		return this.beliefs.computeIfAbsent(host, (name) -> new HostBelief());
 	}
 
 	/**
-	 * What is known of one host. Each field is written on its own; a reader that sees an
-	 * older one only chooses another host.
+	 * What all hosts tell of a target.
+	 *
+	 * @param targetId the target's identity
+	 * @param reached whether it has answered over another host recently, or another host
+	 * tells that it is served, so that it is healthy behind a closed path
+	 * @param unreached how many hosts that reach other targets do not reach it
 	 */
-	private static final class Belief {
-
-		private final AtomicInteger inFlight = new AtomicInteger();
-
-		private final ConcurrentMap<String, Long> unreached = new ConcurrentHashMap<>();
-
-		private final ConcurrentMap<String, Long> reached = new ConcurrentHashMap<>();
-
-		private volatile long cutOffUntilMs = PathState.NEVER;
-
-		private volatile long avoidUntilMs = PathState.NEVER;
-
-		private volatile long busyUntilMs = PathState.NEVER;
-
-		private volatile long provenMs = PathState.NEVER;
-
-		private boolean isUsable(long nowMs) {
-			return nowMs >= this.cutOffUntilMs && nowMs >= this.avoidUntilMs;
-		}
-
-		private boolean isProven(long nowMs) {
-			return nowMs - this.provenMs < DirectPaths.PROOF_VALID_MS;
-		}
-
-		private boolean hasRoom(long nowMs) {
-			return nowMs >= this.busyUntilMs && this.inFlight.get() < MAX_IN_FLIGHT;
-		}
-
-		private boolean mayReach(String targetId, long nowMs) {
-			return isUsable(nowMs) && hasRoom(nowMs) && !hasNotReached(targetId, nowMs);
-		}
-
-		private boolean reaches(String targetId, long nowMs) {
-			return nowMs - this.reached.getOrDefault(targetId, PathState.NEVER) < DirectPaths.PROOF_VALID_MS;
-		}
-
-		// What a host reports of itself is repeated with each of its heartbeats, so it is
-		// valid for less time than a response.
-		private void reportReached(String targetId, long nowMs) {
-			this.reached.merge(targetId, nowMs - DirectPaths.PROOF_VALID_MS + DirectPaths.REACHED_VALID_MS, Math::max);
-			this.unreached.remove(targetId);
-		}
-
-		private void recordUnreached(String targetId, long nowMs) {
-			this.reached.remove(targetId);
-			this.unreached.put(targetId, nowMs + UNREACHED_MS);
-		}
+	record Evidence(String targetId, boolean reached, int unreached) {
+	}
 
-		private boolean reachesAllBut(String targetId, long nowMs) {
-			return isProven(nowMs) && hasNotReached(targetId, nowMs);
-		}
+	/**
+	 * A host that may relay.
+	 *
+	 * @param host the host
+	 * @param distance its distance, in steps
+	 * @param belief what is known of it
+	 */
+	private record Candidate(RelayHost host, int distance, HostBelief belief) {
 
-		private boolean hasNotReached(String targetId, long nowMs) {
-			return nowMs < this.unreached.getOrDefault(targetId, PathState.NEVER);
+		// The rank of a host is its distance, with a cost for what is not known of it.
+		// One that reaches the target itself goes before all others at its distance.
+		private double rank(String targetId, Set<String> unreachingDomains, long nowMs) {
+			if (this.belief.reaches(targetId, nowMs)) {
+				return this.distance - REACHING_RANK;
+			}
+			return this.distance + (this.belief.isProven(nowMs) ? 0 : UNKNOWN_RANK)
+					+ (unreachingDomains.contains(this.host.failureDomain()) ? UNREACHING_DOMAIN_RANK : 0);
 		}
 
 	}
