Use no connection that is as silent as one on which a request timed out

While a cut is silent, a request on a kept connection waits until its deadline. The next request took another kept connection of the same target and waited as long, as no connect had failed: callers of a host that was cut off got 504 after 2,001 ms, more than a second after the cut.

Cause: only a connect that fails closes a path. An attempt without a response said something of the target's health, nothing of its connections.

Connections to a target that have carried no response since such an attempt began are no longer used. A new connect then shows within 150 ms whether the path is open, and closes it for all requests if not. Connections of a target that is merely slow stay in use once they have answered.

The test now tells the log lines of a request that fails it. areNotUsedAfterAnAttemptWithoutAResponse holds the rule without timing.

--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -54,6 +54,9 @@
 
 	private final ConcurrentMap<TargetProcess, PathState> paths = new ConcurrentHashMap<>();
 
+	/** When the last attempt without a response was sent to a target. */
+	private final ConcurrentMap<TargetProcess, Long> unansweredSinceMs = new ConcurrentHashMap<>();
+
 	/** The number of closed paths, so that a host without any does no work. */
 	private final AtomicInteger closedPaths = new AtomicInteger();
 
@@ -124,6 +127,16 @@
 		update(target, (state) -> state.answered(nowMs));
 	}
 
+	/**
+	 * Records an attempt without a response when its time was over. Connections that have
+	 * carried none since may be as silent, so they are not used again.
+	 * @param target the target's process
+	 * @param sentMs when the attempt began, in the clock's milliseconds
+	 */
+	public void recordUnanswered(TargetProcess target, long sentMs) {
+		this.unansweredSinceMs.merge(target, sentMs, Math::max);
+	}
+
 	private PathState update(TargetProcess target, UnaryOperator<PathState> change) {
 		return this.paths.compute(target, (process, present) -> {
 			PathState before = (present != null) ? present : PathState.INITIAL;
@@ -176,15 +189,16 @@
 	}
 
 	/**
-	 * Returns since when a connection must have carried a response to be used while the
-	 * path is closed. Where connects get no answer, open connections are expected to be
-	 * silent, too; where connects are refused, they may live on.
+	 * Returns since when a connection must have carried a response to be used. Where
+	 * connects or requests get no answer, open connections are expected to be silent,
+	 * too; where connects are refused, they may live on.
 	 * @param target the target's process
 	 * @return the clock's reading in milliseconds
 	 */
 	public long connectionsProvenSinceMs(TargetProcess target) {
 		PathState closed = (state(target).phase() == PathState.Phase.CLOSED) ? state(target) : this.access.get();
-		return (closed.failure() == ConnectFailure.SILENT) ? closed.changedMs() : PathState.NEVER;
+		long silentSinceMs = (closed.failure() == ConnectFailure.SILENT) ? closed.changedMs() : PathState.NEVER;
+		return Math.max(silentSinceMs, this.unansweredSinceMs.getOrDefault(target, PathState.NEVER));
 	}
 
 	/**
@@ -251,9 +265,9 @@
 
 	/** Forgets the paths to targets that are not listed any more. */
 	public void removeUnlisted() {
+		this.unansweredSinceMs.keySet().removeIf((target) -> !isListed(target));
 		for (TargetProcess target : this.paths.keySet()) {
-			ObservedTarget listed = this.registry.target(target.id());
-			if (listed == null || !listed.listing().process().equals(target)) {
+			if (!isListed(target)) {
 				this.paths.computeIfPresent(target, (process, state) -> {
 					this.closedPaths.addAndGet(-state.closedCount());
 					return null;
@@ -262,6 +276,11 @@
 		}
 	}
 
+	private boolean isListed(TargetProcess target) {
+		ObservedTarget listed = this.registry.target(target.id());
+		return listed != null && listed.listing().process().equals(target);
+	}
+
 	// Returns the listed targets whose paths should be tried, those whose last connect
 	// failed longest ago first.
 	List<ObservedTarget> closedTargets() {
--- a/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
+++ b/core/src/test/java/org/plantainspur/core/reach/DirectPathsTests.java
@@ -139,6 +139,22 @@
 	@Nested
 	class OpenConnections {
 
+		/**
+		 * Guards against requests that wait on one silent connection after the other for
+		 * as long as no connect has failed.
+		 */
+		@Test
+		void areNotUsedAfterAnAttemptWithoutAResponse() {
+			TargetProcess target = DirectPathsTests.this.fleet.process("s1");
+			long sentMs = DirectPathsTests.this.fleet.clock.millis();
+			DirectPathsTests.this.fleet.clock.advance(2_000);
+			assertThat(DirectPathsTests.this.paths.connectionsProvenSinceMs(target)).isEqualTo(PathState.NEVER);
+			DirectPathsTests.this.paths.recordUnanswered(target, sentMs);
+			assertThat(DirectPathsTests.this.paths.connectionsProvenSinceMs(target)).isEqualTo(sentMs);
+			assertThat(DirectPathsTests.this.paths.connectionsProvenSinceMs(DirectPathsTests.this.fleet.process("s2")))
+				.isEqualTo(PathState.NEVER);
+		}
+
 		@Test
 		void liveOnWhereConnectsAreRefused() {
 			fail("s1");
--- a/gateway/src/main/java/org/plantainspur/gateway/http/AttemptPath.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/AttemptPath.java
@@ -27,8 +27,9 @@
 	void cancel();
 
 	/**
-	 * Returns the outcome of an attempt that was sent and had no response in time.
-	 * @return the outcome, with what it tells of the target
+	 * Called for an attempt that was sent and has had no response in the usual time, or
+	 * none when its time is over.
+	 * @return the outcome if the attempt ends now, with what it tells of the target
 	 */
 	AttemptOutcome timedOut();
 
--- a/gateway/src/main/java/org/plantainspur/gateway/http/DirectPath.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/DirectPath.java
@@ -88,6 +88,7 @@
 
 	@Override
 	public AttemptOutcome timedOut() {
+		this.directPaths.recordUnanswered(this.target, this.startedMs);
 		return new AttemptOutcome.TimedOut();
 	}
 
--- a/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/TargetLimitTests.java
@@ -176,7 +176,19 @@
 			assertThat(mostArrivalsInAWindow(cutMs)).isLessThanOrEqualTo((int) ALLOWED_IN_WINDOW);
 			assertThat(TargetLimitTests.this.exchanges).filteredOn((exchange) -> exchange.startMs() >= cutMs + 1_000)
 				.isNotEmpty()
-				.allSatisfy((exchange) -> assertThat(exchange.response()).startsWith("HTTP/1.1 200"));
+				.allSatisfy((exchange) -> assertThat(exchange.response()).as(() -> logLinesOf(exchange))
+					.startsWith("HTTP/1.1 200"));
+		}
+
+		private String logLinesOf(Exchange exchange) {
+			return TargetLimitTests.this.fixture.logLines()
+				.stream()
+				.filter((line) -> exchange.response()
+					.lines()
+					.anyMatch((header) -> header.startsWith("X-Plantainspur-Attempt-Id: ")
+							&& line.contains(header.substring(header.indexOf(' ') + 1))))
+				.toList()
+				.toString();
 		}
 
 	}
