--- a/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
+++ b/core/src/main/java/org/plantainspur/core/reach/DirectPaths.java
@@ -128,8 +128,9 @@
 	}
 
 	/**
-	 * Records an attempt without a response when its time was over. Connections that have
-	 * carried none since may be as silent, so they are not used again.
+	 * Records an attempt that has had no response in the usual time, or none when its
+	 * time was over. Connections that have carried none since may be as silent, so they
+	 * are not used again.
 	 * @param target the target's process
 	 * @param sentMs when the attempt began, in the clock's milliseconds
 	 */
