--- a/core/src/main/java/org/plantainspur/core/fleet/StoreReaderElection.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/StoreReaderElection.java
@@ -4,6 +4,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.plantainspur.core.store.ChangeDelayBudget;
 import org.plantainspur.core.store.TableStates;
 
 /**
@@ -11,19 +12,12 @@
  * another region are billed, so one host of each failure domain reads for all of them;
  * the others are standbys that fetch whole tables and changes from it. When the reader's
  * state is too old, the standbys begin to read in order of their names, twice as many at
- * each step, until one succeeds. This bounds the load on the store, also when all hosts
- * start together, and a host that can reach the store never depends on one that cannot.
- * Used by one thread.
+ * each step, until one succeeds; the others stop then. This bounds the load on the store,
+ * also when all hosts start together, and a host that can reach the store never depends
+ * on one that cannot. Used by one thread.
  */
 public final class StoreReaderElection {
 
-	/**
-	 * The time before the deadline of a change at which the reader counts as late; the
-	 * first standby begins to read one step after that. It covers the steps of the
-	 * standbys, a call to another region and a heartbeat.
-	 */
-	static final long TAKEOVER_RESERVE_MS = 700;
-
 	/**
 	 * The delay between two steps at which standbys begin to read. A host that began at
 	 * the previous step has read the store and sent a heartbeat by then.
@@ -50,6 +44,8 @@
 	 */
 	static final long MIN_READER_MS = 1_000;
 
+	private final String host;
+
 	private final long maxAgeMs;
 
 	private long readsUntilMs = Long.MIN_VALUE;
@@ -58,44 +54,58 @@
 
 	/**
 	 * Creates the election for a host that has read nothing yet.
-	 * @param applyMs the time within which a change must be in force, in milliseconds
+	 * @param host the name of this host
+	 * @param budget the age from which on a reader is late
 	 */
-	public StoreReaderElection(long applyMs) {
-		this.maxAgeMs = applyMs - TAKEOVER_RESERVE_MS;
+	public StoreReaderElection(String host, ChangeDelayBudget budget) {
+		this.host = host;
+		this.maxAgeMs = budget.takeoverAgeMs();
 	}
 
 	/**
 	 * Decides whether to read the store and from which host to fetch.
 	 * @param rank the position of this host among the live hosts of its failure domain, 0
 	 * for the first
-	 * @param complete whether this host has every table
-	 * @param own the states of this host's tables
+	 * @param own this host's tables
 	 * @param others the read states of the other hosts of the failure domain
 	 * @param nowMs the clock's current reading in milliseconds
 	 * @return whether to read the store, and the host to fetch from
 	 */
-	public Decision decide(int rank, boolean complete, TableStates own, List<PeerReadState> others, long nowMs) {
+	public Decision decide(int rank, OwnReadState own, List<PeerReadState> others, long nowMs) {
 		if (this.firstDecisionMs == Long.MIN_VALUE) {
 			this.firstDecisionMs = nowMs;
 		}
 		long freshestAgeMs = Long.MAX_VALUE;
+		boolean readerBefore = false;
 		PeerReadState fetchFrom = null;
 		for (PeerReadState other : others) {
 			freshestAgeMs = Math.min(freshestAgeMs, other.ageMs());
-			if (own.isBehind(other.heartbeat().tables()) && (fetchFrom == null || other.ageMs() < fetchFrom.ageMs())) {
+			readerBefore |= other.ageMs() <= this.maxAgeMs && other.heartbeat().host().compareTo(this.host) < 0;
+			if (own.tables().isBehind(other.heartbeat().tables())
+					&& (fetchFrom == null || other.ageMs() < fetchFrom.ageMs())) {
 				fetchFrom = other;
 			}
 		}
 		long startReadMs = this.firstDecisionMs + START_STEP_MS * step(rank);
-		if (!complete && fetchFrom != null && isOutOfTouch(fetchFrom) && nowMs < startReadMs + STALE_FETCH_DELAY_MS) {
+		if (!own.complete() && fetchFrom != null && isOutOfTouch(fetchFrom)
+				&& nowMs < startReadMs + STALE_FETCH_DELAY_MS) {
 			fetchFrom = null;
 		}
-		boolean mustRead = complete ? rank == 0 || freshestAgeMs > this.maxAgeMs + TAKEOVER_STEP_MS * step(rank)
-				: fetchFrom == null && nowMs >= startReadMs;
+		boolean inTouch = own.storeAgeMs() <= this.maxAgeMs;
+		boolean mustRead = own.complete() ? rank == 0 || freshestAgeMs > this.maxAgeMs + TAKEOVER_STEP_MS * step(rank)
+				|| (isReading(nowMs) && inTouch && !readerBefore) : fetchFrom == null && nowMs >= startReadMs;
 		if (mustRead) {
 			this.readsUntilMs = nowMs + MIN_READER_MS;
 		}
-		return new Decision(nowMs <= this.readsUntilMs, fetchFrom);
+		else if (own.complete() && !inTouch && freshestAgeMs <= this.maxAgeMs) {
+			// Another host was first to reach the store.
+			this.readsUntilMs = Long.MIN_VALUE;
+		}
+		return new Decision(isReading(nowMs), fetchFrom);
+	}
+
+	private boolean isReading(long nowMs) {
+		return nowMs <= this.readsUntilMs;
 	}
 
 	// A reader that is late is relieved within the minimum time of a reader.
@@ -109,6 +119,16 @@
 		return Integer.SIZE - Integer.numberOfLeadingZeros(rank);
 	}
 
+	/**
+	 * How current the tables of this host are.
+	 *
+	 * @param complete whether it has every table
+	 * @param tables the states of its tables
+	 * @param storeAgeMs the time since the store answered it, in milliseconds
+	 */
+	public record OwnReadState(boolean complete, TableStates tables, long storeAgeMs) {
+	}
+
 	/**
 	 * How current the tables of another host are.
 	 *
--- a/core/src/main/java/org/plantainspur/core/store/TableFollower.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableFollower.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -17,25 +18,6 @@
  */
 public final class TableFollower {
 
-	/**
-	 * The pause after a read that returned changes. Calls to the store are billed; with
-	 * the pause, a burst of changes is read in one call.
-	 */
-	static final long PAUSE_BETWEEN_READS_MS = 400;
-
-	/**
-	 * The delay before the first retry, well below the time within which a change must be
-	 * in force.
-	 */
-	static final long INITIAL_RETRY_MS = 400;
-
-	/**
-	 * The longest delay of the exponential backoff. Refused calls are billed too. After
-	 * an outage, changes must be in force in time again only once the store has been
-	 * available for 4 s, which leaves room for this delay.
-	 */
-	static final long MAX_RETRY_MS = 1_600;
-
 	private final String table;
 
 	private final Store store;
@@ -46,7 +28,13 @@
 
 	private final Listener listener;
 
-	private final long waitForChangeMs;
+	private final ChangeDelayBudget budget;
+
+	private final RetrySchedule retries;
+
+	private final AnswerSchedule answers;
+
+	private final BooleanSupplier retry = this::readAgain;
 
 	private final TableReplica replica = new TableReplica();
 
@@ -62,11 +50,23 @@
 
 	private boolean callPending;
 
+	private long readSentMs;
+
 	private boolean fetchPending;
 
 	private boolean complete;
 
-	private long lastResponseMs = Long.MIN_VALUE / 2;
+	/** Whether the table has been read whole once. */
+	private boolean loaded;
+
+	/** Until when the store itself has shown that the replica is complete. */
+	private long storeAsOfMs = Long.MIN_VALUE / 2;
+
+	/** The read of another host that last showed that the replica is complete. */
+	private Origin peerRead = new Origin("", Long.MIN_VALUE / 2);
+
+	/** Since when another host has had newer rows, 0 while none has. */
+	private long newerElsewhereSinceMs;
 
 	private long lastFailureMs = Long.MIN_VALUE / 2;
 
@@ -75,25 +75,24 @@
 	/** Whether changes have been read since the last whole read that they led to. */
 	private boolean changesRead = true;
 
-	private long backoffMs = INITIAL_RETRY_MS;
-
 	/**
 	 * Creates a follower that does not read yet.
 	 * @param table the table's name
 	 * @param store the store to read from
 	 * @param clock the host's clock
 	 * @param scheduler runs all steps
-	 * @param waitForChangeMs how long a call waits for a change, in milliseconds; each
-	 * response tells the hosts that rely on this one that the store is available
+	 * @param timing when to read, shared with the followers of the other tables
 	 * @param listener receives the rows that are read and the failures
 	 */
-	public TableFollower(String table, Store store, Clock clock, Scheduler scheduler, long waitForChangeMs,
+	public TableFollower(String table, Store store, Clock clock, Scheduler scheduler, Timing timing,
 			Listener listener) {
 		this.table = table;
 		this.store = store;
 		this.clock = clock;
 		this.scheduler = scheduler;
-		this.waitForChangeMs = waitForChangeMs;
+		this.budget = timing.budget();
+		this.retries = timing.retries();
+		this.answers = timing.answers();
 		this.listener = listener;
 	}
 
@@ -110,51 +109,79 @@
 
 	/**
 	 * Compares the rows with those of another host: fetches the changes if that host has
-	 * newer ones, or the whole table if this host does not have it. Does not wait for a
-	 * pending call to the store, which may take much longer, but leaves the changes to it
-	 * while the store answers.
+	 * newer ones, or the whole table if this host does not have it. Leaves the changes to
+	 * a pending call to the store as long as its answer may be on the way.
 	 * @param source reads the tables of the other host
 	 * @param sourceState the state of that host's replica
+	 * @param host the name of that host
+	 * @param ageMs the time since that host read the store, in milliseconds
 	 */
-	public void fetchFrom(TableReader source, TableState sourceState) {
-		boolean readingChanges = this.callPending && this.complete && this.lastResponseMs > this.lastFailureMs;
-		if (this.fetchPending || readingChanges || !this.replica.state().isBehind(sourceState)) {
+	public void fetchFrom(TableReader source, TableState sourceState, String host, long ageMs) {
+		if (!this.replica.state().isBehind(sourceState)) {
+			this.newerElsewhereSinceMs = 0;
 			return;
 		}
-		fetch(source, !this.complete || !this.replica.version().isSameEra(sourceState.version()));
+		long nowMs = this.clock.millis();
+		if (this.newerElsewhereSinceMs == 0) {
+			this.newerElsewhereSinceMs = nowMs;
+		}
+		boolean inTouch = !failing() && storeAgeMs() <= this.budget.takeoverAgeMs();
+		boolean readingChanges = this.callPending && this.complete && inTouch
+				&& nowMs - this.newerElsewhereSinceMs < this.budget.answerGraceMs();
+		if (!this.fetchPending && !readingChanges) {
+			fetch(source, !this.complete || !this.replica.version().isSameEra(sourceState.version()),
+					new Origin(host, nowMs - ageMs));
+		}
 	}
 
 	/**
-	 * Records the state of another host's replica. If it has the same rows at a later
-	 * version, this host's rows are complete up to that version too.
+	 * Records the state of another host's replica. If it has the same rows, this host's
+	 * rows are complete up to its version and its last read of the store too.
 	 * @param state the state of the other host's replica
+	 * @param host the name of the other host
+	 * @param ageMs the time since that host read the store, in milliseconds
 	 */
-	public void compareWith(TableState state) {
-		if (this.complete && this.replica.state().isConfirmedBy(state)) {
+	public void compareWith(TableState state, String host, long ageMs) {
+		if (!this.complete || !this.replica.state().hasSameRows(state)) {
+			return;
+		}
+		if (this.replica.state().isConfirmedBy(state)) {
 			this.replica.confirm(state.version());
 		}
+		if (this.replica.version().equals(state.version())) {
+			recordOrigin(new Origin(host, this.clock.millis() - ageMs));
+		}
 	}
 
-	private void fetch(TableReader source, boolean wholeTable) {
+	private void recordOrigin(Origin origin) {
+		if (origin.asOfMs() > this.peerRead.asOfMs()) {
+			this.peerRead = origin;
+		}
+	}
+
+	private void fetch(TableReader source, boolean wholeTable, Origin origin) {
 		this.fetchPending = true;
 		StoreVersion after = this.replica.version();
 		call(() -> wholeTable ? source.list(this.table, "") : source.changes(this.table, after, 0),
-				(result) -> onFetched(source, result, after, wholeTable));
+				(result) -> onFetched(source, result, after, wholeTable, origin));
 	}
 
-	private void onFetched(TableReader source, StoreResult result, StoreVersion after, boolean wholeTable) {
+	private void onFetched(TableReader source, StoreResult result, StoreVersion after, boolean wholeTable,
+			Origin origin) {
 		this.fetchPending = false;
 		if (result instanceof StoreResult.Rows rows && !this.replica.version().isAfter(rows.version())
 				&& (wholeTable || appliesTo(after, rows))) {
+			recordOrigin(origin);
 			if (wholeTable) {
 				replace(rows.rows(), rows.version());
 			}
 			else {
 				apply(rows);
 			}
+			this.listener.read();
 		}
 		else if (!wholeTable && (result instanceof StoreResult.HistoryLost || isOfLaterEra(result))) {
-			fetch(source, true);
+			fetch(source, true, origin);
 		}
 		else if (!this.callPending) {
 			// The other host returned no rows, or older ones than this host has, so this
@@ -182,6 +209,15 @@
 		return this.complete;
 	}
 
+	/**
+	 * Returns whether other hosts can fetch the rows, which may be those of some time
+	 * ago.
+	 * @return {@code true} from the first whole read on
+	 */
+	public boolean loaded() {
+		return this.loaded;
+	}
+
 	/**
 	 * Returns the replica, which must be used on the scheduler's thread.
 	 * @return the replica that this follower updates
@@ -191,19 +227,47 @@
 	}
 
 	/**
-	 * Returns the time since the store last responded to a read of this table.
-	 * @return the time in milliseconds, very large before the first response
+	 * Returns the time since this host itself last read in the store that its rows are
+	 * complete.
+	 * @return the time in milliseconds, very large before the first read
 	 */
-	public long sinceLastResponseMs() {
-		return this.clock.millis() - this.lastResponseMs;
+	public long storeAgeMs() {
+		return this.clock.millis() - this.storeAsOfMs;
+	}
+
+	/**
+	 * Returns whether the last read of the store failed.
+	 * @return {@code true} until a read succeeds
+	 */
+	public boolean failing() {
+		return this.lastFailureMs > this.storeAsOfMs;
+	}
+
+	/**
+	 * Returns the time since the rows were known to be complete, read by this host or by
+	 * another one.
+	 * @return the time in milliseconds, very large before the first read
+	 */
+	public long ageMs() {
+		return this.clock.millis() - Math.max(this.storeAsOfMs, this.peerRead.asOfMs());
+	}
+
+	/**
+	 * Returns who has read in the store that the rows are complete.
+	 * @return the name of another host, or {@code "store"} for this one
+	 */
+	public String readBy() {
+		return (this.storeAsOfMs >= this.peerRead.asOfMs()) ? "store" : this.peerRead.host();
 	}
 
 	private void read() {
 		this.callPending = true;
+		this.readSentMs = this.clock.millis();
 		if (this.complete) {
 			StoreVersion after = this.replica.version();
-			call(() -> this.store.changes(this.table, after, this.waitForChangeMs),
-					(result) -> onChanged(result, after));
+			// Without a recent answer, the first one shows whether the store can be read.
+			long waitMs = (storeAgeMs() > this.budget.takeoverAgeMs()) ? 0 : this.answers.waitMs(this.table);
+			call(() -> this.store.changes(this.table, after, waitMs), (result) -> onChanged(result, after, waitMs));
 		}
 		else {
 			list("");
@@ -240,7 +304,7 @@
 		if (!rows.version().isSameEra(this.listedVersion)) {
 			// Pages of different eras are not one table.
 			this.listedRows.clear();
-			retryLater();
+			this.scheduler.after(this.budget.wholeReadIntervalMs(), this::readAgain);
 			return;
 		}
 		this.listedRows.addAll(rows.rows());
@@ -249,17 +313,20 @@
 			list(rows.rows().get(rows.rows().size() - 1).key() + "\0");
 			return;
 		}
-		this.lastResponseMs = this.clock.millis();
 		List<StoredRow> all = List.copyOf(this.listedRows);
 		this.listedRows.clear();
-		deliver(() -> replace(all, this.listedVersion), 0);
+		deliver(() -> {
+			if (replace(all, this.listedVersion)) {
+				this.storeAsOfMs = this.readSentMs;
+			}
+		}, 0);
 	}
 
-	private void replace(List<StoredRow> all, StoreVersion version) {
+	private boolean replace(List<StoredRow> all, StoreVersion version) {
 		if (this.replica.version().isAfter(version)) {
 			// Rows of another host arrived while this read was on its way.
 			this.listener.outdated(version, this.replica.version());
-			return;
+			return false;
 		}
 		boolean firstRead = this.replica.version().equals(StoreVersion.NONE);
 		if (!firstRead && !version.isSameEra(this.replica.version())) {
@@ -267,15 +334,19 @@
 		}
 		this.replica.replace(all, version);
 		this.complete = true;
+		this.loaded = true;
 		notifyListener(() -> this.listener.replaced(all.stream().filter((row) -> !row.removed()).toList(), version,
 				sinceLossMs()));
+		return true;
 	}
 
-	private void onChanged(StoreResult result, StoreVersion after) {
+	private void onChanged(StoreResult result, StoreVersion after, long waitMs) {
 		if (result instanceof StoreResult.Rows rows) {
-			this.lastResponseMs = this.clock.millis();
 			if (appliesTo(after, rows)) {
-				deliver(() -> apply(rows), rows.rows().isEmpty() ? 0 : PAUSE_BETWEEN_READS_MS);
+				// An answer may have been held up on its way.
+				this.storeAsOfMs = Math.min(this.clock.millis(),
+						this.readSentMs + waitMs + this.budget.answerGraceMs());
+				deliver(() -> apply(rows), rows.rows().isEmpty() ? 0 : this.budget.pauseBetweenReadsMs());
 			}
 			else {
 				readWholeTable(isOfLaterEra(rows));
@@ -298,7 +369,7 @@
 			read();
 		}
 		else {
-			retryLater();
+			this.scheduler.after(this.budget.wholeReadIntervalMs(), this::readAgain);
 		}
 	}
 
@@ -335,40 +406,55 @@
 				onSuccess(pauseMs);
 			}
 			else {
-				retryLater();
+				this.scheduler.after(this.budget.wholeReadIntervalMs(), this::readAgain);
 			}
 		}
 	}
 
 	private void onFailure(StoreResult result) {
 		this.lastFailureMs = this.clock.millis();
-		retryLater();
+		this.retries.add(this.retry, this.readSentMs);
 		this.listener.unavailable(result);
 	}
 
-	private void retryLater() {
-		scheduleNext(this.backoffMs);
-		this.backoffMs = Math.min(MAX_RETRY_MS, this.backoffMs * 2);
-	}
-
 	private void onSuccess(long pauseMs) {
-		this.backoffMs = INITIAL_RETRY_MS;
-		scheduleNext(pauseMs);
+		this.listener.read();
+		this.retries.storeAnswered();
+		this.answers.answered(this.table);
+		this.scheduler.after(pauseMs, this::readAgain);
 	}
 
-	private void scheduleNext(long delayMs) {
-		this.scheduler.after(delayMs, () -> {
-			this.callPending = false;
-			if (this.following) {
-				read();
-			}
-		});
+	private boolean readAgain() {
+		this.callPending = false;
+		if (this.following) {
+			read();
+		}
+		return this.following;
 	}
 
 	private long sinceLossMs() {
 		return this.clock.millis() - Math.max(this.lastFailureMs, this.eraBeganMs);
 	}
 
+	/**
+	 * A read of the store by another host.
+	 *
+	 * @param host the name of the host
+	 * @param asOfMs until when it shows that rows are complete, by this host's clock
+	 */
+	private record Origin(String host, long asOfMs) {
+	}
+
+	/**
+	 * When the tables of a host are read.
+	 *
+	 * @param budget the waits
+	 * @param retries spaces the reads while the store does not answer
+	 * @param answers spaces the answers while nothing changes
+	 */
+	public record Timing(ChangeDelayBudget budget, RetrySchedule retries, AnswerSchedule answers) {
+	}
+
 	/**
 	 * Receives what is read. All calls come on the scheduler's thread.
 	 */
@@ -391,6 +477,12 @@
 		 */
 		void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs);
 
+		/**
+		 * Called after a read of the store or of another host that succeeded, whether it
+		 * brought rows or not.
+		 */
+		void read();
+
 		/**
 		 * Called when a whole read was dropped because this host has newer rows.
 		 * @param readVersion the version of the store at which the table was read
--- a/core/src/main/java/org/plantainspur/core/store/TableState.java
+++ b/core/src/main/java/org/plantainspur/core/store/TableState.java
@@ -27,6 +27,17 @@
 				|| other.digest != this.digest || this.version.number() == 0);
 	}
 
+	/**
+	 * Returns whether another replica has the same rows.
+	 * @param other the state of the other replica
+	 * @return {@code true} if both have been read in the same era and their rows are
+	 * equal
+	 */
+	public boolean hasSameRows(TableState other) {
+		return other.version.isSameEra(this.version) && this.version.number() > 0 && other.version.number() > 0
+				&& other.digest == this.digest;
+	}
+
 	/**
 	 * Returns whether another replica confirms that these rows have not changed up to its
 	 * version.
@@ -34,8 +45,7 @@
 	 * @return {@code true} if the rows are the same and the other version is newer
 	 */
 	public boolean isConfirmedBy(TableState other) {
-		return other.version.isAfter(this.version) && other.version.isSameEra(this.version) && this.version.number() > 0
-				&& other.digest == this.digest;
+		return other.version.isAfter(this.version) && hasSameRows(other);
 	}
 
 }
--- a/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/StoreReaderElectionTests.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.plantainspur.core.store.ChangeDelayBudget;
 import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.TableState;
 import org.plantainspur.core.store.TableStates;
@@ -14,9 +15,21 @@
 
 class StoreReaderElectionTests {
 
-	private static final long APPLY_MS = 2_500;
+	private static final ChangeDelayBudget BUDGET = ChangeDelayBudget.builder().build();
 
-	private final StoreReaderElection election = new StoreReaderElection(APPLY_MS);
+	/** The age from which on a reader is late. */
+	private static final long LATE_MS = BUDGET.takeoverAgeMs();
+
+	private final StoreReaderElection election = election();
+
+	// The election of a host that comes after the hosts of most tests by name.
+	private static StoreReaderElection election() {
+		return new StoreReaderElection("m", BUDGET);
+	}
+
+	private static StoreReaderElection.OwnReadState own(boolean complete, long storeAgeMs) {
+		return new StoreReaderElection.OwnReadState(complete, complete ? tables(10) : TableStates.NONE, storeAgeMs);
+	}
 
 	private static StoreReaderElection.PeerReadState peerState(String host, long version, long ageMs) {
 		return peerState(host, tables(version), ageMs);
@@ -36,7 +49,7 @@
 
 	private StoreReaderElection.Decision decide(int rank, boolean complete, long now,
 			StoreReaderElection.PeerReadState... others) {
-		return this.election.decide(rank, complete, tables(complete ? 10 : 0), List.of(others), now);
+		return this.election.decide(rank, own(complete, 0), List.of(others), now);
 	}
 
 	/**
@@ -46,6 +59,8 @@
 	@Nested
 	class SteadyState {
 
+		private final StoreReaderElection standby = election();
+
 		@Test
 		void theFirstHostReads() {
 			assertThat(decide(0, true, 0, peerState("b", 10, 100)).readStore()).isTrue();
@@ -53,12 +68,12 @@
 
 		@Test
 		void aStandbyReliesOnAReaderThatIsUpToDate() {
-			assertThat(decide(1, true, 0, peerState("a", 10, 1_000)).readStore()).isFalse();
+			assertThat(decide(1, true, 0, peerState("a", 10, LATE_MS)).readStore()).isFalse();
 		}
 
 		@Test
 		void aStandbyReadsBeforeAChangeCouldBeLate() {
-			assertThat(decide(1, true, 0, peerState("a", 10, 1_950)).readStore()).isTrue();
+			assertThat(decide(1, true, 0, peerState("a", 10, BUDGET.goalMs())).readStore()).isTrue();
 			assertThat(decide(0, true, 0).readStore()).as("no other host is alive").isTrue();
 		}
 
@@ -68,7 +83,7 @@
 		 */
 		@Test
 		void standbysBeginOneAfterAnotherWhenTheReaderIsLate() {
-			StoreReaderElection.PeerReadState late = peerState("a", 10, 1_950);
+			StoreReaderElection.PeerReadState late = peerState("a", 10, BUDGET.goalMs());
 			for (int rank = 2; rank < 16; rank++) {
 				assertThat(decide(rank, true, 0, late).readStore()).as("rank %d", rank).isFalse();
 			}
@@ -76,10 +91,8 @@
 
 		@Test
 		void theLastOfAHundredHostsTakesOverInTime() {
-			assertThat(decide(99, true, 0, peerState("a", 10, APPLY_MS + 50)).readStore()).isTrue();
-			assertThat(new StoreReaderElection(APPLY_MS)
-				.decide(15, true, tables(10), List.of(peerState("a", 10, 2_250)), 0)
-				.readStore()).isTrue();
+			assertThat(decide(99, true, 0, peerState("a", 10, 1_600)).readStore()).isTrue();
+			assertThat(election().decide(15, own(true, 0), List.of(peerState("a", 10, 1_300)), 0).readStore()).isTrue();
 		}
 
 		@Test
@@ -89,6 +102,33 @@
 			assertThat(decide(1, true, 1_100, peerState("a", 10, 100)).readStore()).isFalse();
 		}
 
+		/**
+		 * Guards against changes that wait while two readers have each stopped for the
+		 * other.
+		 */
+		@Test
+		void ofTwoStandbysThatReadTheFirstGoesOn() {
+			StoreReaderElection first = new StoreReaderElection("b", BUDGET);
+			StoreReaderElection second = new StoreReaderElection("c", BUDGET);
+			List<StoreReaderElection.PeerReadState> late = List.of(peerState("a", 10, 5_000));
+			first.decide(1, own(true, 5_000), late, 0);
+			second.decide(2, own(true, 5_000), late, 0);
+			first.decide(1, own(true, 100), List.of(peerState("c", 10, 100)), 900);
+			second.decide(2, own(true, 100), List.of(peerState("b", 10, 100)), 900);
+			assertThat(first.decide(1, own(true, 100), List.of(peerState("c", 10, 100)), 1_100).readStore()).isTrue();
+			assertThat(second.decide(2, own(true, 100), List.of(peerState("b", 10, 100)), 1_100).readStore()).isFalse();
+		}
+
+		/**
+		 * Guards against a burst of billed calls of all standbys when the store returns.
+		 */
+		@Test
+		void aStandbyThatHasNotReachedTheStoreStopsWhenAnotherHas() {
+			this.standby.decide(1, own(true, 5_000), List.of(peerState("a", 10, 5_000)), 0);
+			assertThat(this.standby.decide(1, own(true, 5_100), List.of(peerState("z", 10, 10)), 100).readStore())
+				.isFalse();
+		}
+
 	}
 
 	/**
@@ -102,9 +142,9 @@
 		@Test
 		void theFirstHostReadsImmediatelyAndTheOthersWait() {
 			assertThat(decide(0, false, 0, peerState("b", 0, 1_000_000)).readStore()).isTrue();
-			assertThat(new StoreReaderElection(APPLY_MS)
-				.decide(1, false, TableStates.NONE, List.of(peerState("a", 0, 1_000_000)), 0)
-				.readStore()).isFalse();
+			assertThat(
+					election().decide(1, own(false, 1_000_000), List.of(peerState("a", 0, 1_000_000)), 0).readStore())
+				.isFalse();
 		}
 
 		@Test
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -35,34 +35,54 @@
 
 	private final List<Throwable> reportedFailures = new ArrayList<>();
 
-	private final TableFollower follower = new TableFollower("servers", this.store, this.clock,
-			(delay, task) -> this.tasks.add(new Task(this.clock.millis() + delay, this.tasks.size(), task)), 1_000,
-			new TableFollower.Listener() {
-
-				@Override
-				public void replaced(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
-					TableFollowerTests.this.events.add("replaced " + keys(rows));
-					failIfPrepared();
-				}
-
-				@Override
-				public void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
-					TableFollowerTests.this.events.add("changed " + keys(rows));
-					TableFollowerTests.this.sinceLossMs = sinceLossMs;
-					failIfPrepared();
-				}
-
-				@Override
-				public void outdated(StoreVersion readVersion, StoreVersion ownVersion) {
-					TableFollowerTests.this.events.add("outdated " + readVersion.number() + " " + ownVersion.number());
-				}
-
-				@Override
-				public void unavailable(StoreResult result) {
-					TableFollowerTests.this.events.add("unavailable");
-				}
-
-			});
+	private final ChangeDelayBudget budget = ChangeDelayBudget.builder().build();
+
+	private final long retryMs = this.budget.retryIntervalMs(1);
+
+	private final long wholeReadMs = this.budget.wholeReadIntervalMs();
+
+	private int taskNumber;
+
+	private final Scheduler scheduler = (delay, task) -> this.tasks
+		.add(new Task(this.clock.millis() + delay, this.taskNumber++, task));
+
+	private final TableFollower.Timing timing = new TableFollower.Timing(this.budget,
+			new RetrySchedule(this.clock, this.scheduler, this.budget), new AnswerSchedule(this.clock, this.budget));
+
+	private final TableFollower.Listener listener = new TableFollower.Listener() {
+
+		@Override
+		public void read() {
+			// These tests look at the rows.
+		}
+
+		@Override
+		public void replaced(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
+			TableFollowerTests.this.events.add("replaced " + keys(rows));
+			failIfPrepared();
+		}
+
+		@Override
+		public void changed(List<StoredRow> rows, StoreVersion version, long sinceLossMs) {
+			TableFollowerTests.this.events.add("changed " + keys(rows));
+			TableFollowerTests.this.sinceLossMs = sinceLossMs;
+			failIfPrepared();
+		}
+
+		@Override
+		public void outdated(StoreVersion readVersion, StoreVersion ownVersion) {
+			TableFollowerTests.this.events.add("outdated " + readVersion.number() + " " + ownVersion.number());
+		}
+
+		@Override
+		public void unavailable(StoreResult result) {
+			TableFollowerTests.this.events.add("unavailable");
+		}
+
+	};
+
+	private final TableFollower follower = new TableFollower("servers", this.store, this.clock, this.scheduler,
+			this.timing, this.listener);
 
 	private static List<String> keys(List<StoredRow> rows) {
 		return rows.stream().map(StoredRow::key).toList();
@@ -162,24 +182,27 @@
 			TableFollowerTests.this.store.results.add(new StoreResult.Unavailable("busy"));
 			TableFollowerTests.this.store.results.add(rows(6, false, row("b", 6)));
 			TableFollowerTests.this.follower.follow(true);
-			runFor(TableFollower.INITIAL_RETRY_MS + 10);
+			runFor(TableFollowerTests.this.retryMs + 10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "unavailable", "changed [b]");
 			assertThat(TableFollowerTests.this.store.calls).containsSequence("changes 5", "changes 5");
 		}
 
 		/**
 		 * Guards against frequent retries: calls that the store refuses are billed like
-		 * others.
+		 * others. The tables of a host share what they retry.
 		 */
 		@Test
-		void retriesBackOffWhileTheStoreIsUnavailable() {
-			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
+		void retriesOfTwoTablesAreSpacedWhileTheStoreIsUnavailable() {
+			TableFollower secondFollower = new TableFollower("op", TableFollowerTests.this.store,
+					TableFollowerTests.this.clock, TableFollowerTests.this.scheduler, TableFollowerTests.this.timing,
+					TableFollowerTests.this.listener);
 			for (int i = 0; i < 100; i++) {
 				TableFollowerTests.this.store.results.add(new StoreResult.Unavailable("busy"));
 			}
 			TableFollowerTests.this.follower.follow(true);
+			secondFollower.follow(true);
 			runFor(10_000);
-			assertThat(TableFollowerTests.this.store.calls).hasSizeBetween(7, 10);
+			assertThat(TableFollowerTests.this.store.calls).hasSizeBetween(2 * 7, 2 * 10 + 2);
 		}
 
 	}
@@ -197,7 +220,7 @@
 			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
 			TableFollowerTests.this.store.results.add(rows(6, false, row("a", 1), row("b", 6)));
 			TableFollowerTests.this.follower.follow(true);
-			runFor(TableFollower.INITIAL_RETRY_MS + 10);
+			runFor(TableFollowerTests.this.wholeReadMs + 10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [a, b]");
 			assertThat(TableFollowerTests.this.follower.complete()).isTrue();
 			assertThat(TableFollowerTests.this.reportedFailures).hasSize(1);
@@ -211,7 +234,7 @@
 			TableFollowerTests.this.listenerFailures.add(new StackOverflowError("a row nested too deeply"));
 			TableFollowerTests.this.store.pending.remove().complete(rows(6, false, row("b", 6)));
 			TableFollowerTests.this.store.results.add(rows(6, false, row("a", 1), row("b", 6)));
-			runFor(TableFollower.INITIAL_RETRY_MS + 10);
+			runFor(TableFollowerTests.this.wholeReadMs + 10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "changed [b]",
 					"replaced [a, b]");
 		}
@@ -222,10 +245,10 @@
 			other.results.add(rows(7, false, row("a", 1)));
 			other.results.add(rows(7, false, row("a", 1)));
 			TableFollowerTests.this.listenerFailures.add(new StackOverflowError("a row nested too deeply"));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.follower.complete()).isFalse();
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.follower.complete()).isTrue();
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [a]");
@@ -237,7 +260,7 @@
 			TableFollowerTests.this.follower.follow(true);
 			runFor(10);
 			TableFollowerTests.this.store.results.add(rows(5, false, row("a", 1)));
-			runFor(TableFollower.INITIAL_RETRY_MS);
+			runFor(TableFollowerTests.this.retryMs);
 			assertThat(TableFollowerTests.this.events).containsExactly("unavailable", "replaced [a]");
 		}
 
@@ -259,7 +282,7 @@
 			runFor(10);
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(101, false, row("a", 90)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b]");
 			assertThat(TableFollowerTests.this.follower.replica().allRows().rows()).extracting(StoredRow::key)
@@ -276,8 +299,8 @@
 			runFor(10);
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(90, false, row("a", 70), row("b", 80)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
-			runFor(TableFollower.INITIAL_RETRY_MS + 10);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
+			runFor(TableFollowerTests.this.retryMs + 10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b]", "unavailable", "replaced [b]");
 		}
 
@@ -286,7 +309,7 @@
 			TableFollowerTests.this.follower.follow(true);
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(101, false, row("b", 101)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			TableFollowerTests.this.store.pending.remove().complete(rows(100, false, row("a", 70)));
 			runFor(10);
@@ -307,7 +330,7 @@
 			readTheStoreOnce();
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(7, false, row("b", 7)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "changed [b]");
 			assertThat(TableFollowerTests.this.store.calls).containsExactly("list ");
@@ -319,7 +342,7 @@
 			TableFollowerTests.this.follower.follow(true);
 			runFor(10);
 			ScriptedStore other = new ScriptedStore();
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			assertThat(other.calls).isEmpty();
 		}
 
@@ -333,7 +356,7 @@
 			runFor(10);
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(7, false, row("b", 7)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "unavailable", "changed [b]");
 		}
@@ -344,7 +367,7 @@
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(new StoreResult.HistoryLost());
 			other.results.add(rows(7, false, row("b", 7)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(1_000);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "replaced [b]");
 			assertThat(other.calls).containsExactly("changes 5", "list ");
@@ -358,7 +381,7 @@
 			other.results.add(new StoreResult.HistoryLost());
 			other.results.add(new StoreResult.Unavailable("stopping"));
 			TableFollowerTests.this.store.results.add(rows(7, false, row("b", 7)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(1_000);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]", "changed [b]");
 			assertThat(TableFollowerTests.this.store.calls).containsExactly("list ", "changes 5");
@@ -374,8 +397,8 @@
 			TableState later = new TableState(version(900),
 					TableFollowerTests.this.follower.replica().state().digest());
 			ScriptedStore other = new ScriptedStore();
-			TableFollowerTests.this.follower.fetchFrom(other, later);
-			TableFollowerTests.this.follower.compareWith(later);
+			TableFollowerTests.this.follower.fetchFrom(other, later, "b", 0);
+			TableFollowerTests.this.follower.compareWith(later, "b", 0);
 			assertThat(other.calls).isEmpty();
 			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(version(900));
 		}
@@ -393,7 +416,7 @@
 		void aHostWithoutTheTableFetchesItFromAnotherHost() {
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(7, false, row("a", 1), new StoredRow("b", new byte[0], 7, true)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [a]");
 			assertThat(TableFollowerTests.this.follower.complete()).isTrue();
@@ -405,7 +428,7 @@
 		void theStoreIsFollowedFromTheFetchedVersion() {
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(7, false, row("a", 1)));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			TableFollowerTests.this.follower.follow(true);
 			assertThat(TableFollowerTests.this.store.calls).containsExactly("changes 7");
@@ -449,7 +472,7 @@
 			TableState state = TableFollowerTests.this.follower.replica().state();
 			this.other.results.add(rowsOfEra(2, 5, row("a", 1)));
 			TableFollowerTests.this.follower.fetchFrom(this.other,
-					new TableState(new StoreVersion(2, 5), state.digest()));
+					new TableState(new StoreVersion(2, 5), state.digest()), "b", 0);
 			runFor(10);
 			assertThat(TableFollowerTests.this.follower.replica().version()).isEqualTo(new StoreVersion(2, 5));
 			assertThat(this.other.calls).containsExactly("list ");
@@ -462,7 +485,7 @@
 			TableFollowerTests.this.follower.follow(true);
 			runFor(10);
 			this.other.results.add(rowsOfEra(1, 100, row("a", 90)));
-			TableFollowerTests.this.follower.fetchFrom(this.other, new TableState(new StoreVersion(1, 100), 7));
+			TableFollowerTests.this.follower.fetchFrom(this.other, new TableState(new StoreVersion(1, 100), 7), "b", 0);
 			TableFollowerTests.this.store.pending.remove().complete(rowsOfEra(1, 101, row("c", 101)));
 			runFor(10);
 			assertThat(this.other.calls).isEmpty();
@@ -494,7 +517,7 @@
 			TableFollowerTests.this.store.results.add(rowsOfEra(2, 3, row("a", 1)));
 			TableFollowerTests.this.store.results.add(rowsOfEra(2, 3, row("a", 1)));
 			TableFollowerTests.this.store.results.add(rowsOfEra(2, 4, row("b", 4)));
-			runFor(TableFollower.PAUSE_BETWEEN_READS_MS + 10);
+			runFor(TableFollowerTests.this.budget.pauseBetweenReadsMs() + 10);
 			assertThat(TableFollowerTests.this.sinceLossMs).isLessThan(1_000);
 		}
 
@@ -504,7 +527,7 @@
 			TableFollowerTests.this.store.results.add(rowsOfEra(2, 40, row("c", 40)));
 			TableFollowerTests.this.store.results.add(rowsOfEra(2, 40, row("b", 30), row("c", 40)));
 			TableFollowerTests.this.follower.follow(true);
-			runFor(TableFollower.INITIAL_RETRY_MS + 10);
+			runFor(TableFollowerTests.this.wholeReadMs + 10);
 			assertThat(TableFollowerTests.this.events).containsExactly("replaced [b, c]");
 		}
 
@@ -522,7 +545,7 @@
 			ScriptedStore other = new ScriptedStore();
 			other.results.add(rows(101, false, row("b", 101)));
 			TableFollowerTests.this.listenerFailures.add(new StackOverflowError("a row nested too deeply"));
-			TableFollowerTests.this.follower.fetchFrom(other, NEWER);
+			TableFollowerTests.this.follower.fetchFrom(other, NEWER, "b", 0);
 			runFor(10);
 			for (int i = 0; i < 1_000; i++) {
 				TableFollowerTests.this.store.results.add(rows(90, false, row("a", 70)));
@@ -540,7 +563,7 @@
 			}
 			TableFollowerTests.this.follower.follow(true);
 			runFor(5_000);
-			int cycles = (int) (5_000 / TableFollower.INITIAL_RETRY_MS) + 2;
+			int cycles = (int) (5_000 / TableFollowerTests.this.wholeReadMs) + 2;
 			assertThat(TableFollowerTests.this.store.calls).hasSizeLessThanOrEqualTo(2 * cycles);
 		}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewayHost.java
@@ -31,8 +31,8 @@
 import org.plantainspur.core.reach.RelayAdmission;
 import org.plantainspur.core.reach.RelayHosts;
 import org.plantainspur.core.reach.RelayKey;
+import org.plantainspur.core.store.PooledStore;
 import org.plantainspur.core.store.Scheduler;
-import org.plantainspur.core.store.Store;
 import org.plantainspur.core.target.AttemptRecorder;
 import org.plantainspur.core.target.DomainLimitShare;
 import org.plantainspur.core.target.HostLocation;
@@ -158,7 +158,7 @@
 		UsageMeter meter = new UsageMeter();
 		int trafficHostCount = Math.max(1, this.settings.regions().size()) * GossipTask.TRAFFIC_HOSTS_PER_DOMAIN;
 		EstimatingAccountLimiter limiter = new EstimatingAccountLimiter(this.clock, meter, trafficHostCount);
-		Store store = this.platform.store(new EventLoopHttpClient(controlLoop, this.settings.storeAddress()));
+		PooledStore store = this.platform.store(new EventLoopHttpClient(controlLoop, this.settings.storeAddress()));
 		HostLocation location = new HostLocation(this.settings.failureDomain(), this.settings.regions());
 		AttemptRecorder attemptRecorder = new AttemptRecorder(this.clock);
 		TargetStatements targetStatements = new TargetStatements(this.clock, this::targetStatementChanged);
@@ -168,8 +168,9 @@
 		Scheduler scheduler = (delay, task) -> controlLoop.schedule(() -> this.failures.run("store", task), delay,
 				TimeUnit.MILLISECONDS);
 		StoreSynchronizer storeSynchronizer = new StoreSynchronizer(this.platform, store, this.clock, scheduler,
-				this.settings.changeApplyMs(), this.desiredState, this.targets, this.startupLatch, this.log,
+				this.settings.changeDelays(), this.desiredState, this.targets, this.startupLatch, this.log,
 				this.metrics);
+		this.metrics.gauge("state_age_ms", storeSynchronizer::stateAgeMs);
 		RetryBudget retryBudget = new RetryBudget(this.clock, this.settings.retryRatio() * RETRY_BUDGET_FRACTION,
 				this.settings.retryConstant() * RETRY_BUDGET_FRACTION / trafficHostCount,
 				this.settings.retryWindowMs());
--- a/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GatewaySettings.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.finding.Required;
+import org.plantainspur.core.store.ChangeDelayBudget;
 
 /**
  * Settings of an entry host, fixed at its start. For example
@@ -46,7 +47,7 @@
 
 	private final double cores;
 
-	private final long changeApplyMs;
+	private final ChangeDelayBudget changeDelays;
 
 	private GatewaySettings(Builder builder) {
 		this.host = Required.of(builder.host, "host");
@@ -65,7 +66,7 @@
 		this.floorShare = builder.floorShare;
 		this.graceMs = builder.graceMs;
 		this.cores = builder.cores;
-		this.changeApplyMs = builder.changeApplyMs;
+		this.changeDelays = ChangeDelayBudget.builder().applyMs(builder.changeApplyMs).build();
 	}
 
 	/**
@@ -211,11 +212,11 @@
 	}
 
 	/**
-	 * Returns the time within which a change of the desired state must be in force.
-	 * @return a time in milliseconds, counted from the write to the store
+	 * Returns the waits between a change of the desired state and its use.
+	 * @return the budget for the time within which a change must be in force
 	 */
-	public long changeApplyMs() {
-		return this.changeApplyMs;
+	public ChangeDelayBudget changeDelays() {
+		return this.changeDelays;
 	}
 
 	/**
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -35,6 +35,7 @@
 import org.plantainspur.core.log.DecisionLog;
 import org.plantainspur.core.proxy.RetryBudget;
 import org.plantainspur.core.reach.RelayKey;
+import org.plantainspur.core.store.ChangeDelayBudget;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.TableStates;
@@ -59,7 +60,7 @@
 final class GossipTask implements ProxyComponents.TargetHealthListener {
 
 	/** How often this host checks whether a heartbeat is due. */
-	private static final long TICK_INTERVAL_MS = 100;
+	private static final long TICK_INTERVAL_MS = ChangeDelayBudget.CHECK_INTERVAL_MS;
 
 	/**
 	 * Delay before a heartbeat that reports a failed target or passes on a digest, so
@@ -183,7 +184,7 @@
 				TimeUnit.MILLISECONDS);
 		this.startedMs = clock.millis();
 		this.storeReadAllowedMs = this.startedMs + MAX_STORE_READ_DELAY_MS;
-		this.readerElection = new StoreReaderElection(settings.changeApplyMs());
+		this.readerElection = new StoreReaderElection(settings.host(), settings.changeDelays());
 		this.peerReaders = new PeerTableReaders(eventLoop);
 		this.view = new FleetView(new LiveHosts(clock), clock);
 		HostHeartbeat firstHeartbeat = new HostHeartbeat(settings.host(), System.currentTimeMillis(),
@@ -209,6 +210,7 @@
 		this.lastHeartbeatMs = this.clock.millis();
 		this.eventLoop.scheduleWithFixedDelay(() -> this.failures.run("gossip", this::tick), TICK_INTERVAL_MS,
 				TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.storeSynchronizer.onRead(this::sendHeartbeatIfDue);
 		this.registry.start();
 	}
 
@@ -245,6 +247,12 @@
 				// The tables can be fetched from that host, also while the store is
 				// unreachable.
 				this.storeReadAllowedMs = Math.min(this.storeReadAllowedMs, this.clock.millis());
+				if (this.storeSynchronizer.complete()
+						&& (this.readingStore || this.storeSynchronizer.tableStates().isBehind(heartbeat.tables()))) {
+					// Changes are fetched, and a read that is not needed ends, before the
+					// next check.
+					electStoreReader();
+				}
 			}
 		}
 		else {
@@ -331,11 +339,7 @@
 			electStoreReader();
 		}
 		checkPaths();
-		if (this.heartbeatSchedule.due(this.storeSynchronizer.tableStates().digest(),
-				this.storeSynchronizer.storeAgeMs(), this.clock.millis())) {
-			sendToAllHosts();
-		}
-		else if (this.hostState.meter().isReportUrgent()) {
+		if (!sendHeartbeatIfDue() && this.hostState.meter().isReportUrgent()) {
 			sendToTrafficHosts();
 		}
 		assignTargetSubset();
@@ -346,6 +350,15 @@
 		}
 	}
 
+	private boolean sendHeartbeatIfDue() {
+		boolean due = this.heartbeatSchedule.due(this.storeSynchronizer.tableStates().digest(),
+				this.storeSynchronizer.storeAgeMs(), this.clock.millis());
+		if (due) {
+			sendToAllHosts();
+		}
+		return due;
+	}
+
 	private void assignTargetSubset() {
 		HostHeartbeat heartbeat = this.ownHeartbeat.get();
 		List<HostHeartbeat> domainHosts = this.view.domainHosts(heartbeat);
@@ -377,10 +390,13 @@
 		HostHeartbeat heartbeat = this.ownHeartbeat.get();
 		List<HostHeartbeat> domainHosts = this.view.domainHosts(heartbeat);
 		List<StoreReaderElection.PeerReadState> peerStates = this.view.peerReadStates(domainHosts, heartbeat);
-		peerStates.forEach((peer) -> this.storeSynchronizer.compareWith(peer.heartbeat().tables()));
-		StoreReaderElection.Decision decision = this.readerElection.decide(domainHosts.indexOf(heartbeat),
-				this.storeSynchronizer.complete(), this.storeSynchronizer.tableStates(), peerStates,
-				this.clock.millis());
+		peerStates.forEach((peer) -> this.storeSynchronizer.compareWith(peer.heartbeat().tables(),
+				peer.heartbeat().host(), peer.ageMs()));
+		StoreReaderElection.OwnReadState own = new StoreReaderElection.OwnReadState(this.storeSynchronizer.complete(),
+				this.storeSynchronizer.tableStates(), this.storeSynchronizer.storeAgeMs());
+		int rank = domainHosts.indexOf(heartbeat);
+		this.storeSynchronizer.assignRetries(rank, domainHosts.size());
+		StoreReaderElection.Decision decision = this.readerElection.decide(rank, own, peerStates, this.clock.millis());
 		if (decision.readStore() != this.readingStore) {
 			this.readingStore = decision.readStore();
 			this.storeSynchronizer.follow(this.readingStore);
@@ -389,7 +405,7 @@
 		StoreReaderElection.PeerReadState fetchSource = decision.fetchFrom();
 		if (fetchSource != null) {
 			this.storeSynchronizer.fetch(this.peerReaders.readerOf(fetchSource.heartbeat().peerAddress()),
-					fetchSource.heartbeat().tables());
+					fetchSource.heartbeat().tables(), fetchSource.heartbeat().host(), fetchSource.ageMs());
 		}
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/PlatformAdapter.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/PlatformAdapter.java
@@ -7,7 +7,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.desired.DesiredState;
-import org.plantainspur.core.store.Store;
+import org.plantainspur.core.store.PooledStore;
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.target.TargetListing;
 import org.plantainspur.gateway.http.EndpointServer;
@@ -31,7 +31,7 @@
 	 * @param httpClient sends requests to the store's address
 	 * @return the client
 	 */
-	Store store(EventLoopHttpClient httpClient);
+	PooledStore store(EventLoopHttpClient httpClient);
 
 	/**
 	 * Returns the name of the table that holds the desired state.
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
@@ -8,6 +8,11 @@
 import org.plantainspur.core.desired.DesiredState;
 import org.plantainspur.core.desired.DesiredStateView;
 import org.plantainspur.core.log.DecisionLog;
+import org.plantainspur.core.store.AnswerSchedule;
+import org.plantainspur.core.store.ChangeDelayBudget;
+import org.plantainspur.core.store.PooledStore;
+import org.plantainspur.core.store.RepeatingStore;
+import org.plantainspur.core.store.RetrySchedule;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
 import org.plantainspur.core.store.StoreResult;
@@ -38,16 +43,6 @@
 	 */
 	private static final long EXPIRED_ENTRY_GRACE_MS = 2_000;
 
-	/**
-	 * Subtracted from the time within which a change must be in force; the rest is how
-	 * long a call to the store waits for changes. The hosts that rely on a reader must
-	 * learn from its heartbeat, after a call that may cross regions, that the store is
-	 * reachable, well before they would read it themselves.
-	 */
-	private static final long CHANGE_WAIT_RESERVE_MS = 1_200;
-
-	private static final long MIN_CHANGE_WAIT_MS = 500;
-
 	/**
 	 * How long a desired state with a lower version than the one in force is held back in
 	 * a new era of the store. Operators write again what a restored copy lacks.
@@ -80,9 +75,17 @@
 
 	private final TableFollower targetFollower;
 
-	StoreSynchronizer(PlatformAdapter platform, Store store, Clock clock, Scheduler scheduler, long changeApplyMs,
-			DesiredStateView desiredState, TargetRegistry targets, StartupLatch startupLatch, DecisionLog log,
-			GatewayMetrics metrics) {
+	private final ChangeDelayBudget budget;
+
+	private final RetrySchedule retries;
+
+	/** Runs when the store has answered or rows have changed. */
+	private Runnable readListener = () -> {
+	};
+
+	StoreSynchronizer(PlatformAdapter platform, PooledStore store, Clock clock, Scheduler scheduler,
+			ChangeDelayBudget budget, DesiredStateView desiredState, TargetRegistry targets, StartupLatch startupLatch,
+			DecisionLog log, GatewayMetrics metrics) {
 		this.platform = platform;
 		this.scheduler = scheduler;
 		this.desiredState = desiredState;
@@ -91,13 +94,28 @@
 		this.log = log;
 		this.metrics = metrics;
 		this.retiredTargets = new RetiredTargets(clock);
-		long changeWaitMs = Math.max(MIN_CHANGE_WAIT_MS, changeApplyMs - CHANGE_WAIT_RESERVE_MS);
-		this.desiredStateFollower = new TableFollower(platform.desiredStateTable(), store, clock, scheduler,
-				changeWaitMs, new DesiredStateListener());
-		this.targetFollower = new TableFollower(platform.targetTable(), store, clock, scheduler, changeWaitMs,
+		this.budget = budget;
+		this.retries = new RetrySchedule(clock, scheduler, budget);
+		Store repeatingStore = new RepeatingStore(store, clock, scheduler, budget, this.retries,
+				() -> metrics.count("store_reads_repeated_total", "late"));
+		TableFollower.Timing timing = new TableFollower.Timing(budget, this.retries, new AnswerSchedule(clock, budget));
+		this.desiredStateFollower = new TableFollower(platform.desiredStateTable(), repeatingStore, clock, scheduler,
+				timing, new DesiredStateListener());
+		this.targetFollower = new TableFollower(platform.targetTable(), repeatingStore, clock, scheduler, timing,
 				new TargetListener());
 	}
 
+	// Sets what runs on the control thread when the store has answered or rows have
+	// changed.
+	void onRead(Runnable listener) {
+		this.readListener = listener;
+	}
+
+	// Sets the position of this host in its failure domain, and the number of its hosts.
+	void assignRetries(int rank, int hosts) {
+		this.retries.assign(rank, hosts);
+	}
+
 	// Starts or stops reading the store.
 	void follow(boolean follow) {
 		this.scheduler.after(0, () -> {
@@ -108,15 +126,15 @@
 
 	// Fetches the rows that another host has read, of the tables of which it has newer
 	// ones.
-	void fetch(TableReader source, TableStates sourceStates) {
-		this.desiredStateFollower.fetchFrom(source, sourceStates.desiredState());
-		this.targetFollower.fetchFrom(source, sourceStates.targets());
+	void fetch(TableReader source, TableStates sourceStates, String host, long ageMs) {
+		this.desiredStateFollower.fetchFrom(source, sourceStates.desiredState(), host, ageMs);
+		this.targetFollower.fetchFrom(source, sourceStates.targets(), host, ageMs);
 	}
 
-	// Records the states of another host's tables.
-	void compareWith(TableStates states) {
-		this.desiredStateFollower.compareWith(states.desiredState());
-		this.targetFollower.compareWith(states.targets());
+	// Records the states of another host's tables, and how long ago it read the store.
+	void compareWith(TableStates states, String host, long ageMs) {
+		this.desiredStateFollower.compareWith(states.desiredState(), host, ageMs);
+		this.targetFollower.compareWith(states.targets(), host, ageMs);
 	}
 
 	// Returns whether both tables have been read whole.
@@ -137,13 +155,22 @@
 
 	// Returns the states of the tables that other hosts can fetch.
 	TableStates servedTableStates() {
-		return complete() ? tableStates() : TableStates.NONE;
+		return (this.desiredStateFollower.loaded() && this.targetFollower.loaded()) ? tableStates() : TableStates.NONE;
 	}
 
-	// Returns the time since the store's last response, for the table that was read
-	// longer ago.
+	// Returns the time since this host itself has read the store. An answer for one table
+	// shows that the store can be reached, unless reads of the other one fail.
 	long storeAgeMs() {
-		return Math.max(this.desiredStateFollower.sinceLastResponseMs(), this.targetFollower.sinceLastResponseMs());
+		long firstMs = this.desiredStateFollower.storeAgeMs();
+		long secondMs = this.targetFollower.storeAgeMs();
+		return (this.desiredStateFollower.failing() || this.targetFollower.failing()) ? Math.max(firstMs, secondMs)
+				: Math.max(Math.min(firstMs, secondMs), Math.max(firstMs, secondMs) - this.budget.changeWaitMs());
+	}
+
+	// Returns the time since the rows in use were known to be complete, read by this host
+	// or by another one, for the table that was read longer ago.
+	long stateAgeMs() {
+		return Math.max(this.desiredStateFollower.ageMs(), this.targetFollower.ageMs());
 	}
 
 	// Returns the rows that another host asks for: all of a table, or those changed after
@@ -155,7 +182,7 @@
 		String era = query.values().getOrDefault("era", "0");
 		TableFollower follower = table.equals(this.platform.targetTable()) ? this.targetFollower
 				: this.desiredStateFollower;
-		if (!after.matches("\\d{1,18}") || !era.matches("\\d{1,18}") || !follower.complete()) {
+		if (!after.matches("\\d{1,18}") || !era.matches("\\d{1,18}") || !follower.loaded()) {
 			return new EndpointServer.Response(503, RowsCodec.MEDIA_TYPE, new byte[0]);
 		}
 		StoreVersion afterVersion = new StoreVersion(Long.parseLong(era), Long.parseLong(after));
@@ -180,6 +207,11 @@
 			}
 		}
 
+		@Override
+		public void read() {
+			StoreSynchronizer.this.readListener.run();
+		}
+
 		@Override
 		public void outdated(StoreVersion readVersion, StoreVersion ownVersion) {
 			StoreSynchronizer.this.metrics.count("whole_reads_outdated_total", tableName());
@@ -253,8 +285,10 @@
 
 		private void putInForce(DesiredState state, StoreVersion version) {
 			this.inForce = version;
+			TableFollower follower = StoreSynchronizer.this.desiredStateFollower;
 			StoreSynchronizer.this.log.event("desired-state", "version", state.version(), "storeVersion",
-					version.number(), "storeEra", version.era());
+					version.number(), "storeEra", version.era(), "readBy", follower.readBy(), "ageMs",
+					follower.ageMs());
 		}
 
 	}
--- a/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/EventLoopHttpClient.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -36,7 +37,7 @@
 /**
  * HTTP client for one address whose calls run on one event loop. A connection carries one
  * call at a time and is then reused. A call that gets no response within its timeout
- * fails and closes its connection.
+ * fails and closes its connection, and those that are idle, as they may be silent, too.
  */
 public final class EventLoopHttpClient {
 
@@ -74,15 +75,46 @@
 	 * as its body if there was no response
 	 */
 	public CompletionStage<Reply> call(String method, String uri, byte[] body, long timeoutMs) {
+		return call(method, uri, body, timeoutMs, Connection.POOLED);
+	}
+
+	/**
+	 * Sends a request.
+	 * @param method the HTTP method
+	 * @param uri the path and query
+	 * @param body the body, a JSON text, or empty for a request without a body
+	 * @param timeoutMs the longest wait for the response, in milliseconds
+	 * @param connection the connection to send it on
+	 * @return completed as for the other method of this name
+	 */
+	public CompletionStage<Reply> call(String method, String uri, byte[] body, long timeoutMs, Connection connection) {
 		Call call = new Call(method, uri, body);
 		this.eventLoop.execute(() -> {
-			call.timeout = this.eventLoop.schedule(() -> call.fail("no response within " + timeoutMs + " ms"),
-					timeoutMs, TimeUnit.MILLISECONDS);
-			send(call);
+			call.timeout = this.eventLoop.schedule(() -> {
+				call.fail("no response within " + timeoutMs + " ms");
+				closeIdleConnections();
+			}, timeoutMs, TimeUnit.MILLISECONDS);
+			if (connection == Connection.NEW) {
+				connect(call);
+			}
+			else {
+				send(call);
+			}
 		});
 		return call.reply;
 	}
 
+	/**
+	 * Closes the connections that carry no call.
+	 */
+	public void closeIdleConnections() {
+		this.eventLoop.execute(() -> {
+			List<Channel> idle = List.copyOf(this.idleConnections);
+			this.idleConnections.clear();
+			idle.forEach(Channel::close);
+		});
+	}
+
 	private void send(Call call) {
 		Channel idleConnection = this.idleConnections.pollLast();
 		while (idleConnection != null && !idleConnection.isActive()) {
@@ -92,6 +124,10 @@
 			call.sendOn(idleConnection);
 			return;
 		}
+		connect(call);
+	}
+
+	private void connect(Call call) {
 		new Bootstrap().group(this.eventLoop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -118,6 +154,19 @@
 			});
 	}
 
+	/**
+	 * The connection that a call uses.
+	 */
+	public enum Connection {
+
+		/** An idle connection, or a new one if there is none. */
+		POOLED,
+
+		/** A connection that is opened for the call. */
+		NEW
+
+	}
+
 	/**
 	 * The result of a call.
 	 *
--- a/gateway/src/main/java/org/plantainspur/gateway/log/GatewayMetrics.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/log/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
 
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.Recorder;
@@ -27,6 +28,8 @@
 
 	private final ConcurrentMap<String, LongAdder> counters = new ConcurrentHashMap<>();
 
+	private final ConcurrentMap<String, LongSupplier> gauges = new ConcurrentHashMap<>();
+
 	private final ConcurrentMap<String, Recorder> latencies = new ConcurrentHashMap<>();
 
 	private final Map<String, Histogram> totals = new TreeMap<>();
@@ -40,6 +43,15 @@
 		this.counters.computeIfAbsent(name + "{kind=\"" + label + "\"}", (key) -> new LongAdder()).increment();
 	}
 
+	/**
+	 * Adds a gauge.
+	 * @param name the gauge's name without the prefix {@code plantainspur_}
+	 * @param value returns its value, on the thread that reads the metrics
+	 */
+	public void gauge(String name, LongSupplier value) {
+		this.gauges.put(name, value);
+	}
+
 	/**
 	 * Records the latency of a request.
 	 * @param account the name of the request's client account, empty if it has none
@@ -60,6 +72,8 @@
 		StringBuilder text = new StringBuilder();
 		new TreeMap<>(this.counters).forEach((name,
 				count) -> text.append("plantainspur_").append(name).append(' ').append(count.sum()).append('\n'));
+		new TreeMap<>(this.gauges).forEach((name,
+				value) -> text.append("plantainspur_").append(name).append(' ').append(value.getAsLong()).append('\n'));
 		this.latencies.forEach((account, recorder) -> this.totals
 			.computeIfAbsent(account, (name) -> new Histogram(MAX_LATENCY_MS, SIGNIFICANT_DIGITS))
 			.add(recorder.getIntervalHistogram()));
--- a/gateway/src/main/java/org/plantainspur/gateway/peer/PeerTableReaders.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/peer/PeerTableReaders.java
@@ -71,6 +71,10 @@
 		public CompletionStage<StoreResult> changes(String table, StoreVersion after, long waitMs) {
 			String uri = PATH + "?table=" + URLEncoder.encode(table, StandardCharsets.UTF_8) + "&after="
 					+ after.number() + "&era=" + after.era();
+			// Fetches are rare, and a connection that was idle since the last one may
+			// have
+			// gone silent.
+			this.httpClient.closeIdleConnections();
 			return this.httpClient.call("GET", uri, new byte[0], TIMEOUT_MS)
 				.thenApply(this::toResult)
 				.exceptionally((failure) -> new StoreResult.Unavailable("reading the response failed: " + failure));
--- a/standins/src/test/java/org/plantainspur/standins/gateway/HostPaths.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/HostPaths.java
@@ -12,7 +12,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.plantainspur.core.desired.DesiredState;
-import org.plantainspur.core.store.Store;
+import org.plantainspur.core.store.PooledStore;
 import org.plantainspur.core.store.StoredRow;
 import org.plantainspur.core.target.TargetListing;
 import org.plantainspur.gateway.PlatformAdapter;
@@ -80,7 +80,7 @@
 	}
 
 	@Override
-	public Store store(EventLoopHttpClient httpClient) {
+	public PooledStore store(EventLoopHttpClient httpClient) {
 		return this.platform.store(httpClient);
 	}
 
