Fail attempts that are answered with a status that is none of HTTP

Here, the caller waited until its deadline, and got statuses of 600 and more as they were; the earlier host ended the request with an exception on 000.

Cause: the status line was checked for three digits at most, not for a status of HTTP (RFC 9110, section 15). A status under 200 was skipped as an interim response, though no other one followed.

Change: StrictResponseDecoder, which all of the gateway's clients use, reports a malformed response unless the status is 100 to 103 or 200 to 599, in three digits, and the version HTTP/1 with one digit. So the attempt fails at once as for a response that breaks off: another attempt where that is allowed, else 502; the connection is closed and the failure counts against the target. The earlier host's dispatcher checks the status, too.

HttpClientTargetDispatcherTests: 000, 600 and 999 failed before.

--- a/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
+++ b/adapters/src/main/java/org/plantainspur/adapters/http/HttpClientTargetDispatcher.java
@@ -58,6 +58,10 @@
 	/** Context attribute, set just before the request is written to its connection. */
 	private static final String SENT = "plantainspur.sent";
 
+	private static final int MIN_FINAL_STATUS = 200;
+
+	private static final int MAX_STATUS = 599;
+
 	private final TargetConnectionPool connections;
 
 	private final CloseableHttpClient client;
@@ -104,9 +108,10 @@
 			return this.client.execute(host, message, context,
 					(response) -> responseOutcome(message, response, receivedBytes));
 		}
-		catch (IOException | CancellationException ex) {
+		catch (IOException | CancellationException | IllegalArgumentException ex) {
 			// CancellationException: the deadline passed while the request waited for a
-			// pooled connection.
+			// pooled connection. IllegalArgumentException: the status of the response
+			// is 0.
 			return failureOutcome(target, message, context, receivedBytes.get(), ex);
 		}
 		finally {
@@ -158,6 +163,9 @@
 
 	private static DispatchOutcome responseOutcome(HttpUriRequestBase message, ClassicHttpResponse response,
 			AtomicLong receivedBytes) throws IOException {
+		if (response.getCode() < MIN_FINAL_STATUS || response.getCode() > MAX_STATUS) {
+			throw new IOException("the status " + response.getCode() + " is not one of HTTP");
+		}
 		Headers headers = Headers.empty();
 		for (Header header : response.getHeaders()) {
 			headers = headers.with(header.getName(), header.getValue());
--- a/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
+++ b/adapters/src/test/java/org/plantainspur/adapters/http/HttpClientTargetDispatcherTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.plantainspur.core.request.CallerRequest;
 import org.plantainspur.core.request.DispatchOutcome;
@@ -123,6 +124,18 @@
 			}
 		}
 
+		/** Guards against a status that is none of HTTP and reaches the caller. */
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "099", "600", "999", "0200", "+20" })
+		void withAnInvalidStatusGivesUnknown(String code) throws Exception {
+			DispatchOutcome outcome = dispatch((connection) -> {
+				connection.readRequestHead();
+				connection.write("HTTP/1.1 " + code + " -\r\nContent-Length: 2\r\n\r\nok");
+				connection.close();
+			}, 2000);
+			assertThat(outcome).isInstanceOf(DispatchOutcome.Unknown.class);
+		}
+
 		/**
 		 * Guards against an unsolicited response that is taken as the answer to the next
 		 * request.
--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -32,6 +32,15 @@
 
 	static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
+	private static final Pattern VERSION = Pattern.compile("HTTP/1\\.\\d");
+
+	/**
+	 * The status codes that a response may have (RFC 9110, section 15): the final ones,
+	 * and the interim ones that are defined. Any other below 200 would be skipped as an
+	 * interim response, and the one behind it awaited.
+	 */
+	private static final Pattern STATUS_CODE = Pattern.compile("10[0-3]|[2-5][0-9]{2}");
+
 	private final long maxBytes;
 
 	private boolean awaitingResponse;
@@ -127,6 +136,16 @@
 		}
 	}
 
+	// An exception makes the decoder report a malformed response.
+	@Override
+	protected HttpMessage createMessage(String[] statusLine) {
+		if (!VERSION.matcher(statusLine[0]).matches() || !STATUS_CODE.matcher(statusLine[1]).matches()) {
+			throw new IllegalArgumentException(
+					"the status line begins with '" + statusLine[0] + " " + statusLine[1] + "'");
+		}
+		return super.createMessage(statusLine);
+	}
+
 	// Checks the start of a response before its first line is complete. Bytes that are no
 	// response may have no line end.
 	private void checkStart(ByteBuf buffer) {
