--- a/core/src/test/java/org/plantainspur/core/fleet/SimulatedDomain.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/SimulatedDomain.java
@@ -9,12 +9,14 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 
 import org.plantainspur.core.store.AnswerSchedule;
 import org.plantainspur.core.store.ChangeDelayBudget;
 import org.plantainspur.core.store.RepeatingStore;
 import org.plantainspur.core.store.RetrySchedule;
 import org.plantainspur.core.store.Scheduler;
+import org.plantainspur.core.store.StoreAge;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.StoredRow;
@@ -185,10 +187,7 @@
 		}
 
 		private long storeAgeMs() {
-			long firstMs = this.followers.get(0).storeAgeMs();
-			long secondMs = this.followers.get(1).storeAgeMs();
-			return this.followers.stream().anyMatch(TableFollower::failing) ? Math.max(firstMs, secondMs)
-					: Math.max(Math.min(firstMs, secondMs), Math.max(firstMs, secondMs) - BUDGET.changeWaitMs());
+			return StoreAge.millis(this.followers.get(0), this.followers.get(1), BUDGET);
 		}
 
 		private HostHeartbeat createHeartbeat() {
@@ -305,8 +304,7 @@
 				return answer(table, (follower) -> follower.replica().changes(after));
 			}
 
-			private CompletionStage<StoreResult> answer(String table,
-					java.util.function.Function<TableFollower, StoreResult> read) {
+			private CompletionStage<StoreResult> answer(String table, Function<TableFollower, StoreResult> read) {
 				TableFollower follower = this.peer.followers.get(table.equals(TABLES[0]) ? 0 : 1);
 				return CompletableFuture.completedFuture(read.apply(follower));
 			}
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -208,9 +208,9 @@
 
 	void start() {
 		this.lastHeartbeatMs = this.clock.millis();
+		this.storeSynchronizer.onRead(this::sendHeartbeatIfDue);
 		this.eventLoop.scheduleWithFixedDelay(() -> this.failures.run("gossip", this::tick), TICK_INTERVAL_MS,
 				TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-		this.storeSynchronizer.onRead(this::sendHeartbeatIfDue);
 		this.registry.start();
 	}
 
--- a/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/StoreSynchronizer.java
@@ -15,6 +15,7 @@
 import org.plantainspur.core.store.RetrySchedule;
 import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.Store;
+import org.plantainspur.core.store.StoreAge;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoreVersion;
 import org.plantainspur.core.store.StoredRow;
@@ -158,13 +159,9 @@
 		return (this.desiredStateFollower.loaded() && this.targetFollower.loaded()) ? tableStates() : TableStates.NONE;
 	}
 
-	// Returns the time since this host itself has read the store. An answer for one table
-	// shows that the store can be reached, unless reads of the other one fail.
+	// Returns the time since this host itself has read the store.
 	long storeAgeMs() {
-		long firstMs = this.desiredStateFollower.storeAgeMs();
-		long secondMs = this.targetFollower.storeAgeMs();
-		return (this.desiredStateFollower.failing() || this.targetFollower.failing()) ? Math.max(firstMs, secondMs)
-				: Math.max(Math.min(firstMs, secondMs), Math.max(firstMs, secondMs) - this.budget.changeWaitMs());
+		return StoreAge.millis(this.desiredStateFollower, this.targetFollower, this.budget);
 	}
 
 	// Returns the time since the rows in use were known to be complete, read by this host
