--- a/core/src/test/java/org/plantainspur/core/fleet/ChangePropagationTests.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/ChangePropagationTests.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -168,20 +169,27 @@
 			}
 		}
 
-		/** A feed that one host alone has lost is read by another one. */
-		@Test
-		void aFeedThatTheReaderLosesDelaysChangesByLessThanTheirBound() {
-			for (Loss loss : new Loss[] { Loss.FEED_SILENT, Loss.FEED_BUSY, Loss.SILENT, Loss.BUSY, Loss.RESET }) {
+		/** What one host or every second one has lost is read by another one. */
+		@ParameterizedTest
+		@EnumSource(names = { "FEED_SILENT", "FEED_BUSY", "SILENT", "BUSY", "RESET" })
+		void whatAPartOfTheHostsLosesDelaysChangesAsLongAsAReaderThatEnds(Loss loss) {
+			for (int step : new int[] { 2, 12 }) {
 				for (int phaseMs : PHASES_MS) {
 					SimulatedDomain domain = domainAtPhase(12, phaseMs);
-					domain.paths().get(0).begin(loss);
+					for (int i = 0; i < 12; i += step) {
+						domain.paths().get(i).begin(loss);
+					}
 					domain.runFor(100);
 					changeBothTables(domain);
 					domain.runFor(3_000);
 					changeBothTables(domain);
+					domain.runFor(1_000);
+					domain.paths().forEach(SimulatedStorePath::end);
+					changeBothTables(domain);
 					domain.runFor(5_000);
-					assertThat(domain.longestDelayMs(0)).as("%s at phase %d", loss, phaseMs)
+					assertThat(domain.longestDelayMs(0)).as("every %dth host at phase %d", step, phaseMs)
 						.isLessThanOrEqualTo(readerEndedMs());
+					assertThat(domain.wentBack()).isFalse();
 				}
 			}
 		}
@@ -196,6 +204,36 @@
 
 	}
 
+	/**
+	 * Guards against older rows, and against reads without a pause, while whole reads are
+	 * behind.
+	 */
+	@Nested
+	class StaleWholeReads {
+
+		private static final long STALE_MS = 3_000;
+
+		@ParameterizedTest
+		@ValueSource(ints = { 1, 3, 12 })
+		void delayChangesByLittleMoreThanTheyAreBehind(int hosts) {
+			for (int phaseMs : PHASES_MS) {
+				SimulatedDomain domain = domainAtPhase(hosts, phaseMs);
+				domain.store().setWholeReadsBehind(STALE_MS);
+				domain.paths().forEach((path) -> path.begin(Loss.OPEN_CONNECTIONS_SILENT));
+				changeBothTables(domain);
+				domain.store().dropHistory();
+				long fromMs = domain.nowMs();
+				domain.runFor(STALE_MS);
+				long calls = domain.store().callsSince(fromMs);
+				domain.runFor(5_000);
+				assertThat(domain.longestDelayMs(0)).as("phase %d", phaseMs).isLessThanOrEqualTo(STALE_MS + GOAL_MS);
+				assertThat(domain.wentBack()).isFalse();
+				assertThat(calls).isLessThanOrEqualTo(33 * STALE_MS / 1_000);
+			}
+		}
+
+	}
+
 	/** Guards against calls that are billed without need. */
 	@Nested
 	class Calls {
--- a/core/src/test/java/org/plantainspur/core/fleet/SimulatedStore.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/SimulatedStore.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -35,6 +36,12 @@
 
 	private long historyStart;
 
+	/** How far whole reads are behind, in milliseconds. */
+	private long staleMs;
+
+	/** The time at which each version was given out. */
+	private final TreeMap<Long, Long> versionTimes = new TreeMap<>();
+
 	SimulatedStore(Clock clock, Scheduler scheduler) {
 		this.clock = clock;
 		this.scheduler = scheduler;
@@ -46,6 +53,7 @@
 	 */
 	long put(String table, String key) {
 		this.version++;
+		this.versionTimes.put(this.version, this.clock.millis());
 		this.tables.computeIfAbsent(table, (name) -> new HashMap<>())
 			.put(key, new StoredRow(key, key.getBytes(StandardCharsets.UTF_8), this.version, false));
 		for (Waiter waiter : List.copyOf(this.waiters)) {
@@ -65,6 +73,10 @@
 		List.copyOf(this.waiters).forEach(this::answer);
 	}
 
+	void setWholeReadsBehind(long milliseconds) {
+		this.staleMs = milliseconds;
+	}
+
 	void countRefusal() {
 		this.callTimes.add(this.clock.millis());
 	}
@@ -76,7 +88,18 @@
 	@Override
 	public CompletionStage<StoreResult> list(String table, String from) {
 		this.callTimes.add(this.clock.millis());
-		return CompletableFuture.completedFuture(rowsAfter(table, 0));
+		long asOfMs = this.clock.millis() - this.staleMs;
+		long asOfVersion = this.versionTimes.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue() <= asOfMs)
+			.mapToLong(Map.Entry::getKey)
+			.max()
+			.orElse(1);
+		List<StoredRow> rows = rowsAfter(table, 0).rows()
+			.stream()
+			.filter((row) -> row.version() <= asOfVersion)
+			.toList();
+		return CompletableFuture.completedFuture(new StoreResult.Rows(rows, new StoreVersion(1, asOfVersion), false));
 	}
 
 	@Override
