--- a/core/src/main/java/org/plantainspur/core/fleet/StoreReaderElection.java
+++ b/core/src/main/java/org/plantainspur/core/fleet/StoreReaderElection.java
@@ -92,8 +92,10 @@
 			fetchFrom = null;
 		}
 		boolean inTouch = own.storeAgeMs() <= this.maxAgeMs;
-		boolean mustRead = own.complete() ? rank == 0 || freshestAgeMs > this.maxAgeMs + TAKEOVER_STEP_MS * step(rank)
-				|| (isReading(nowMs) && inTouch && !readerBefore) : fetchFrom == null && nowMs >= startReadMs;
+		boolean othersAreLate = freshestAgeMs > this.maxAgeMs + TAKEOVER_STEP_MS * step(rank);
+		boolean remainsReader = isReading(nowMs) && inTouch && !readerBefore;
+		boolean mustRead = own.complete() ? rank == 0 || othersAreLate || remainsReader
+				: fetchFrom == null && nowMs >= startReadMs;
 		if (mustRead) {
 			this.readsUntilMs = nowMs + MIN_READER_MS;
 		}
