Let stand-ins announce that they close a connection

Cause: a stand-in closes the connection after a response to a request that asks for it, but did not say so in the response. The JDK's client then keeps the connection for its next request, which is lost if it is written before the client notices the close. A lost POST is not repeated: the stand-in that should exit never got the request.

Change: the response has Connection: close if the connection is closed after it, also after a malformed request. The product is not concerned.

--- a/standins/src/main/java/org/plantainspur/standins/http/Connection.java
+++ b/standins/src/main/java/org/plantainspur/standins/http/Connection.java
@@ -32,6 +32,9 @@
 
 	private final PushbackInputStream input;
 
+	/** Whether the server closes the connection after the next response. */
+	private boolean closing;
+
 	Connection(Socket socket) throws IOException {
 		this.socket = socket;
 		this.socket.setTcpNoDelay(true);
@@ -50,13 +53,16 @@
 		if (first == null) {
 			return null;
 		}
+		// After a malformed request, the next one cannot be found.
+		this.closing = true;
 		String[] parts = first.split(" ");
 		if (parts.length != 3 || !parts[1].startsWith("/")) {
 			throw new BadRequestException("the request line '" + first + "' is not 'METHOD /path HTTP/1.1'");
 		}
 		Map<String, String> headers = readHeaders();
-		return new Request(parts[0], parts[1], headers, readBody(headers),
-				this.socket.getInetAddress().getHostAddress(),
+		byte[] body = readBody(headers);
+		this.closing = "close".equalsIgnoreCase(headers.get("connection"));
+		return new Request(parts[0], parts[1], headers, body, this.socket.getInetAddress().getHostAddress(),
 				this.socket.getLocalAddress().getHostAddress() + ":" + this.socket.getLocalPort());
 	}
 
@@ -127,12 +133,20 @@
 		return bytes.toString(StandardCharsets.ISO_8859_1);
 	}
 
+	boolean isClosing() {
+		return this.closing;
+	}
+
 	// Content-Length announces the whole body, of which only the first bodyBytes bytes
 	// are sent.
 	void writeResponse(Response response, int bodyBytes) throws IOException {
 		StringBuilder head = new StringBuilder();
 		head.append("HTTP/1.1 ").append(response.status()).append(" -\r\n");
 		response.headers().forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+		if (this.closing) {
+			// A client that is not told sends its next request on this connection.
+			head.append("Connection: close\r\n");
+		}
 		head.append("Content-Length: ").append(response.body().length).append("\r\n\r\n");
 		ByteArrayOutputStream message = new ByteArrayOutputStream();
 		message.write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
--- a/standins/src/main/java/org/plantainspur/standins/http/StandInServer.java
+++ b/standins/src/main/java/org/plantainspur/standins/http/StandInServer.java
@@ -124,7 +124,7 @@
 		try {
 			for (Request request = connection.readRequest(); request != null; request = connection.readRequest()) {
 				new ServerExchange(request, connection).handleWith(this.handler);
-				if ("close".equalsIgnoreCase(request.header("Connection"))) {
+				if (connection.isClosing()) {
 					return;
 				}
 			}
