Elect the reader of the store at a heartbeat only while a read goes unanswered

The reader of a failure domain compared all hosts' states at each heartbeat that it received, 2 a second from each host, though it is in touch and has nothing to decide. The extra election is for hosts that read without an answer, so that they stop as soon as another one is answered. Behaviour stays as it is.

ChangePropagationTests, ChangeDelayBudgetTests, StoreReaderElectionTests and TableFollowerTests pass.

--- a/core/src/test/java/org/plantainspur/core/fleet/SimulatedDomain.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/SimulatedDomain.java
@@ -240,7 +240,8 @@
 
 		private void receive(HostHeartbeat received) {
 			this.view.receive(received);
-			if (complete() && (this.reading || states().isBehind(received.tables()))) {
+			boolean unanswered = this.reading && storeAgeMs() > BUDGET.takeoverAgeMs();
+			if (complete() && (unanswered || states().isBehind(received.tables()))) {
 				elect();
 			}
 		}
--- a/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/GossipTask.java
@@ -247,10 +247,7 @@
 				// The tables can be fetched from that host, also while the store is
 				// unreachable.
 				this.storeReadAllowedMs = Math.min(this.storeReadAllowedMs, this.clock.millis());
-				if (this.storeSynchronizer.complete()
-						&& (this.readingStore || this.storeSynchronizer.tableStates().isBehind(heartbeat.tables()))) {
-					// Changes are fetched, and a read that is not needed ends, before the
-					// next check.
+				if (isElectionDue(heartbeat)) {
 					electStoreReader();
 				}
 			}
@@ -276,6 +273,15 @@
 		recordRemoteTargetHealth(heartbeat.failedTargets(), heartbeat.recoveredTargets());
 	}
 
+	// Changes are fetched, and an attempt to reach the store that is not needed any more
+	// ends, before the next check. A reader that is in touch has nothing to decide.
+	private boolean isElectionDue(HostHeartbeat heartbeat) {
+		boolean unanswered = this.readingStore
+				&& this.storeSynchronizer.storeAgeMs() > this.settings.changeDelays().takeoverAgeMs();
+		return this.storeSynchronizer.complete()
+				&& (unanswered || this.storeSynchronizer.tableStates().isBehind(heartbeat.tables()));
+	}
+
 	private void recordRemoteTargetHealth(List<String> failedElsewhere, List<String> recoveredElsewhere) {
 		knownTargets(failedElsewhere).forEach(this.hostState.attemptRecorder()::recordRemoteFailure);
 		knownTargets(recoveredElsewhere).forEach(this.hostState.attemptRecorder()::recordRemoteSuccess);
