Run the simulated tasks of three tests on one scheduler

TableFollowerTests, RepeatingStoreTests and SimulatedDomain each had a queue of tasks, its loop and its order. ManualScheduler serves all three.

--- a/core/src/test/java/org/plantainspur/core/fleet/SimulatedDomain.java
+++ b/core/src/test/java/org/plantainspur/core/fleet/SimulatedDomain.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -13,9 +12,9 @@
 
 import org.plantainspur.core.store.AnswerSchedule;
 import org.plantainspur.core.store.ChangeDelayBudget;
+import org.plantainspur.core.store.ManualScheduler;
 import org.plantainspur.core.store.RepeatingStore;
 import org.plantainspur.core.store.RetrySchedule;
-import org.plantainspur.core.store.Scheduler;
 import org.plantainspur.core.store.StoreAge;
 import org.plantainspur.core.store.StoreResult;
 import org.plantainspur.core.store.StoreVersion;
@@ -40,10 +39,7 @@
 
 	private final ManualClock clock = new ManualClock();
 
-	private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-
-	private final Scheduler scheduler = (delayMs, task) -> this.tasks
-		.add(new Task(this.clock.millis() + delayMs, this.taskCount++, task));
+	private final ManualScheduler scheduler = new ManualScheduler(this.clock);
 
 	private final SimulatedStore store = new SimulatedStore(this.clock, this.scheduler);
 
@@ -51,8 +47,6 @@
 
 	private final Map<Long, Long> changeTimes = new HashMap<>();
 
-	private int taskCount;
-
 	SimulatedDomain(int hostCount) {
 		for (String table : TABLES) {
 			this.store.put(table, "first");
@@ -83,13 +77,7 @@
 	}
 
 	void runFor(long milliseconds) {
-		long endMs = nowMs() + milliseconds;
-		while (!this.tasks.isEmpty() && this.tasks.peek().atMs() <= endMs) {
-			Task next = this.tasks.remove();
-			this.clock.advance(Math.max(0, next.atMs() - nowMs()));
-			next.work().run();
-		}
-		this.clock.advance(endMs - nowMs());
+		this.scheduler.runFor(milliseconds);
 	}
 
 	/**
@@ -113,16 +101,6 @@
 		return this.hosts.stream().anyMatch((host) -> host.wentBack);
 	}
 
-	private record Task(long atMs, int number, Runnable work) implements Comparable<Task> {
-
-		@Override
-		public int compareTo(Task other) {
-			int byTime = Long.compare(this.atMs, other.atMs);
-			return (byTime != 0) ? byTime : Integer.compare(this.number, other.number);
-		}
-
-	}
-
 	private final class Host {
 
 		private final String name;
--- a/core/src/test/java/org/plantainspur/core/store/RepeatingStoreTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/RepeatingStoreTests.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -21,12 +20,7 @@
 
 	private final ManualClock clock = new ManualClock();
 
-	private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-
-	private int taskCount;
-
-	private final Scheduler scheduler = (delayMs, task) -> this.tasks
-		.add(new Task(this.clock.millis() + delayMs, this.taskCount++, task));
+	private final ManualScheduler scheduler = new ManualScheduler(this.clock);
 
 	private int repetitions;
 
@@ -46,13 +40,7 @@
 	}
 
 	private void runFor(long milliseconds) {
-		long endMs = this.clock.millis() + milliseconds;
-		while (!this.tasks.isEmpty() && this.tasks.peek().atMs() <= endMs) {
-			Task next = this.tasks.remove();
-			this.clock.advance(Math.max(0, next.atMs() - this.clock.millis()));
-			next.work().run();
-		}
-		this.clock.advance(endMs - this.clock.millis());
+		this.scheduler.runFor(milliseconds);
 	}
 
 	private void readChanges(String table, long after) {
@@ -161,16 +149,6 @@
 
 	}
 
-	private record Task(long atMs, int number, Runnable work) implements Comparable<Task> {
-
-		@Override
-		public int compareTo(Task other) {
-			int byTime = Long.compare(this.atMs, other.atMs);
-			return (byTime != 0) ? byTime : Integer.compare(this.number, other.number);
-		}
-
-	}
-
 	private record Call(String name, CompletableFuture<StoreResult> answer) {
 	}
 
--- a/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
+++ b/core/src/test/java/org/plantainspur/core/store/TableFollowerTests.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -25,8 +24,6 @@
 
 	private final ScriptedStore store = new ScriptedStore();
 
-	private final PriorityQueue<Task> tasks = new PriorityQueue<>();
-
 	private final List<String> events = new ArrayList<>();
 
 	private final Deque<Error> listenerFailures = new ArrayDeque<>();
@@ -41,10 +38,7 @@
 
 	private final long wholeReadMs = this.budget.wholeReadIntervalMs();
 
-	private int taskNumber;
-
-	private final Scheduler scheduler = (delay, task) -> this.tasks
-		.add(new Task(this.clock.millis() + delay, this.taskNumber++, task));
+	private final ManualScheduler scheduler = new ManualScheduler(this.clock, this::runReportingFailures);
 
 	private final TableFollower.Timing timing = new TableFollower.Timing(this.budget,
 			new RetrySchedule(this.clock, this.scheduler, this.budget), new AnswerSchedule(this.clock, this.budget));
@@ -111,21 +105,17 @@
 		}
 	}
 
-	private void runFor(long milliseconds) {
-		long end = this.clock.millis() + milliseconds;
-		Task next = this.tasks.peek();
-		while (next != null && next.atMs() <= end) {
-			this.tasks.poll();
-			this.clock.advance(Math.max(0, next.atMs() - this.clock.millis()));
-			try {
-				next.work().run();
-			}
-			catch (RuntimeException | StackOverflowError ex) {
-				this.reportedFailures.add(ex);
-			}
-			next = this.tasks.peek();
+	private void runReportingFailures(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			this.reportedFailures.add(ex);
 		}
-		this.clock.advance(end - this.clock.millis());
+	}
+
+	private void runFor(long milliseconds) {
+		this.scheduler.runFor(milliseconds);
 	}
 
 	// Reads a table with the row a from the store and stops following it.
@@ -569,16 +559,6 @@
 
 	}
 
-	private record Task(long atMs, int number, Runnable work) implements Comparable<Task> {
-
-		@Override
-		public int compareTo(Task other) {
-			int byTime = Long.compare(this.atMs, other.atMs);
-			return (byTime != 0) ? byTime : Integer.compare(this.number, other.number);
-		}
-
-	}
-
 	private static final class ScriptedStore implements Store {
 
 		private final Deque<StoreResult> results = new ArrayDeque<>();
