Remove a check of the protocol name that a later one made dead

StrictResponseDecoder rejects any version but HTTP/1 with one digit when the status line is read, so no decoded response has another protocol name. StatusLineTests, ProxyTargetConnectionTests, ConnectionHistoryTests and EventLoopHttpClientTests pass.

--- a/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
+++ b/gateway/src/main/java/org/plantainspur/gateway/http/StrictResponseDecoder.java
@@ -26,8 +26,6 @@
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
-	private static final String PROTOCOL_NAME = "HTTP";
-
 	static final String STATUS_LINE_START = "HTTP/1.";
 
 	static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
@@ -167,8 +165,7 @@
 	// Returns whether the head consists of the beginning of one response and of another
 	// one, whose status line then follows anywhere in the first line or in a header.
 	private static boolean isMerged(HttpResponse response) {
-		if (!response.protocolVersion().protocolName().equals(PROTOCOL_NAME)
-				|| response.status().reasonPhrase().contains(STATUS_LINE_START)) {
+		if (response.status().reasonPhrase().contains(STATUS_LINE_START)) {
 			return true;
 		}
 		for (Map.Entry<String, String> header : response.headers()) {
