Use one forwarder and one way to send a keyed read in the tests of real hosts

SilencingForwarder did what TcpForwarder does and more, and RestoredStoreTests and SilentStoreConnectionsTests had the same method.

--- a/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/GatewayFixture.java
@@ -328,6 +328,13 @@
 		}
 	}
 
+	/** Sends a read with a key and returns the status of the response. */
+	static int read(Host host, String key) {
+		String response = sendRequest(host.port(),
+				requestText("GET", "/read/1", "r" + System.nanoTime(), "").replace(KEY, key));
+		return Integer.parseInt(response.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+	}
+
 	static String readResponse(InputStream input) throws IOException {
 		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 		int expected = Integer.MAX_VALUE;
--- a/standins/src/test/java/org/plantainspur/standins/gateway/RestoredStoreTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/RestoredStoreTests.java
@@ -48,16 +48,9 @@
 		return this.requestsByTarget.getOrDefault(id, new AtomicInteger()).get();
 	}
 
-	private static int send(GatewayFixture.Host host, String key) {
-		String response = GatewayFixture.sendRequest(host.port(),
-				GatewayFixture.requestText("GET", "/read/1", "r" + System.nanoTime(), "")
-					.replace(GatewayFixture.KEY, key));
-		return Integer.parseInt(response.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
-	}
-
 	private void assertInForceWithin(long milliseconds, List<GatewayFixture.Host> hosts, String key, int status) {
 		GatewayFixture.sleep(milliseconds);
-		assertThat(hosts).allSatisfy((host) -> assertThat(send(host, key)).isEqualTo(status));
+		assertThat(hosts).allSatisfy((host) -> assertThat(GatewayFixture.read(host, key)).isEqualTo(status));
 	}
 
 	// Writes rows that do not concern the hosts.
@@ -98,7 +91,7 @@
 			GatewayFixture.sleep(1_000);
 			RestoredStoreTests.this.fixture.writeDesiredState("third-key");
 			assertInForceWithin(APPLY_MS, hosts, "third-key", 200);
-			assertThat(hosts).allSatisfy((host) -> assertThat(send(host, "second-key")).isEqualTo(401));
+			assertThat(hosts).allSatisfy((host) -> assertThat(GatewayFixture.read(host, "second-key")).isEqualTo(401));
 		}
 
 		@Test
@@ -112,7 +105,7 @@
 				writeOtherRows(20);
 			}
 			assertInForceWithin(APPLY_MS, hosts, "third-key", 200);
-			assertThat(hosts).allSatisfy((host) -> assertThat(send(host, "second-key")).isEqualTo(401));
+			assertThat(hosts).allSatisfy((host) -> assertThat(GatewayFixture.read(host, "second-key")).isEqualTo(401));
 		}
 
 		@Test
@@ -131,7 +124,7 @@
 			writeOtherRows(3);
 			RestoredStoreTests.this.fixture.writeDesiredState("fourth-key");
 			assertInForceWithin(APPLY_MS, hosts, "fourth-key", 200);
-			assertThat(hosts).allSatisfy((host) -> assertThat(send(host, "third-key")).isEqualTo(401));
+			assertThat(hosts).allSatisfy((host) -> assertThat(GatewayFixture.read(host, "third-key")).isEqualTo(401));
 		}
 
 		/** A host that cannot reach the store learns of the copy from another host. */
@@ -149,10 +142,11 @@
 			TableStoreStandIn.Copy copy = store().copy();
 			writeOtherRows(50);
 			RestoredStoreTests.this.fixture.writeDesiredState("second-key");
-			GatewayFixture.await(() -> send(cutOff, "second-key") == 200 && send(standby, "second-key") == 200);
+			GatewayFixture.await(() -> GatewayFixture.read(cutOff, "second-key") == 200
+					&& GatewayFixture.read(standby, "second-key") == 200);
 			store().restore(copy);
 			RestoredStoreTests.this.fixture.writeDesiredState("third-key");
-			GatewayFixture.await(() -> send(reader, "third-key") == 200);
+			GatewayFixture.await(() -> GatewayFixture.read(reader, "third-key") == 200);
 			assertInForceWithin(APPLY_MS, List.of(reader, standby, cutOff), "third-key", 200);
 		}
 
@@ -169,14 +163,14 @@
 			writeOtherRows(20);
 			startTarget("i-2");
 			GatewayFixture.await(() -> {
-				hosts.forEach((host) -> send(host, GatewayFixture.KEY));
+				hosts.forEach((host) -> GatewayFixture.read(host, GatewayFixture.KEY));
 				return requestsTo("i-2") > 3;
 			});
 			store().restore(copy);
 			GatewayFixture.sleep(APPLY_MS + ENTRY_GRACE_MS);
 			int before = requestsTo("i-2");
 			for (int i = 0; i < 10; i++) {
-				hosts.forEach((host) -> assertThat(send(host, GatewayFixture.KEY)).isEqualTo(200));
+				hosts.forEach((host) -> assertThat(GatewayFixture.read(host, GatewayFixture.KEY)).isEqualTo(200));
 			}
 			assertThat(requestsTo("i-2")).isEqualTo(before);
 		}
@@ -196,7 +190,7 @@
 			int before = requestsTo("i-2");
 			store().restore(copy);
 			for (int i = 0; i < 50; i++) {
-				hosts.forEach((host) -> assertThat(send(host, GatewayFixture.KEY)).isEqualTo(200));
+				hosts.forEach((host) -> assertThat(GatewayFixture.read(host, GatewayFixture.KEY)).isEqualTo(200));
 				GatewayFixture.sleep(100);
 			}
 			assertThat(requestsTo("i-2")).isEqualTo(before);
--- a/standins/src/test/java/org/plantainspur/standins/gateway/SilentStoreConnectionsTests.java
+++ b/standins/src/test/java/org/plantainspur/standins/gateway/SilentStoreConnectionsTests.java
@@ -21,14 +21,14 @@
 	/** After this time from a change, hosts wait for the next one. */
 	private static final long READ_AGAIN_MS = 600;
 
-	private final List<SilencingForwarder> paths = new ArrayList<>();
+	private final List<TcpForwarder> paths = new ArrayList<>();
 
 	private List<GatewayFixture.Host> startHosts(int count) throws IOException {
 		this.fixture.startTarget("i-1", (exchange) -> exchange.respond(GatewayFixture
 			.signedResponse(String.valueOf(exchange.request().header("X-Plantainspur-Attempt-Id")), "done")));
 		List<GatewayFixture.Host> hosts = new ArrayList<>();
 		for (int i = 1; i <= count; i++) {
-			SilencingForwarder path = new SilencingForwarder(this.fixture.store().port());
+			TcpForwarder path = new TcpForwarder(this.fixture.store().port());
 			this.paths.add(path);
 			hosts.add(this.fixture.startReadyHostWithStoreAt("a" + i, path.port()));
 		}
@@ -37,8 +37,8 @@
 		return hosts;
 	}
 
-	private void silence(List<SilencingForwarder> silenced) {
-		silenced.forEach(SilencingForwarder::silenceOpenConnections);
+	private void silence(List<TcpForwarder> silenced) {
+		silenced.forEach(TcpForwarder::silenceOpenConnections);
 	}
 
 	private void writeFourStates(String lastKey) {
@@ -49,16 +49,9 @@
 		this.fixture.writeDesiredState(lastKey);
 	}
 
-	private static int send(GatewayFixture.Host host, String key) {
-		String response = GatewayFixture.sendRequest(host.port(),
-				GatewayFixture.requestText("GET", "/read/1", "r" + System.nanoTime(), "")
-					.replace(GatewayFixture.KEY, key));
-		return Integer.parseInt(response.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
-	}
-
 	private static void assertInForceInTime(List<GatewayFixture.Host> hosts, String key) {
 		GatewayFixture.sleep(APPLY_MS);
-		assertThat(hosts).allSatisfy((host) -> assertThat(send(host, key)).isEqualTo(200));
+		assertThat(hosts).allSatisfy((host) -> assertThat(GatewayFixture.read(host, key)).isEqualTo(200));
 	}
 
 	@Nested
@@ -106,9 +99,9 @@
 
 		private void endsBeforeChanges(int hostCount) throws Exception {
 			List<GatewayFixture.Host> hosts = startHosts(hostCount);
-			SilentStoreConnectionsTests.this.paths.forEach(SilencingForwarder::beginOutage);
+			SilentStoreConnectionsTests.this.paths.forEach(TcpForwarder::beginOutage);
 			GatewayFixture.sleep(OUTAGE_MS);
-			SilentStoreConnectionsTests.this.paths.forEach(SilencingForwarder::endOutage);
+			SilentStoreConnectionsTests.this.paths.forEach(TcpForwarder::endOutage);
 			writeFourStates("last-key");
 			assertInForceInTime(hosts, "last-key");
 		}
