Hold the longest gap between two attempts in the budget of a change

RetrySchedule kept a part of the interval that the sum did not count: after a first attempt, the next one may come 625 ms later, not 500. No wait changes.

--- a/core/src/main/java/org/plantainspur/core/store/ChangeDelayBudget.java
+++ b/core/src/main/java/org/plantainspur/core/store/ChangeDelayBudget.java
@@ -24,6 +24,12 @@
 
 	private static final double WHOLE_READ_INTERVAL_SHARE = 0.75;
 
+	/**
+	 * The part of a retry interval that is kept between the first attempt, which is made
+	 * at once, and the next turn of the host.
+	 */
+	private static final int RETRY_PAUSE_DIVISOR = 4;
+
 	private static final double PAUSE_SHARE = 0.4;
 
 	/** A call to a store in another region, or the connect before it. */
@@ -112,6 +118,16 @@
 		return Math.max(part(RETRY_INTERVAL_SHARE), hosts * 1_000L / DOMAIN_RETRIES_PER_SECOND);
 	}
 
+	/**
+	 * Returns the shortest time between two attempts of one host. Its turn may come up to
+	 * an interval later.
+	 * @param hosts the number of hosts in the failure domain
+	 * @return a time in milliseconds
+	 */
+	public long retryPauseMs(int hosts) {
+		return retryIntervalMs(hosts) / RETRY_PAUSE_DIVISOR;
+	}
+
 	/**
 	 * Returns the interval between two whole reads of a table, when the first one was
 	 * outdated or the changes after it are lost.
@@ -149,17 +165,15 @@
 	 * return of the store, to the use of the change
 	 */
 	public List<Order> orders() {
-		long readMs = 2 * ROUND_TRIP_MS;
-		return List.of(
-				new Order("open connections go silent",
-						answerIntervalMs() + answerGraceMs() + readMs + DISTRIBUTION_MS),
-				new Order("an answer with changes is lost",
-						answerIntervalMs() + answerGraceMs() + readMs + DISTRIBUTION_MS),
+		long readMs = 2 * ROUND_TRIP_MS + DISTRIBUTION_MS;
+		long lateAnswerMs = answerIntervalMs() + answerGraceMs() + readMs;
+		return List.of(new Order("open connections go silent", lateAnswerMs),
+				new Order("an answer with changes is lost", lateAnswerMs),
 				new Order("the store returns and has lost its history",
-						retryIntervalMs(1) + readMs + ROUND_TRIP_MS + DISTRIBUTION_MS),
-				new Order("a whole read is outdated", wholeReadIntervalMs() + readMs + DISTRIBUTION_MS),
+						retryPauseMs(1) + retryIntervalMs(1) + readMs + ROUND_TRIP_MS),
+				new Order("a whole read is outdated", wholeReadIntervalMs() + readMs),
 				new Order("the connection goes silent in the pause after a change",
-						pauseBetweenReadsMs() + answerGraceMs() + readMs + DISTRIBUTION_MS),
+						pauseBetweenReadsMs() + answerGraceMs() + readMs),
 				new Order("the reader ends", readerEndedMs(takeoverAgeMs())));
 	}
 
--- a/core/src/main/java/org/plantainspur/core/store/RetrySchedule.java
+++ b/core/src/main/java/org/plantainspur/core/store/RetrySchedule.java
@@ -17,12 +17,6 @@
  */
 public final class RetrySchedule {
 
-	/**
-	 * The part of an interval that is kept between the first attempt, which is made at
-	 * once, and the next turn.
-	 */
-	private static final int MIN_PAUSE_DIVISOR = 4;
-
 	private final Clock clock;
 
 	private final Scheduler scheduler;
@@ -71,7 +65,7 @@
 	 * that is repeated as soon as possible
 	 */
 	public void add(BooleanSupplier attempt, long sentMs) {
-		this.waiting.put(attempt, sentMs + intervalMs() / MIN_PAUSE_DIVISOR);
+		this.waiting.put(attempt, sentMs + this.budget.retryPauseMs(this.hosts));
 		scheduleNext();
 	}
 
@@ -102,7 +96,7 @@
 	// The first turn of this host from a time on.
 	private long turnMs(long earliestMs) {
 		long intervalMs = intervalMs();
-		long fromMs = Math.max(earliestMs, this.lastAttemptMs + intervalMs / MIN_PAUSE_DIVISOR);
+		long fromMs = Math.max(earliestMs, this.lastAttemptMs + this.budget.retryPauseMs(this.hosts));
 		long phaseMs = intervalMs * this.rank / this.hosts;
 		return fromMs + Math.floorMod(phaseMs - fromMs, intervalMs);
 	}
