--- a/review/src2/review2/Fleet.java
+++ b/review/src2/review2/Fleet.java
@@ -7,10 +7,10 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -19,6 +19,8 @@
 
 	static final int CONTACT_MS = 4_000;
 
+	private static final long RESTART_DELAY_MS = 1_000;
+
 	private static final int FIRST_PORT = 20_000;
 
 	private static final int LAST_PORT = 32_000;
@@ -33,13 +35,37 @@
 
 	private final Set<Integer> usedPorts = new HashSet<>();
 
-	private final List<Machine> machines = new ArrayList<>();
+	private final List<Machine> machines = new CopyOnWriteArrayList<>();
+
+	private volatile boolean closed;
 
 	Fleet(Path root, int storePort, List<String> zones) throws IOException {
 		this.root = root;
 		this.folder = Files.createTempDirectory("review-2-");
 		this.storePort = storePort;
 		this.zones = zones;
+		Runtime.getRuntime().addShutdownHook(new Thread(() -> this.machines.forEach(Machine::kill)));
+	}
+
+	/** Starts processes that end by themselves again after a short delay, as the platform does. */
+	void restartEnded(Record record) {
+		HttpServer.thread(() -> {
+			while (!this.closed) {
+				try {
+					Thread.sleep(RESTART_DELAY_MS);
+					for (Machine machine : this.machines) {
+						if (!this.closed && !machine.process.isAlive()) {
+							record.line(machine.name + " has ended with " + machine.process.exitValue()
+									+ " and is started again");
+							machine.start();
+						}
+					}
+				}
+				catch (IOException | InterruptedException ex) {
+					return;
+				}
+			}
+		});
 	}
 
 	Path folder() {
@@ -137,6 +163,7 @@
 
 	@Override
 	public void close() throws IOException {
+		this.closed = true;
 		for (Machine machine : this.machines) {
 			machine.kill();
 		}
--- a/review/src2/review2/ManyFields.java
+++ b/review/src2/review2/ManyFields.java
@@ -55,10 +55,7 @@
 
 	private static final double USUAL_PER_S = 20;
 
-	/** The rules may count a machine as slowed while clients press beyond the usual, and 5 s after. */
-	private static final long AFTER_BURST_MS = 8_000;
-
-	private static final long CHECKED_MS = 20_000;
+	private static final long CHECKED_MS = 30_000;
 
 	private final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 
@@ -74,6 +71,9 @@
 
 	private final AtomicInteger missing = new AtomicInteger();
 
+	/** Requests without an answer at their route's timeout. */
+	private final AtomicInteger lasted = new AtomicInteger();
+
 	private volatile long checkFromMs = Long.MAX_VALUE;
 
 	private volatile boolean ended;
@@ -114,16 +114,15 @@
 			List<Integer> ports = Client.resolve(fleet.machines().get(0).directoryPort(), "sea-b");
 			this.record.say("clients connect to " + ports.size() + " machines");
 			HttpServer.thread(() -> usual(ports));
+			fleet.restartEnded(this.record);
 			Thread.sleep(4_000);
-			this.record.line("the clients begin");
+			this.record.line("the clients begin; usual requests count from here");
+			this.checkFromMs = this.record.nowMs();
 			for (int i = 0; i < CLIENTS; i++) {
 				int port = ports.get(ThreadLocalRandom.current().nextInt(ports.size()));
 				long delayMs = i * (this.trouble ? BURST_MS : SPREAD_MS) / CLIENTS;
 				HttpServer.thread(() -> burstRequest(port, delayMs));
 			}
-			Thread.sleep((this.trouble ? BURST_MS : SPREAD_MS) + AFTER_BURST_MS);
-			this.record.line("requests count from here");
-			this.checkFromMs = this.record.nowMs();
 			Thread.sleep(CHECKED_MS);
 			this.ended = true;
 			Thread.sleep(DEADLINE_MS + 1_000);
@@ -202,10 +201,10 @@
 		(counts ? this.answersAfter : this.answersBefore).computeIfAbsent(result, (key) -> new AtomicInteger())
 			.incrementAndGet();
 		if (counts) {
+			// A channel that was closed or refused has ended, if without an answer.
 			this.checked.incrementAndGet();
-			if (answer.status() == 0 || tookMs > TIMEOUT_MS + ANSWER_SLACK_MS) {
-				this.missing.incrementAndGet();
-			}
+			this.lasted.addAndGet((tookMs >= TIMEOUT_MS) ? 1 : 0);
+			this.missing.addAndGet((tookMs >= TIMEOUT_MS + ANSWER_SLACK_MS) ? 1 : 0);
 		}
 		this.record.line("usual " + id + " at port " + port + " answered " + result + " after " + tookMs + " ms");
 	}
@@ -213,13 +212,13 @@
 	private int verdict() {
 		this.record.say("answers to the burst: " + this.burstAnswers);
 		this.record.say("answers to usual requests before: " + this.answersBefore + ", after: " + this.answersAfter);
-		this.record.say("usual requests from 8 s after the burst: " + this.checked.get()
-				+ ", without an answer 0.5 s after their route's timeoutMs: " + this.missing.get());
+		this.record.say("usual requests since the burst began: " + this.checked.get() + ", without an end at timeoutMs: "
+				+ this.lasted.get() + ", of these without an end 0.5 s later: " + this.missing.get());
 		if (this.checked.get() == 0) {
 			return 2;
 		}
 		// "Eight or more of them, and over a quarter, have no final answer [...] 0.5 s after it."
-		boolean broken = this.missing.get() >= 8;
+		boolean broken = this.missing.get() >= 8 && this.missing.get() * 4 > this.lasted.get();
 		this.record.say(broken ? "CONFIG broken" : "CONFIG held");
 		this.record.close();
 		return broken ? 1 : 0;
